--- /dev/null
+++ b/src/bin/ragwortknot.rs
@@ -0,0 +1,8 @@
+//! The operators' command line; see docs/OPERATING.md.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    ragwortknot::run_cli(&arguments)
+}
--- /dev/null
+++ b/src/cell_report.rs
@@ -0,0 +1,44 @@
+//! What an owner tells a cell after a grant.
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+use crate::TokenUsage;
+
+/// How a granted request ended.
+#[derive(Clone, Copy, Debug, Deserialize, Display, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum CellResult {
+    /// The connection broke after the request was sent.
+    #[display("broken")]
+    Broken,
+    #[display("completed")]
+    Completed,
+    /// The owner is gone, or gave the grant back unused.
+    #[display("lost")]
+    Lost,
+    /// No connection could be made, so nothing was sent.
+    #[display("not_sent")]
+    NotSent,
+    /// The upstream gave no answer in time.
+    #[display("overdue")]
+    Overdue,
+    /// The upstream refused the request and did not run it.
+    #[display("refused")]
+    Refused,
+}
+
+/// Result of a grant, with what it took.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct CellReport {
+    pub(crate) result: CellResult,
+    pub(crate) usage: TokenUsage,
+    /// Time from the first token to the last, in microseconds.
+    pub(crate) decode_us: u64,
+}
+
+impl CellReport {
+    pub(crate) fn without_usage(result: CellResult) -> Self {
+        Self { result, usage: TokenUsage::default(), decode_us: 0 }
+    }
+}
--- /dev/null
+++ b/src/cluster_view.rs
@@ -0,0 +1,99 @@
+//! Who plays which role, as this host sees it. Every look-up is a pure function of the membership table.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use parking_lot::{Mutex, MutexGuard};
+
+use crate::{
+    CellId, HostName, MembershipTable, RegionName, ShardId, rendezvous::rendezvous_winner,
+};
+
+/// A host to talk to.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct HostTarget {
+    pub(crate) name: HostName,
+    pub(crate) address: SocketAddr,
+    pub(crate) is_own: bool,
+}
+
+/// Shared membership table with the look-ups that other parts need.
+#[derive(Clone, Debug)]
+pub(crate) struct ClusterView {
+    table: Arc<Mutex<MembershipTable>>,
+}
+
+impl ClusterView {
+    pub(crate) fn new(table: MembershipTable) -> Self {
+        Self { table: Arc::new(Mutex::new(table)) }
+    }
+
+    pub(crate) fn lock(&self) -> MutexGuard<'_, MembershipTable> {
+        self.table.lock()
+    }
+
+    /// The dispatcher of a cell: a host of its region, or any host where the region has none.
+    pub(crate) fn dispatcher(&self, cell: &CellId) -> Option<HostTarget> {
+        let table = self.table.lock();
+        let key = cell.to_string();
+
+        let regional = rendezvous_winner(&key, serving_hosts(&table, Some(&cell.region)));
+        let winner = regional.or_else(|| rendezvous_winner(&key, serving_hosts(&table, None)));
+        winner.and_then(|name| target(&table, name))
+    }
+
+    /// The host that should own a shard.
+    pub(crate) fn shard_winner(&self, shard: ShardId) -> Option<HostTarget> {
+        let table = self.table.lock();
+        let winner = rendezvous_winner(&shard_key(shard), serving_hosts(&table, None))?;
+        target(&table, winner)
+    }
+
+    /// The host to ask for a shard: the one that says it owns it, else the one that should.
+    pub(crate) fn shard_host(&self, shard: ShardId) -> Option<HostTarget> {
+        let holder = {
+            let table = self.table.lock();
+            table.holder(shard).and_then(|name| target(&table, name))
+        };
+
+        holder.or_else(|| self.shard_winner(shard))
+    }
+
+    /// Whether a host other than this one is heard and says that it owns a shard.
+    pub(crate) fn is_held_elsewhere(&self, shard: ShardId) -> bool {
+        let table = self.table.lock();
+        table.holder(shard).is_some_and(|name| name != table.own())
+    }
+
+    /// All hosts that are heard, but this one.
+    pub(crate) fn peers(&self) -> Vec<HostTarget> {
+        let table = self.table.lock();
+
+        table
+            .members()
+            .filter(|(name, entry)| {
+                *name != table.own() && entry.status() != crate::MemberStatus::Dead
+            })
+            .filter_map(|(name, _)| target(&table, name))
+            .collect()
+    }
+}
+
+fn shard_key(shard: ShardId) -> String {
+    format!("shard/{shard}")
+}
+
+fn target(table: &MembershipTable, name: &HostName) -> Option<HostTarget> {
+    let entry = table.member(name)?;
+    Some(HostTarget { name: name.clone(), address: entry.address, is_own: name == table.own() })
+}
+
+fn serving_hosts<'a>(
+    table: &'a MembershipTable,
+    region: Option<&'a RegionName>,
+) -> impl Iterator<Item = &'a HostName> {
+    table
+        .members()
+        .filter(move |(_, entry)| region.is_none_or(|it| entry.region == *it))
+        .filter(|(_, entry)| entry.is_serving())
+        .map(|(name, _)| name)
+}
--- /dev/null
+++ b/src/http_upstream.rs
@@ -0,0 +1,220 @@
+//! Upstreams over HTTP: the `OpenAI` chat-completions protocol for engines, plain HTTP for services.
+
+use std::{collections::HashMap, error::Error, pin::Pin, sync::Arc, time::Duration};
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use eventsource_stream::{Event, EventStreamError, Eventsource};
+use futures_util::{Stream, StreamExt};
+use http_body_util::{BodyDataStream, BodyExt, Full};
+use hyper::{Method, Request, Response, StatusCode, body::Incoming, header};
+use hyper_util::client::legacy;
+use tokio::time::timeout;
+
+use crate::{
+    EngineOrder, HttpClient, StreamTimeouts, UpstreamClient, UpstreamError, UpstreamLoad,
+    UpstreamProbe, UpstreamReply, UpstreamStream, http_client::http_client,
+};
+
+/// Time to connect to an upstream.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time for a probe or an order.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Last event of a stream of the chat-completions protocol.
+const STREAM_END: &str = "[DONE]";
+
+/// Most of a rejection's body that is passed on, in bytes.
+const REASON_LIMIT_BYTES: usize = 300;
+
+/// Client of upstreams. Engines are reached over pooled connections. A call to a service gets a connection of its own,
+/// because a pooled one may close while the request is on its way, and nobody could tell whether it ran.
+#[derive(Debug)]
+pub(crate) struct HttpUpstream {
+    pooled: HttpClient,
+    single: HttpClient,
+}
+
+impl HttpUpstream {
+    pub(crate) fn new() -> Self {
+        Self { pooled: http_client(CONNECT_TIMEOUT), single: http_client(CONNECT_TIMEOUT) }
+    }
+
+    async fn exchange(
+        client: &HttpClient,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, UpstreamError> {
+        client.request(request).await.map_err(client_error)
+    }
+
+    async fn get(&self, url: &str, path: &str) -> Result<UpstreamReply, UpstreamError> {
+        let request = build_request(Method::GET, &format!("{url}{path}"), Bytes::new())?;
+        let response = Self::exchange(&self.pooled, request).await?;
+        whole_reply(response).await
+    }
+
+    async fn get_in_time(&self, url: &str, path: &str) -> Result<UpstreamReply, UpstreamError> {
+        timeout(PROBE_TIMEOUT, self.get(url, path)).await.unwrap_or(Err(UpstreamError::Overdue))
+    }
+}
+
+fn client_error(error: legacy::Error) -> UpstreamError {
+    let reason = error.source().map_or_else(|| error.to_string(), ToString::to_string);
+
+    if error.is_connect() {
+        UpstreamError::NotSent { reason }
+    } else {
+        UpstreamError::Broken { reason }
+    }
+}
+
+fn build_request(
+    method: Method,
+    uri: &str,
+    body: Bytes,
+) -> Result<Request<Full<Bytes>>, UpstreamError> {
+    Request::builder()
+        .method(method)
+        .uri(uri)
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(Full::new(body))
+        .map_err(|error| UpstreamError::NotSent { reason: error.to_string() })
+}
+
+async fn whole_reply(response: Response<Incoming>) -> Result<UpstreamReply, UpstreamError> {
+    let status = response.status().as_u16();
+
+    let body = response
+        .into_body()
+        .collect()
+        .await
+        .map_err(|error| UpstreamError::Broken { reason: error.to_string() })?
+        .to_bytes();
+
+    Ok(UpstreamReply { status, body: String::from_utf8_lossy(&body).into() })
+}
+
+#[async_trait]
+impl UpstreamClient for HttpUpstream {
+    async fn call(
+        &self,
+        url: &str,
+        path: &str,
+        body: Bytes,
+        key: &str,
+        limit: Duration,
+    ) -> Result<UpstreamReply, UpstreamError> {
+        let mut request = build_request(Method::POST, &format!("{url}{path}"), body)?;
+        let key = key.parse().map_err(|_| UpstreamError::NotSent { reason: "bad key".into() })?;
+        request.headers_mut().insert("idempotency-key", key);
+        request.headers_mut().insert(header::CONNECTION, header::HeaderValue::from_static("close"));
+
+        let exchange = async {
+            let response = Self::exchange(&self.single, request).await?;
+            whole_reply(response).await
+        };
+
+        timeout(limit, exchange).await.unwrap_or(Err(UpstreamError::Overdue))
+    }
+
+    async fn chat(
+        &self,
+        url: &str,
+        body: Bytes,
+        timeouts: StreamTimeouts,
+    ) -> Result<Box<dyn UpstreamStream>, UpstreamError> {
+        let uri = format!("{url}/v1/chat/completions");
+        let request = build_request(Method::POST, &uri, body)?;
+
+        let response = timeout(timeouts.first, Self::exchange(&self.pooled, request))
+            .await
+            .unwrap_or(Err(UpstreamError::Overdue))?;
+
+        match response.status() {
+            StatusCode::OK => Ok(Box::new(HttpStream::new(response.into_body(), timeouts))),
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
+                Err(UpstreamError::Refused { status: response.status().as_u16() })
+            }
+            status if status.is_client_error() => {
+                let reply = whole_reply(response).await?;
+                let reason = reply.body.chars().take(REASON_LIMIT_BYTES).collect();
+                Err(UpstreamError::Rejected { status: reply.status, reason })
+            }
+            status => Err(UpstreamError::Broken { reason: format!("status {status}") }),
+        }
+    }
+
+    async fn held_keys(&self, url: &str) -> Result<Vec<String>, UpstreamError> {
+        let reply = self.get_in_time(url, "/cache").await?;
+
+        let held: HashMap<String, u64> = serde_json::from_str(&reply.body)
+            .map_err(|error| UpstreamError::Broken { reason: error.to_string() })?;
+
+        let mut keys: Vec<String> = held.into_keys().collect();
+        keys.sort();
+        Ok(keys)
+    }
+
+    async fn order(&self, url: &str, order: &EngineOrder) -> Result<(), UpstreamError> {
+        let body = serde_json::to_vec(order).unwrap_or_default().into();
+        let request = build_request(Method::POST, &format!("{url}/orders"), body)?;
+
+        let response = timeout(PROBE_TIMEOUT, Self::exchange(&self.pooled, request))
+            .await
+            .unwrap_or(Err(UpstreamError::Overdue))?;
+
+        match response.status() {
+            status if status.is_success() => Ok(()),
+            status => Err(UpstreamError::Refused { status: status.as_u16() }),
+        }
+    }
+
+    async fn probe(&self, url: &str) -> UpstreamProbe {
+        match self.get_in_time(url, "/health").await {
+            Ok(reply) if reply.status == 200 => (),
+            Ok(_) => return UpstreamProbe::Refusing,
+            Err(_) => return UpstreamProbe::Silent,
+        }
+
+        let reply = self.get_in_time(url, "/load").await;
+        let load = reply.ok().and_then(|it| serde_json::from_str::<UpstreamLoad>(&it.body).ok());
+        UpstreamProbe::Well { load }
+    }
+
+    async fn read(&self, url: &str, path: &str) -> Result<UpstreamReply, UpstreamError> {
+        self.get_in_time(url, path).await
+    }
+}
+
+type EventResult = Result<Event, EventStreamError<hyper::Error>>;
+
+/// A stream of server-sent events.
+struct HttpStream {
+    events: Pin<Box<dyn Stream<Item = EventResult> + Send>>,
+    timeouts: StreamTimeouts,
+    is_started: bool,
+}
+
+impl HttpStream {
+    fn new(body: Incoming, timeouts: StreamTimeouts) -> Self {
+        let events = Box::pin(BodyDataStream::new(body).eventsource());
+        Self { events, timeouts, is_started: false }
+    }
+}
+
+#[async_trait]
+impl UpstreamStream for HttpStream {
+    async fn next(&mut self) -> Result<Option<Arc<str>>, UpstreamError> {
+        let limit = if self.is_started { self.timeouts.between } else { self.timeouts.first };
+        let event = timeout(limit, self.events.next()).await.map_err(|_| UpstreamError::Overdue)?;
+        self.is_started = true;
+
+        match event {
+            Some(Ok(event)) if event.data == STREAM_END => Ok(None),
+            Some(Ok(event)) => Ok(Some(event.data.into())),
+            Some(Err(error)) => Err(UpstreamError::Broken { reason: error.to_string() }),
+            None => Err(UpstreamError::Broken { reason: "the stream has no end".into() }),
+        }
+    }
+}
--- /dev/null
+++ b/src/membership_service.rs
@@ -0,0 +1,210 @@
+//! Drives the membership table: probes, answers, and the platform's list of hosts. See docs/design/membership.md.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use futures_util::future::join_all;
+use rand::seq::SliceRandom;
+use tokio::time::timeout;
+
+use crate::{
+    ClusterView, ConfigSpreader, HostName, HostPhase, MemberChange, MemberRumor, PeerError,
+    PeerMessage, PeerTransport, PlatformClient, ShardId, peer_transport::peer_call,
+    unix_clock::unix_millis,
+};
+
+/// Hosts that are asked about one that does not answer.
+const HELPERS: usize = 2;
+
+/// Hosts that a starting host asks for all they know.
+const SYNC_HOSTS: usize = 3;
+
+/// Time for a starting host's question.
+const SYNC_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Membership of this host.
+#[derive(Debug)]
+pub(crate) struct MembershipService {
+    pub(crate) view: ClusterView,
+    pub(crate) transport: Arc<dyn PeerTransport>,
+    pub(crate) platform: Arc<dyn PlatformClient>,
+    pub(crate) spreader: Arc<ConfigSpreader>,
+    pub(crate) heartbeat_interval: Duration,
+    pub(crate) host_list_interval: Duration,
+}
+
+impl MembershipService {
+    /// Probes one host each interval, until the host stops.
+    pub(crate) async fn run_probes(self: Arc<Self>) {
+        let mut interval = tokio::time::interval(self.heartbeat_interval);
+        interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+
+        loop {
+            interval.tick().await;
+            let changes = self.view.lock().expire(unix_millis());
+            self.act(changes);
+
+            let next = self.view.lock().next_probe(|hosts| hosts.shuffle(&mut rand::rng()));
+
+            if let Some(host) = next {
+                tokio::spawn(Arc::clone(&self).probe(host));
+            }
+        }
+    }
+
+    /// Reads the platform's list now and then, until the host stops.
+    pub(crate) async fn run_host_list(self: Arc<Self>) {
+        let mut interval = tokio::time::interval(self.host_list_interval);
+
+        loop {
+            interval.tick().await;
+
+            if let Err(error) = self.read_hosts().await {
+                log::debug!("the list of hosts can't be read: {error}");
+            }
+        }
+    }
+
+    pub(crate) async fn read_hosts(&self) -> Result<(), crate::PlatformError> {
+        let hosts = self.platform.hosts().await?;
+        let changes = self.view.lock().learn_hosts(&hosts);
+        self.act(changes);
+        Ok(())
+    }
+
+    /// Asks some hosts for all that they know, and brings the configuration up to the highest number heard.
+    pub(crate) async fn join(&self) {
+        let mut peers = self.view.peers();
+        peers.shuffle(&mut rand::rng());
+        let asked = peers.into_iter().take(SYNC_HOSTS).map(|peer| async move {
+            let rumors = self.view.lock().all_rumors();
+            let request = PeerMessage::Sync { rumors };
+
+            match timeout(SYNC_TIMEOUT, peer_call(&*self.transport, peer.address, &request)).await {
+                Ok(Ok(PeerMessage::Members { config_number, rumors })) => {
+                    self.learn(&rumors);
+
+                    if config_number > self.spreader.store.number() {
+                        self.spreader.pull_from(&peer.name).await;
+                    }
+                }
+                Ok(Ok(_)) | Err(_) => (),
+                Ok(Err(error)) => {
+                    log::info!(peer:% = peer.name; "a peer could not be joined: {error}");
+                }
+            }
+        });
+
+        join_all(asked).await;
+    }
+
+    /// Says something new about this host.
+    pub(crate) fn update_own(&self, phase: HostPhase, shards: Vec<ShardId>) {
+        self.view.lock().update_own(phase, shards);
+    }
+
+    /// Tells all hosts at once what this host says of itself, as at the end of its life.
+    pub(crate) async fn announce(&self) {
+        let pushes = self.view.peers().into_iter().map(|peer| async move {
+            let _ = timeout(SYNC_TIMEOUT, self.ping(&peer.name, peer.address)).await;
+        });
+
+        join_all(pushes).await;
+    }
+
+    /// Answers a probe.
+    pub(crate) fn answer(
+        &self,
+        from: &HostName,
+        config_number: u64,
+        rumors: &[MemberRumor],
+    ) -> PeerMessage {
+        self.learn(rumors);
+        self.spreader.compare(from, config_number);
+        let rumors = self.view.lock().rumors_for(Some(from));
+        PeerMessage::Ack { config_number: self.spreader.store.number(), rumors }
+    }
+
+    /// Probes a host for another one.
+    pub(crate) async fn answer_for(&self, other: &HostName) -> PeerMessage {
+        let Some(address) = self.view.lock().member(other).map(|entry| entry.address) else {
+            return PeerMessage::NoAck;
+        };
+
+        match timeout(self.heartbeat_interval, self.ping(other, address)).await {
+            Ok(Ok(())) => {
+                let rumors = self.view.lock().rumors_for(None);
+                PeerMessage::Ack { config_number: self.spreader.store.number(), rumors }
+            }
+            _ => PeerMessage::NoAck,
+        }
+    }
+
+    /// Answers a starting host.
+    pub(crate) fn members(&self, rumors: &[MemberRumor]) -> PeerMessage {
+        self.learn(rumors);
+        let rumors = self.view.lock().all_rumors();
+        PeerMessage::Members { config_number: self.spreader.store.number(), rumors }
+    }
+
+    async fn probe(self: Arc<Self>, host: HostName) {
+        let Some(address) = self.view.lock().member(&host).map(|entry| entry.address) else {
+            return;
+        };
+
+        if let Ok(Ok(())) = timeout(self.heartbeat_interval, self.ping(&host, address)).await {
+            return;
+        }
+
+        if !self.probe_through_others(&host).await {
+            self.view.lock().record_silence(unix_millis(), &host);
+            // A connection that a dead or cut-off host left behind must not delay the next probe.
+            self.transport.forget(address);
+        }
+    }
+
+    async fn ping(&self, host: &HostName, address: SocketAddr) -> Result<(), PeerError> {
+        let request = {
+            let mut table = self.view.lock();
+            let from = table.own().clone();
+            let rumors = table.rumors_for(Some(host));
+            PeerMessage::Ping { from, config_number: self.spreader.store.number(), rumors }
+        };
+
+        match peer_call(&*self.transport, address, &request).await? {
+            PeerMessage::Ack { config_number, rumors } => {
+                self.learn(&rumors);
+                self.view.lock().record_answer(host);
+                self.spreader.compare(host, config_number);
+                Ok(())
+            }
+            _ => Err(PeerError::Unexpected),
+        }
+    }
+
+    async fn probe_through_others(&self, host: &HostName) -> bool {
+        let mut helpers = self.view.lock().helpers(host);
+        helpers.shuffle(&mut rand::rng());
+
+        let asked = helpers.into_iter().take(HELPERS).map(|helper| async move {
+            let request = PeerMessage::PingOther { other: host.clone() };
+            let patience = self.heartbeat_interval * 2;
+            let answer = timeout(patience, peer_call(&*self.transport, helper, &request)).await;
+            matches!(answer, Ok(Ok(PeerMessage::Ack { .. })))
+        });
+
+        join_all(asked).await.contains(&true)
+    }
+
+    fn learn(&self, rumors: &[MemberRumor]) {
+        let changes = self.view.lock().learn_rumors(unix_millis(), rumors);
+        self.act(changes);
+    }
+
+    fn act(&self, changes: Vec<MemberChange>) {
+        for change in changes {
+            let MemberChange::Gone { address } = change;
+            log::info!(peer:% = address; "a peer is gone");
+            self.transport.forget(address);
+        }
+    }
+}
--- /dev/null
+++ b/src/name_types.rs
@@ -0,0 +1,55 @@
+//! Names of things that operators and the platform name. Each kind has a type of its own, so that a host can't be
+//! passed where a region is meant; all are cheap to clone.
+
+use std::sync::Arc;
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, Deserialize, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+        #[serde(transparent)]
+        pub(crate) struct $name(Arc<str>);
+
+        impl $name {
+            /// Gives the name as text.
+            #[allow(dead_code, reason = "not every kind of name is read as text")]
+            pub(crate) fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(text: &str) -> Self {
+                Self(text.into())
+            }
+        }
+    };
+}
+
+name_type!(
+    /// Name of a host, unique in the platform.
+    HostName
+);
+
+name_type!(
+    /// Name of a region, which holds data centres.
+    RegionName
+);
+
+name_type!(
+    /// Name of a team, which owns programs and a share of the capacity.
+    TeamName
+);
+
+name_type!(
+    /// Name of an upstream: an engine or a plain service.
+    UpstreamName
+);
+
+name_type!(
+    /// Name of what a cell serves: a model, or a plain service that stands beside the engines.
+    ModelName
+);
--- /dev/null
+++ b/src/node.rs
@@ -0,0 +1,334 @@
+//! A host: all roles of one process, put together.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use axum::{Router, serve::ListenerExt};
+use eyre::{Result, WrapErr};
+use parking_lot::Mutex;
+use statig::blocking::{IntoStateMachineExt, StateMachine};
+use tokio::{
+    net::TcpListener,
+    sync::{Notify, watch},
+    task::JoinHandle,
+    time::Instant,
+};
+
+use crate::{
+    BackoffPolicy, ClusterView, ConfigSpreader, ConfigStore, DispatcherTable, HostLifecycle,
+    HostPhase, HttpUpstream, LifecycleEvent, MembershipService, NodeCore, NodeMetrics,
+    NodeSettings, PeerGateway, PeerService, PeerTransport, ProgramRouter, ProgramService,
+    ProgramSweeper, QuicTransport, ReceiptSealer, RetryBudget, ShardKeeper, ShardTable,
+    UpstreamClient, caller_api::caller_routes, operator_api::operator_routes,
+};
+
+/// Pause between tries to reach the platform at the start.
+const START_BACKOFF: BackoffPolicy =
+    BackoffPolicy { first: Duration::from_millis(100), limit: Duration::from_secs(2) };
+
+/// Time for which a draining host still takes requests, until the balancer has seen that it is not ready.
+const BALANCER_GRACE: Duration = Duration::from_secs(2);
+
+/// Pause between two looks at whether the last answers are given.
+const DRAIN_PAUSE: Duration = Duration::from_millis(20);
+
+/// Addresses that a host listens on, with the ports that the system gave.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct NodeAddresses {
+    pub(crate) callers: SocketAddr,
+    pub(crate) operators: SocketAddr,
+    pub(crate) peers: SocketAddr,
+}
+
+/// A running host.
+#[derive(derive_more::Debug)]
+pub(crate) struct Node {
+    pub(crate) settings: Arc<NodeSettings>,
+    pub(crate) addresses: NodeAddresses,
+    pub(crate) config: Arc<ConfigStore>,
+    pub(crate) spreader: Arc<ConfigSpreader>,
+    pub(crate) dispatchers: Arc<DispatcherTable>,
+    pub(crate) keeper: Arc<ShardKeeper>,
+    pub(crate) membership: Arc<MembershipService>,
+    pub(crate) metrics: Arc<NodeMetrics>,
+    pub(crate) router: Arc<ProgramRouter>,
+    pub(crate) shards: Arc<ShardTable>,
+    pub(crate) view: ClusterView,
+    transport: Arc<QuicTransport>,
+    #[debug(skip)]
+    lifecycle: Mutex<StateMachine<HostLifecycle>>,
+    drain: Notify,
+    /// Requests of callers that have no answer yet.
+    pub(crate) in_flight: AtomicUsize,
+    stop: watch::Sender<bool>,
+    tasks: Mutex<Vec<JoinHandle<()>>>,
+}
+
+impl Node {
+    /// Starts all roles. The host takes requests once it has joined its peers; until then it is not ready.
+    pub(crate) async fn start(settings: NodeSettings) -> Result<Arc<Self>> {
+        let callers = listen(settings.callers_address).await?;
+        let operators = listen(settings.operators_address).await?;
+        let node = Self::build(settings, &callers, &operators)?;
+        node.spawn(Self::serve(Arc::clone(&node), callers, caller_routes(&node)));
+        node.spawn(Self::serve(Arc::clone(&node), operators, operator_routes(&node)));
+        node.spawn_roles();
+
+        log::info!(
+            callers:% = node.addresses.callers,
+            operators:% = node.addresses.operators,
+            peers:% = node.addresses.peers;
+            "listening"
+        );
+
+        node.spawn(Arc::clone(&node).join());
+        Ok(node)
+    }
+
+    fn build(
+        settings: NodeSettings,
+        callers: &TcpListener,
+        operators: &TcpListener,
+    ) -> Result<Arc<Self>> {
+        let settings = Arc::new(settings);
+        let metrics = Arc::new(NodeMetrics::new()?);
+
+        let NodeCore { writer, platform, quic, view, config, spreader, membership } =
+            NodeCore::new(&settings, &metrics)?;
+
+        let transport: Arc<dyn PeerTransport> = Arc::clone(&quic) as Arc<dyn PeerTransport>;
+        let peers = quic.address()?;
+        let upstreams: Arc<dyn UpstreamClient> = Arc::new(HttpUpstream::new());
+
+        let dispatchers = Arc::new(DispatcherTable::new(
+            settings.host.clone(),
+            view.clone(),
+            Arc::clone(&config),
+            Arc::clone(&platform),
+            Arc::clone(&upstreams),
+            Arc::clone(&metrics),
+        ));
+
+        let gateway = PeerGateway {
+            region: settings.region.clone(),
+            view: view.clone(),
+            config: Arc::clone(&config),
+            dispatchers: Arc::clone(&dispatchers),
+            transport: Arc::clone(&transport),
+        };
+
+        let shards = Arc::new(ShardTable::default());
+
+        let service = Arc::new(ProgramService {
+            shards: Arc::clone(&shards),
+            config: Arc::clone(&config),
+            cells: Arc::new(gateway),
+            upstreams: Arc::clone(&upstreams),
+            platform: Arc::clone(&platform),
+            sealer: ReceiptSealer::new(&settings.receipt_key),
+            retries: RetryBudget::default(),
+            metrics: Arc::clone(&metrics),
+            commit_patience: settings.commit_patience,
+        });
+
+        let keeper = Arc::new(ShardKeeper {
+            host: settings.host.clone(),
+            writer,
+            shard_count: settings.shards,
+            shards: Arc::clone(&shards),
+            view: view.clone(),
+            platform,
+            service: Arc::clone(&service),
+            membership: Arc::clone(&membership),
+            metrics: Arc::clone(&metrics),
+            moving: Mutex::default(),
+            phase: Mutex::new(HostPhase::Starting),
+            is_stopped: AtomicBool::new(false),
+            release_timeout: settings.drain_timeout,
+        });
+
+        let router = Arc::new(ProgramRouter {
+            view: view.clone(),
+            service: Arc::clone(&service),
+            transport: Arc::clone(&transport),
+        });
+
+        let node = Arc::new(Self {
+            addresses: NodeAddresses {
+                callers: callers.local_addr()?,
+                operators: operators.local_addr()?,
+                peers,
+            },
+            settings,
+            config,
+            spreader,
+            dispatchers,
+            keeper,
+            membership,
+            metrics,
+            router,
+            shards,
+            view,
+            transport: quic,
+            lifecycle: Mutex::new(HostLifecycle.state_machine()),
+            drain: Notify::new(),
+            in_flight: AtomicUsize::new(0),
+            stop: watch::Sender::new(false),
+            tasks: Mutex::default(),
+        });
+
+        let sweeper = Arc::new(ProgramSweeper {
+            service: Arc::clone(&service),
+            dispatchers: Arc::clone(&node.dispatchers),
+            client: upstreams,
+            transport,
+            view: node.view.clone(),
+        });
+
+        let peers = Arc::new(PeerService {
+            programs: service,
+            dispatchers: Arc::clone(&node.dispatchers),
+            membership: Arc::clone(&node.membership),
+            spreader: Arc::clone(&node.spreader),
+        });
+
+        node.spawn(sweeper.run());
+        node.spawn(Arc::clone(&node.transport).serve(peers));
+        Ok(node)
+    }
+
+    fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        self.tasks.lock().push(tokio::spawn(task));
+    }
+
+    fn spawn_roles(self: &Arc<Self>) {
+        self.spawn(Arc::clone(&self.membership).run_host_list());
+        self.spawn(Arc::clone(&self.membership).run_probes());
+        self.spawn(Arc::clone(&self.spreader).run());
+        self.spawn(Arc::clone(&self.dispatchers).run());
+        self.spawn(Arc::clone(&self.keeper).run());
+        self.spawn(Arc::clone(self).watch_config());
+    }
+
+    async fn watch_config(self: Arc<Self>) {
+        let mut numbers = self.config.subscribe();
+
+        while numbers.changed().await.is_ok() {
+            let number = *numbers.borrow_and_update();
+            self.metrics.record_config_number(number);
+            log::info!(number; "configuration in force");
+        }
+    }
+
+    /// Learns the hosts and the configuration, from the platform and from peers, before anything is served.
+    async fn join(self: Arc<Self>) {
+        let mut attempt = 0;
+
+        while let Err(error) = self.read_platform().await {
+            log::warn!("the platform can't be read at the start: {error}");
+            START_BACKOFF.sleep(attempt).await;
+            attempt += 1;
+        }
+
+        self.membership.join().await;
+        self.advance(LifecycleEvent::Ready);
+        self.membership.announce().await;
+    }
+
+    async fn read_platform(&self) -> Result<(), crate::PlatformError> {
+        self.membership.read_hosts().await?;
+        self.config.pull().await?;
+        Ok(())
+    }
+
+    /// Phase of this host's life.
+    pub(crate) fn phase(&self) -> HostPhase {
+        self.lifecycle.lock().state().phase()
+    }
+
+    fn advance(&self, event: LifecycleEvent) {
+        let phase = {
+            let mut lifecycle = self.lifecycle.lock();
+            lifecycle.handle(&event);
+            lifecycle.state().phase()
+        };
+
+        log::info!(phase:% = phase; "the host's phase has changed");
+        self.keeper.set_phase(phase);
+    }
+
+    /// Asks the host to drain and stop.
+    pub(crate) fn request_drain(&self) {
+        self.drain.notify_one();
+    }
+
+    /// Serves until it is asked to drain, then drains.
+    pub(crate) async fn run(self: &Arc<Self>) {
+        self.drain.notified().await;
+        self.drain_all().await;
+    }
+
+    /// Fails readiness, hands shards and queues over, gives the last answers, and stops.
+    async fn drain_all(self: &Arc<Self>) {
+        let started = Instant::now();
+        let deadline = started + self.settings.drain_timeout + BALANCER_GRACE;
+        self.advance(LifecycleEvent::Drain);
+        self.membership.announce().await;
+        let left = self.keeper.wait_released(deadline).await;
+        self.membership.announce().await;
+        self.dispatchers.retire_all();
+
+        while Instant::now() < deadline {
+            let is_idle = self.in_flight.load(Ordering::SeqCst) == 0;
+
+            if is_idle && started.elapsed() >= BALANCER_GRACE {
+                break;
+            }
+
+            tokio::time::sleep(DRAIN_PAUSE).await;
+        }
+
+        let in_flight = self.in_flight.load(Ordering::SeqCst);
+        log::info!(shards_left = left, in_flight; "drained");
+        self.advance(LifecycleEvent::Drained);
+        self.membership.announce().await;
+        self.stop().await;
+    }
+
+    /// Ends all tasks at once.
+    pub(crate) async fn stop(&self) {
+        self.keeper.is_stopped.store(true, Ordering::Relaxed);
+        self.stop.send_replace(true);
+        self.transport.close().await;
+        let tasks = std::mem::take(&mut *self.tasks.lock());
+        tasks.iter().for_each(JoinHandle::abort);
+    }
+
+    async fn serve(self: Arc<Self>, listener: TcpListener, routes: Router) {
+        let listener = listener.tap_io(|stream| {
+            let _ = stream.set_nodelay(true);
+        });
+
+        let mut stop = self.stop.subscribe();
+
+        let result = axum::serve(listener, routes)
+            .with_graceful_shutdown(async move {
+                let _ = stop.wait_for(|is_stopped| *is_stopped).await;
+            })
+            .await;
+
+        if let Err(error) = result {
+            log::error!("a listener has ended: {error}");
+        }
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address).await.wrap_err_with(|| format!("can't listen on {address}"))
+}
--- /dev/null
+++ b/src/node_core.rs
@@ -0,0 +1,77 @@
+//! The parts of a host that all its roles stand on: platform, peers, membership, configuration.
+
+use std::sync::Arc;
+
+use eyre::Result;
+
+use crate::{
+    ClusterView, ConfigSpreader, ConfigStore, GuardedPlatform, HostRecord, HttpPlatform,
+    MembershipService, MembershipTable, NodeMetrics, NodeSettings, PeerTransport, PlatformClient,
+    QuicTransport, WriterId, unix_clock::unix_millis,
+};
+
+/// Parts that are made before the roles.
+#[derive(Debug)]
+pub(crate) struct NodeCore {
+    /// Identity of this run of the process as a writer of logs.
+    pub(crate) writer: WriterId,
+    pub(crate) platform: Arc<dyn PlatformClient>,
+    pub(crate) quic: Arc<QuicTransport>,
+    pub(crate) view: ClusterView,
+    pub(crate) config: Arc<ConfigStore>,
+    pub(crate) spreader: Arc<ConfigSpreader>,
+    pub(crate) membership: Arc<MembershipService>,
+}
+
+impl NodeCore {
+    pub(crate) fn new(settings: &NodeSettings, metrics: &Arc<NodeMetrics>) -> Result<Self> {
+        let writer = WriterId(rand::random());
+        let inner = HttpPlatform::new(&settings.platform_url, settings.platform_timeout);
+
+        let platform: Arc<dyn PlatformClient> = Arc::new(GuardedPlatform::new(
+            Arc::new(inner),
+            settings.platform_calls_per_second,
+            Arc::clone(metrics),
+        ));
+
+        let quic = Arc::new(QuicTransport::bind(
+            settings.peers_address,
+            &settings.keys,
+            &settings.receipt_key,
+            Arc::clone(metrics),
+        )?);
+
+        let view = ClusterView::new(membership_table(settings, &quic)?);
+        let config = Arc::new(ConfigStore::new(Arc::clone(&platform), writer));
+
+        let spreader = Arc::new(ConfigSpreader {
+            own: settings.host.clone(),
+            store: Arc::clone(&config),
+            view: view.clone(),
+            transport: Arc::clone(&quic) as Arc<dyn PeerTransport>,
+        });
+
+        let membership = Arc::new(MembershipService {
+            view: view.clone(),
+            transport: Arc::clone(&quic) as Arc<dyn PeerTransport>,
+            platform: Arc::clone(&platform),
+            spreader: Arc::clone(&spreader),
+            heartbeat_interval: settings.heartbeat_interval,
+            host_list_interval: settings.host_list_interval,
+        });
+
+        Ok(Self { writer, platform, quic, view, config, spreader, membership })
+    }
+}
+
+fn membership_table(settings: &NodeSettings, quic: &QuicTransport) -> Result<MembershipTable> {
+    let record = HostRecord {
+        name: settings.host.clone(),
+        region: settings.region.clone(),
+        peer_address: quic.address()?,
+        is_leaving: false,
+    };
+
+    let suspicion_ms = settings.suspect_after.as_millis() as u64;
+    Ok(MembershipTable::new(&record, unix_millis(), suspicion_ms))
+}
--- /dev/null
+++ b/src/operator_api.rs
@@ -0,0 +1,229 @@
+//! The API for operators, on a listener and with a key of its own. See docs/API.md.
+
+use std::sync::Arc;
+
+use axum::{
+    Json, Router,
+    body::Bytes,
+    extract::{Query, Request, State},
+    http::{HeaderMap, StatusCode, header},
+    middleware::{self, Next},
+    response::{IntoResponse, Response},
+    routing::{get, post},
+};
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use crate::{
+    Node, Problem, ProblemKind, ProgramId, RequestOutcome, ShardId, TeamName,
+    caller_api::{bearer, get_ready},
+    chat_body::parse_json,
+    config_document::key_hash,
+    problem::OUTCOME_HEADER,
+};
+
+type SharedNode = State<Arc<Node>>;
+
+/// Routes of the API.
+pub(crate) fn operator_routes(node: &Arc<Node>) -> Router {
+    let guarded = Router::new()
+        .route("/admin/v1/config", get(get_config).patch(patch_config))
+        .route("/admin/v1/config/history", get(get_history))
+        .route("/admin/v1/upstreams", get(get_upstreams))
+        .route("/admin/v1/shards", get(get_shards))
+        .route("/admin/v1/cells", get(get_cells))
+        .route("/admin/v1/hosts", get(get_hosts))
+        .route("/admin/v1/programs", get(get_programs))
+        .route("/admin/v1/drain", post(post_drain))
+        .layer(middleware::from_fn_with_state(Arc::clone(node), authorize));
+
+    Router::new()
+        .merge(guarded)
+        .route("/metrics", get(get_metrics))
+        .route("/healthz", get(|| async { StatusCode::OK }))
+        .route("/readyz", get(get_ready))
+        .with_state(Arc::clone(node))
+}
+
+async fn authorize(State(node): SharedNode, request: Request, next: Next) -> Response {
+    let is_known = bearer(request.headers())
+        .is_some_and(|key| *key_hash(key) == *node.settings.operator_key_hash);
+
+    if is_known {
+        return next.run(request).await;
+    }
+
+    let detail = "Authorization: expected Bearer and the operators' key";
+    Problem::failed(ProblemKind::Unauthorized, detail).into_response()
+}
+
+async fn get_config(State(node): SharedNode) -> Response {
+    let state = node.config.document();
+    config_response(state.number, json!({ "number": state.number, "config": state.document }))
+}
+
+fn config_response(number: u64, body: Value) -> Response {
+    let mut response = Json(body).into_response();
+    let headers = response.headers_mut();
+    headers.insert(header::ETAG, number.into());
+    headers.insert(OUTCOME_HEADER, header::HeaderValue::from_static("completed"));
+    response
+}
+
+fn if_match(headers: &HeaderMap) -> Result<u64, Problem> {
+    headers
+        .get(header::IF_MATCH)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.trim_matches('"').parse().ok())
+        .ok_or_else(|| {
+            let detail = "If-Match: expected the number that the patch is against";
+            Problem::failed(ProblemKind::PreconditionRequired, detail)
+        })
+}
+
+async fn patch_config(State(node): SharedNode, headers: HeaderMap, body: Bytes) -> Response {
+    match try_patch(&node, &headers, &body).await {
+        Ok(number) => config_response(number, json!({ "number": number })),
+        Err(problem) => {
+            node.metrics.count_request("patch", problem.outcome);
+            problem.into_response()
+        }
+    }
+}
+
+async fn try_patch(node: &Arc<Node>, headers: &HeaderMap, body: &[u8]) -> Result<u64, Problem> {
+    let number = if_match(headers)?;
+    let patch: Value = parse_json(body)?;
+    let entry = node.config.patch(number, &patch).await?;
+    node.metrics.count_request("patch", RequestOutcome::Completed);
+    log::info!(number = entry.number; "a patch of the configuration is accepted");
+    let accepted = entry.number;
+    node.spreader.spread(entry);
+    Ok(accepted)
+}
+
+#[derive(Deserialize)]
+struct HistoryQuery {
+    #[serde(default)]
+    after: u64,
+}
+
+async fn get_history(State(node): SharedNode, Query(query): Query<HistoryQuery>) -> Response {
+    match node.config.history(query.after).await {
+        Ok(entries) => {
+            let entries: Vec<Value> = entries
+                .iter()
+                .map(|entry| {
+                    let patch: Value = serde_json::from_str(&entry.patch).unwrap_or_default();
+                    json!({ "number": entry.number, "at_ms": entry.at_ms, "patch": patch })
+                })
+                .collect();
+
+            Json(json!({ "entries": entries })).into_response()
+        }
+        Err(error) => Problem::failed(ProblemKind::PlatformUnavailable, error.to_string())
+            .retry_after(2)
+            .into_response(),
+    }
+}
+
+async fn get_upstreams(State(node): SharedNode) -> Json<Value> {
+    let states = node.dispatchers.upstreams();
+    let config = node.config.document();
+
+    let upstreams: Vec<Value> = config
+        .document
+        .upstreams
+        .iter()
+        .map(|(name, terms)| {
+            let state = states.iter().find(|it| it.upstream == *name).map(|it| it.state);
+            json!({ "upstream": name, "region": terms.region, "model": terms.model, "state": state })
+        })
+        .collect();
+
+    Json(json!({ "host": node.settings.host, "upstreams": upstreams }))
+}
+
+async fn get_shards(State(node): SharedNode) -> Json<Value> {
+    let shards: Vec<Value> = (0..node.settings.shards)
+        .map(ShardId)
+        .map(|shard| {
+            let holder = node.view.lock().holder(shard).cloned();
+            let owner = node.shards.owner(shard);
+            let programs = owner.map(|it| it.read(|state| state.open_programs().count()));
+            json!({ "shard": shard.to_string(), "host": holder, "programs": programs })
+        })
+        .collect();
+
+    Json(json!({ "host": node.settings.host, "shards": shards }))
+}
+
+async fn get_cells(State(node): SharedNode) -> Json<Value> {
+    Json(json!({ "host": node.settings.host, "cells": node.dispatchers.cells() }))
+}
+
+async fn get_hosts(State(node): SharedNode) -> Json<Value> {
+    let table = node.view.lock();
+
+    let hosts: Vec<Value> = table
+        .members()
+        .map(|(name, entry)| {
+            json!({
+                "host": name,
+                "region": entry.region,
+                "address": entry.address,
+                "status": entry.status().to_string(),
+                "phase": entry.phase().to_string(),
+                "leaving": entry.is_leaving,
+            })
+        })
+        .collect();
+
+    let data_centre = &node.settings.data_centre;
+    Json(json!({ "host": table.own(), "data_centre": data_centre, "hosts": hosts }))
+}
+
+/// Row of the list of programs.
+#[derive(serde::Serialize)]
+struct ProgramRow {
+    program: ProgramId,
+    team: TeamName,
+    state: &'static str,
+    turns: usize,
+    spent_tokens: u64,
+    budget_tokens: u64,
+}
+
+async fn get_programs(State(node): SharedNode) -> Json<Value> {
+    let mut rows = Vec::new();
+
+    for owner in node.shards.owners() {
+        owner.read(|state| {
+            rows.extend(state.programs.values().map(|program| ProgramRow {
+                program: program.terms.id,
+                team: program.terms.team.clone(),
+                state: if program.end_reason.is_some() { "ended" } else { "open" },
+                turns: program.entries.len(),
+                spent_tokens: program.spent_tokens,
+                budget_tokens: program.terms.budget_tokens,
+            }));
+        });
+    }
+
+    Json(json!({ "host": node.settings.host, "programs": rows }))
+}
+
+async fn post_drain(State(node): SharedNode) -> (StatusCode, Json<Value>) {
+    node.request_drain();
+    (StatusCode::ACCEPTED, Json(json!({ "host": node.settings.host, "phase": "draining" })))
+}
+
+async fn get_metrics(State(node): SharedNode) -> Response {
+    match node.metrics.text() {
+        Ok(text) => ([(header::CONTENT_TYPE, "text/plain; version=0.0.4")], text).into_response(),
+        Err(error) => {
+            log::error!("the metrics can't be written: {error}");
+            StatusCode::INTERNAL_SERVER_ERROR.into_response()
+        }
+    }
+}
--- /dev/null
+++ b/src/peer_message.rs
@@ -0,0 +1,113 @@
+//! What hosts say to each other. Every exchange is a stream of these, each in a frame of `frame_codec.rs`.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    CellId, CellReport, CellRequest, ConfigEntry, HostName, MemberRumor, ProgramEvent, ProgramId,
+    ProgramRequest, UpstreamName,
+};
+
+/// One message. The first of a stream says what the exchange is about.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) enum PeerMessage {
+    /// Membership: are you there? Answered by [`PeerMessage::Ack`].
+    Ping {
+        from: HostName,
+        config_number: u64,
+        rumors: Vec<MemberRumor>,
+    },
+    /// Membership: is that host there? Answered by `Ack` or [`PeerMessage::NoAck`].
+    PingOther {
+        other: HostName,
+    },
+    Ack {
+        config_number: u64,
+        rumors: Vec<MemberRumor>,
+    },
+    NoAck,
+    /// Membership: tell all you know. Answered by [`PeerMessage::Members`].
+    Sync {
+        rumors: Vec<MemberRumor>,
+    },
+    Members {
+        config_number: u64,
+        rumors: Vec<MemberRumor>,
+    },
+
+    /// Configuration: entries to pass on to the part of the tree below `position`.
+    ConfigPush {
+        entries: Vec<ConfigEntry>,
+        tree: Vec<HostName>,
+        position: u32,
+    },
+    /// Configuration: what comes after a number? Answered by [`PeerMessage::ConfigEntries`].
+    ConfigPull {
+        after: u64,
+    },
+    ConfigEntries {
+        entries: Vec<ConfigEntry>,
+    },
+
+    /// Programs: a request for the owner of a program, answered by a stream of events.
+    Program(ProgramRequest),
+    Event(ProgramEvent),
+
+    /// Dispatch: a request for a place. Answered by `Granted`, `Declined` or `NotDispatcher`.
+    Dispatch {
+        cell: CellId,
+        request: CellRequest,
+    },
+    Granted {
+        upstream: UpstreamName,
+    },
+    Declined {
+        refusal: CellRefusal,
+    },
+    /// The peer does not, or no longer, dispatch for this cell.
+    NotDispatcher,
+    /// Dispatch: how a granted request ended.
+    Report(CellReport),
+    /// Dispatch: programs have ended, and their prefixes are worth nothing.
+    ProgramsEnded {
+        cell: CellId,
+        programs: Vec<ProgramId>,
+    },
+
+    /// Engine memory: which of these programs do not live? Answered by [`PeerMessage::Ended`].
+    EndedQuery {
+        programs: Vec<ProgramId>,
+    },
+    Ended {
+        programs: Vec<ProgramId>,
+    },
+
+    /// The exchange is refused.
+    Refused {
+        reason: Arc<str>,
+    },
+    Done,
+}
+
+impl PeerMessage {
+    /// Tells whether the message is control traffic, which has a budget for each host.
+    pub(crate) fn is_control(&self) -> bool {
+        !matches!(
+            self,
+            Self::Program(_)
+                | Self::Event(_)
+                | Self::Dispatch { .. }
+                | Self::Granted { .. }
+                | Self::Declined { .. }
+                | Self::Report(_)
+        )
+    }
+}
+
+/// Why a cell gave no place.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct CellRefusal {
+    pub(crate) reason: crate::RefusalReason,
+    pub(crate) retry_after_ms: u64,
+}
--- /dev/null
+++ b/src/quic_transport.rs
@@ -0,0 +1,261 @@
+//! Exchanges between hosts over QUIC with mutual TLS. See docs/design/peers.md.
+
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use eyre::{Result, WrapErr};
+use parking_lot::Mutex;
+use quinn::{
+    ClientConfig, Connection, Endpoint, EndpointConfig, Incoming, RecvStream, SendStream,
+    ServerConfig, TransportConfig, VarInt,
+    crypto::rustls::{QuicClientConfig, QuicServerConfig},
+};
+use rustls::server::WebPkiClientVerifier;
+use tokio::time::timeout;
+
+use crate::{
+    KeyFiles, NodeMetrics, PeerError, PeerHandler, PeerMessage, PeerStream, PeerTransport,
+    decode_frame, encode_frame, key_files::PEER_SERVER_NAME,
+};
+
+/// Name of our protocol in the TLS handshake.
+const PROTOCOL_NAME: &[u8] = b"ragwortknot/1";
+
+/// Largest message, in bytes. The longest is a program's history.
+const MESSAGE_LIMIT_BYTES: u32 = 64 << 20;
+
+/// Exchanges that a peer may have open at once.
+const STREAM_LIMIT: u32 = 16_384;
+
+/// Idle connections are kept for this long. Opening one anew costs several kilobytes, more than a host's budget for
+/// control traffic, so membership probes must find them open.
+const IDLE_TIMEOUT: Duration = Duration::from_mins(10);
+
+/// Time to connect to a peer.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Code with which connections are given up.
+const CLOSE_CODE: VarInt = VarInt::from_u32(0);
+
+/// Connections to peers, each shared by all exchanges with that peer.
+#[derive(Debug)]
+pub(crate) struct QuicTransport {
+    endpoint: Endpoint,
+    connections: Mutex<HashMap<SocketAddr, Connection>>,
+    metrics: Arc<NodeMetrics>,
+}
+
+impl QuicTransport {
+    /// Binds the endpoint. `reset_secret` is shared by the hosts, so that a restarted host tells its peers at once that
+    /// their old connections are gone.
+    pub(crate) fn bind(
+        address: SocketAddr,
+        keys: &KeyFiles,
+        reset_secret: &str,
+        metrics: Arc<NodeMetrics>,
+    ) -> Result<Self> {
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let roots = Arc::new(keys.roots()?);
+
+        let verifier = WebPkiClientVerifier::builder_with_provider(roots.clone(), provider.clone())
+            .build()
+            .wrap_err("the authority can't verify peers")?;
+
+        let mut server = rustls::ServerConfig::builder_with_provider(provider.clone())
+            .with_protocol_versions(&[&rustls::version::TLS13])?
+            .with_client_cert_verifier(verifier)
+            .with_single_cert(keys.chain()?, keys.private_key()?)
+            .wrap_err("the host's certificate and key don't fit")?;
+        server.alpn_protocols = vec![PROTOCOL_NAME.into()];
+
+        let mut client = rustls::ClientConfig::builder_with_provider(provider)
+            .with_protocol_versions(&[&rustls::version::TLS13])?
+            .with_root_certificates(roots)
+            .with_client_auth_cert(keys.chain()?, keys.private_key()?)?;
+        client.alpn_protocols = vec![PROTOCOL_NAME.into()];
+
+        let transport = Arc::new(transport_config());
+        let mut server = ServerConfig::with_crypto(Arc::new(QuicServerConfig::try_from(server)?));
+        server.transport_config(Arc::clone(&transport));
+        let mut client = ClientConfig::new(Arc::new(QuicClientConfig::try_from(client)?));
+        client.transport_config(transport);
+
+        let socket = std::net::UdpSocket::bind(address)
+            .wrap_err_with(|| format!("can't listen for peers on {address}"))?;
+
+        let reset_key = ring::hmac::Key::new(ring::hmac::HMAC_SHA256, reset_secret.as_bytes());
+        let config = EndpointConfig::new(Arc::new(reset_key));
+        let runtime = Arc::new(quinn::TokioRuntime);
+        let mut endpoint = Endpoint::new(config, Some(server), socket, runtime)?;
+        endpoint.set_default_client_config(client);
+        Ok(Self { endpoint, connections: Mutex::default(), metrics })
+    }
+
+    pub(crate) fn address(&self) -> Result<SocketAddr> {
+        Ok(self.endpoint.local_addr()?)
+    }
+
+    /// Ends all connections, and waits until peers know.
+    pub(crate) async fn close(&self) {
+        self.endpoint.close(CLOSE_CODE, b"closing");
+        let _ = timeout(CONNECT_TIMEOUT, self.endpoint.wait_idle()).await;
+    }
+
+    /// Answers peers until the endpoint is closed.
+    pub(crate) async fn serve(self: Arc<Self>, handler: Arc<dyn PeerHandler>) {
+        while let Some(incoming) = self.endpoint.accept().await {
+            let transport = Arc::clone(&self);
+            let handler = Arc::clone(&handler);
+            tokio::spawn(async move { transport.serve_connection(incoming, handler).await });
+        }
+    }
+
+    async fn serve_connection(self: Arc<Self>, incoming: Incoming, handler: Arc<dyn PeerHandler>) {
+        let peer = incoming.remote_address();
+
+        let connection = match incoming.await {
+            Ok(connection) => connection,
+            Err(error) => {
+                log::warn!(peer:% = peer; "a peer's connection is refused: {error}");
+                return;
+            }
+        };
+
+        while let Ok((send, receive)) = connection.accept_bi().await {
+            let metrics = Arc::clone(&self.metrics);
+            let handler = Arc::clone(&handler);
+            let stream = QuicStream { send, receive, metrics };
+            tokio::spawn(serve_stream(peer, stream, handler));
+        }
+    }
+
+    async fn connection(&self, peer: SocketAddr) -> Result<Connection, PeerError> {
+        let open = self.connections.lock().get(&peer).cloned();
+
+        if let Some(connection) = open.filter(|it| it.close_reason().is_none()) {
+            return Ok(connection);
+        }
+
+        let lost = |reason: String| PeerError::Lost { reason };
+
+        let connecting = self
+            .endpoint
+            .connect(peer, PEER_SERVER_NAME)
+            .map_err(|error| lost(error.to_string()))?;
+
+        let connection = timeout(CONNECT_TIMEOUT, connecting)
+            .await
+            .map_err(|_| PeerError::Overdue)?
+            .map_err(|error| lost(error.to_string()))?;
+
+        self.connections.lock().insert(peer, connection.clone());
+        Ok(connection)
+    }
+}
+
+async fn serve_stream(peer: SocketAddr, mut stream: QuicStream, handler: Arc<dyn PeerHandler>) {
+    match stream.receive().await {
+        Ok(Some(first)) => handler.handle(first, Box::new(stream)).await,
+        Ok(None) => (),
+        Err(error) => {
+            log::warn!(peer:% = peer; "a peer's message is refused: {error}");
+            let reason = error.to_string().into();
+            let _ = stream.send(&PeerMessage::Refused { reason }).await;
+            stream.finish();
+        }
+    }
+}
+
+fn transport_config() -> TransportConfig {
+    let mut config = TransportConfig::default();
+    config.max_concurrent_bidi_streams(STREAM_LIMIT.into());
+    config.max_idle_timeout(Some(IDLE_TIMEOUT.try_into().expect("the timeout fits")));
+    config.initial_rtt(Duration::from_millis(50));
+    config
+}
+
+#[async_trait]
+impl PeerTransport for QuicTransport {
+    fn forget(&self, peer: SocketAddr) {
+        if let Some(connection) = self.connections.lock().remove(&peer) {
+            connection.close(CLOSE_CODE, b"given up");
+        }
+    }
+
+    async fn open(
+        &self,
+        peer: SocketAddr,
+        first: &PeerMessage,
+    ) -> Result<Box<dyn PeerStream>, PeerError> {
+        let connection = self.connection(peer).await?;
+        let lost = |reason: String| PeerError::Lost { reason };
+
+        let (send, receive) = timeout(CONNECT_TIMEOUT, connection.open_bi())
+            .await
+            .map_err(|_| PeerError::Overdue)?
+            .map_err(|error| lost(error.to_string()))?;
+
+        let mut stream = QuicStream { send, receive, metrics: Arc::clone(&self.metrics) };
+        stream.send(first).await?;
+        Ok(Box::new(stream))
+    }
+}
+
+/// One bidirectional stream, with a length before each frame.
+#[derive(Debug)]
+struct QuicStream {
+    send: SendStream,
+    receive: RecvStream,
+    metrics: Arc<NodeMetrics>,
+}
+
+#[async_trait]
+impl PeerStream for QuicStream {
+    async fn receive(&mut self) -> Result<Option<PeerMessage>, PeerError> {
+        let lost = |reason: String| PeerError::Lost { reason };
+        let mut length = [0; 4];
+
+        match self.receive.read_exact(&mut length).await {
+            Ok(()) => (),
+            Err(quinn::ReadExactError::FinishedEarly(0)) => return Ok(None),
+            Err(error) => return Err(lost(error.to_string())),
+        }
+
+        let length = u32::from_le_bytes(length);
+
+        if length > MESSAGE_LIMIT_BYTES {
+            let reason = format!("a message of {length} bytes is too large");
+            return Err(PeerError::Refused { reason });
+        }
+
+        let mut frame = vec![0; length as usize];
+
+        self.receive.read_exact(&mut frame).await.map_err(|error| match error {
+            quinn::ReadExactError::FinishedEarly(read) => {
+                let reason = format!("{read} of {length} bytes came");
+                PeerError::Frame(crate::FrameError::Malformed { reason })
+            }
+            quinn::ReadExactError::ReadError(error) => lost(error.to_string()),
+        })?;
+
+        let message: PeerMessage = decode_frame(&frame)?;
+        self.metrics.count_peer_bytes(message.is_control(), "received", frame.len() as u64 + 4);
+        Ok(Some(message))
+    }
+
+    async fn send(&mut self, message: &PeerMessage) -> Result<(), PeerError> {
+        let frame = encode_frame(message);
+        let length = Bytes::copy_from_slice(&(frame.len() as u32).to_le_bytes());
+        self.metrics.count_peer_bytes(message.is_control(), "sent", frame.len() as u64 + 4);
+
+        self.send
+            .write_all_chunks(&mut [length, frame])
+            .await
+            .map_err(|error| PeerError::Lost { reason: error.to_string() })
+    }
+
+    fn finish(&mut self) {
+        let _ = self.send.finish();
+    }
+}
--- /dev/null
+++ b/src/shard_keeper.rs
@@ -0,0 +1,205 @@
+//! Takes the shards that this host should own, and gives up those that it should not.
+
+use std::{
+    collections::BTreeSet,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use parking_lot::Mutex;
+use tokio::time::Instant;
+
+use crate::{
+    CallRunner, CallState, ClusterView, CommitOutcome, HostName, HostPhase, LogError,
+    MembershipService, NodeMetrics, OwnedProgram, PlatformClient, ProgramEntry, ProgramService,
+    ShardId, ShardLog, ShardOwner, ShardTable, WriterId,
+};
+
+/// Time between two looks at who should own what.
+const KEEP_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time for the record that a shard is released.
+const RELEASE_PATIENCE: Duration = Duration::from_secs(5);
+
+/// Keeper of this host's shards.
+#[derive(Debug)]
+pub(crate) struct ShardKeeper {
+    pub(crate) host: HostName,
+    pub(crate) writer: WriterId,
+    pub(crate) shard_count: u16,
+    pub(crate) shards: Arc<ShardTable>,
+    pub(crate) view: ClusterView,
+    pub(crate) platform: Arc<dyn PlatformClient>,
+    pub(crate) service: Arc<ProgramService>,
+    pub(crate) membership: Arc<MembershipService>,
+    pub(crate) metrics: Arc<NodeMetrics>,
+    /// Shards that are being claimed or released.
+    pub(crate) moving: Mutex<BTreeSet<ShardId>>,
+    pub(crate) phase: Mutex<HostPhase>,
+    pub(crate) is_stopped: AtomicBool,
+    /// Time that a release waits for what runs.
+    pub(crate) release_timeout: Duration,
+}
+
+impl ShardKeeper {
+    /// Keeps until the host stops.
+    pub(crate) async fn run(self: Arc<Self>) {
+        let mut interval = tokio::time::interval(KEEP_INTERVAL);
+
+        while !self.is_stopped.load(Ordering::Relaxed) {
+            interval.tick().await;
+            self.keep();
+        }
+    }
+
+    /// States a phase of this host's life, from which follows what it should own.
+    pub(crate) fn set_phase(&self, phase: HostPhase) {
+        *self.phase.lock() = phase;
+        self.state_own();
+    }
+
+    /// Waits until every shard is released, or time is up. Gives the number of those left.
+    pub(crate) async fn wait_released(&self, deadline: Instant) -> usize {
+        while !self.shards.shards().is_empty() && Instant::now() < deadline {
+            tokio::time::sleep(KEEP_INTERVAL).await;
+        }
+
+        self.shards.shards().len()
+    }
+
+    fn state_own(&self) {
+        let phase = *self.phase.lock();
+        self.membership.update_own(phase, self.shards.shards());
+    }
+
+    fn keep(self: &Arc<Self>) {
+        for owner in self.shards.owners() {
+            if owner.is_closed() && !self.moving.lock().contains(&owner.shard()) {
+                self.shards.remove(owner.shard());
+            }
+        }
+
+        for shard in (0..self.shard_count).map(ShardId) {
+            let is_winner = self.view.shard_winner(shard).is_some_and(|target| target.is_own);
+
+            match self.shards.owner(shard) {
+                Some(owner) if !is_winner => self.start_release(owner),
+                None if is_winner => self.start_claim(shard),
+                _ => (),
+            }
+        }
+
+        let owners = self.shards.owners();
+        let programs = owners.iter().map(|it| it.read(|state| state.open_programs().count()));
+        self.metrics.record_owned(owners.len(), programs.sum());
+        self.state_own();
+    }
+
+    fn start_claim(self: &Arc<Self>, shard: ShardId) {
+        let may_claim = self.platform.is_available() && !self.view.is_held_elsewhere(shard);
+
+        if may_claim && self.moving.lock().insert(shard) {
+            let keeper = Arc::clone(self);
+
+            tokio::spawn(async move {
+                if let Err(error) = keeper.claim(shard).await {
+                    log::warn!(shard:% = shard; "the shard was not claimed: {error}");
+                }
+                keeper.moving.lock().remove(&shard);
+            });
+        }
+    }
+
+    async fn claim(&self, shard: ShardId) -> Result<(), LogError> {
+        let started = Instant::now();
+        let platform = Arc::clone(&self.platform);
+        let claimed = ShardLog::claim(platform, shard, &self.host, self.writer).await?;
+        let epoch = claimed.state.epoch;
+        let programs = claimed.state.programs.len();
+        let metrics = Arc::clone(&self.metrics);
+        let owner = Arc::new(ShardOwner::new(shard, claimed.state, metrics));
+        tokio::spawn(Arc::clone(&owner).run_writer(claimed.log));
+        self.shards.insert(Arc::clone(&owner));
+        self.state_own();
+        self.recover_calls(&owner);
+
+        log::info!(
+            shard:% = shard, epoch, programs, bytes = claimed.replay_bytes,
+            millis = started.elapsed().as_millis() as u64;
+            "the shard is claimed"
+        );
+
+        Ok(())
+    }
+
+    /// Finds out about calls whose owner died between intent and result.
+    fn recover_calls(&self, owner: &Arc<ShardOwner>) {
+        for program in open_calls(owner) {
+            let service = Arc::clone(&self.service);
+
+            tokio::spawn(async move {
+                let number = program.read(|it| it.entries.len() as u32).unwrap_or(0);
+                let recovered = CallRunner::new(&service, &program).recover(number).await;
+
+                if let Err(problem) = recovered {
+                    log::warn!(program:% = program.id; "a call was not recovered: {problem}");
+                }
+            });
+        }
+    }
+
+    fn start_release(self: &Arc<Self>, owner: Arc<ShardOwner>) {
+        if self.moving.lock().insert(owner.shard()) {
+            let keeper = Arc::clone(self);
+
+            tokio::spawn(async move {
+                keeper.release(&owner).await;
+                keeper.moving.lock().remove(&owner.shard());
+            });
+        }
+    }
+
+    /// Lets what runs come to its end, then gives the shard up.
+    async fn release(&self, owner: &Arc<ShardOwner>) {
+        let deadline = Instant::now() + self.release_timeout;
+        owner.stop_admission();
+
+        while owner.is_busy() && Instant::now() < deadline {
+            tokio::time::sleep(KEEP_INTERVAL / 5).await;
+        }
+
+        let is_busy = owner.is_busy();
+
+        let outcome = match is_busy {
+            // What runs may still spend, so the next owner has to count its chunk as spent.
+            true => owner.abandon(),
+            false => owner.release(RELEASE_PATIENCE).await,
+        };
+
+        let is_released = outcome == CommitOutcome::Durable;
+        log::info!(shard:% = owner.shard(), is_busy, is_released; "the shard is given up");
+        self.shards.remove(owner.shard());
+        self.state_own();
+    }
+}
+
+fn open_calls(owner: &Arc<ShardOwner>) -> Vec<OwnedProgram> {
+    owner.read(|state| {
+        state
+            .programs
+            .values()
+            .filter(|program| match program.entries.last() {
+                Some(ProgramEntry::Call(call)) => call.state == CallState::Intended,
+                _ => false,
+            })
+            .map(|program| OwnedProgram {
+                owner: Arc::clone(owner),
+                id: program.terms.id,
+                team: program.terms.team.clone(),
+            })
+            .collect()
+    })
+}
--- /dev/null
+++ b/src/shard_state.rs
@@ -0,0 +1,232 @@
+//! The programs of a shard: a pure function of its log.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{CallState, EndReason, LogRecord, Program, ProgramEntry, ProgramId, StateError};
+
+/// State of a shard. Replaying the same records always gives the same state.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct ShardState {
+    pub(crate) epoch: u64,
+    /// Whether the last owner settled everything before it went.
+    pub(crate) is_released: bool,
+    pub(crate) programs: BTreeMap<ProgramId, Program>,
+}
+
+impl ShardState {
+    /// Applies one record.
+    pub(crate) fn apply(&mut self, record: &LogRecord) -> Result<(), StateError> {
+        match record {
+            LogRecord::BudgetReserved { program, chunk_limit } => {
+                self.reserve(*program, *chunk_limit)
+            }
+            LogRecord::CallSettled { program, number, state, at_ms } => {
+                self.settle_call(*program, *number, state, *at_ms)
+            }
+            LogRecord::CallIntended { program, number, call } => {
+                let entry = ProgramEntry::Call(call.clone());
+                self.push_entry(*program, *number, entry, call.at_ms)
+            }
+            LogRecord::CallWithdrawn { program, number } => self.withdraw_call(*program, *number),
+            LogRecord::ProgramCreated { terms } => self.create(Program::new(terms.clone())),
+            LogRecord::ProgramEnded { program, reason, at_ms } => {
+                self.end(*program, *reason, *at_ms)
+            }
+            LogRecord::ProgramForgotten { program } => self.forget(*program),
+            LogRecord::ShardClaimed { epoch, .. } => {
+                self.claim(*epoch);
+                Ok(())
+            }
+            LogRecord::ShardReleased => {
+                self.is_released = true;
+                Ok(())
+            }
+            LogRecord::TokensSpent { program, tokens } => {
+                self.open_program(*program)?.spend(*tokens)
+            }
+            LogRecord::TurnFinished { program, number, turn } => {
+                self.open_program(*program)?.spend(turn.usage.total())?;
+                let entry = ProgramEntry::Turn(turn.clone());
+                self.push_entry(*program, *number, entry, turn.at_ms)
+            }
+            LogRecord::TurnRestored { program, number, turn } => {
+                self.settle_presumed(*program, turn.usage.total())?;
+                let entry = ProgramEntry::Turn(turn.clone());
+                self.push_entry(*program, *number, entry, turn.at_ms)
+            }
+        }
+    }
+
+    /// Programs that live, in order of their identity.
+    pub(crate) fn open_programs(&self) -> impl Iterator<Item = &Program> {
+        self.programs.values().filter(|program| program.end_reason.is_none())
+    }
+
+    pub(crate) fn program(&self, id: ProgramId) -> Result<&Program, StateError> {
+        self.programs.get(&id).ok_or(StateError::UnknownProgram { program: id })
+    }
+
+    fn program_mut(&mut self, id: ProgramId) -> Result<&mut Program, StateError> {
+        self.programs.get_mut(&id).ok_or(StateError::UnknownProgram { program: id })
+    }
+
+    fn open_program(&mut self, id: ProgramId) -> Result<&mut Program, StateError> {
+        let program = self.program_mut(id)?;
+
+        match program.end_reason {
+            Some(_) => Err(StateError::Ended { program: id }),
+            None => Ok(program),
+        }
+    }
+
+    fn claim(&mut self, epoch: u64) {
+        self.epoch = epoch;
+
+        if !self.is_released {
+            self.programs
+                .values_mut()
+                .filter(|program| program.end_reason.is_none())
+                .for_each(Program::presume_spent);
+        }
+
+        self.is_released = false;
+    }
+
+    fn create(&mut self, program: Program) -> Result<(), StateError> {
+        let id = program.terms.id;
+
+        if self.programs.contains_key(&id) {
+            return Err(StateError::Duplicate { program: id });
+        }
+
+        if let Some(parent) = program.terms.parent {
+            let parent = self.open_program(parent)?;
+
+            if program.terms.budget_tokens > parent.free_tokens() {
+                return Err(StateError::Reservation { program: parent.terms.id });
+            }
+
+            parent.child_tokens += program.terms.budget_tokens;
+        }
+
+        self.programs.insert(id, program);
+        Ok(())
+    }
+
+    fn reserve(&mut self, id: ProgramId, chunk_limit: u64) -> Result<(), StateError> {
+        let program = self.open_program(id)?;
+        let is_growing = chunk_limit >= program.chunk_limit;
+
+        if !is_growing || chunk_limit + program.child_tokens > program.terms.budget_tokens {
+            return Err(StateError::Reservation { program: id });
+        }
+
+        program.chunk_limit = chunk_limit;
+        Ok(())
+    }
+
+    /// Takes the tokens of a restored turn out of what was presumed spent, where they were counted already.
+    fn settle_presumed(&mut self, id: ProgramId, tokens: u64) -> Result<(), StateError> {
+        let program = self.open_program(id)?;
+        let presumed = tokens.min(program.presumed_tokens);
+        program.presumed_tokens -= presumed;
+        program.spend(tokens - presumed)
+    }
+
+    fn push_entry(
+        &mut self,
+        id: ProgramId,
+        number: u32,
+        entry: ProgramEntry,
+        at_ms: u64,
+    ) -> Result<(), StateError> {
+        let program = self.open_program(id)?;
+
+        if number != program.next_number() || !program.is_settled() {
+            return Err(StateError::Number { program: id, number });
+        }
+
+        program.entries.push(entry);
+        program.active_ms = at_ms;
+        Ok(())
+    }
+
+    fn open_call(
+        &mut self,
+        id: ProgramId,
+        number: u32,
+    ) -> Result<(&mut Program, usize), StateError> {
+        let program = self.program_mut(id)?;
+        let index = (number as usize).wrapping_sub(1);
+
+        match program.entries.get(index) {
+            Some(entry) if !entry.is_settled() => Ok((program, index)),
+            _ => Err(StateError::Number { program: id, number }),
+        }
+    }
+
+    fn settle_call(
+        &mut self,
+        id: ProgramId,
+        number: u32,
+        state: &CallState,
+        at_ms: u64,
+    ) -> Result<(), StateError> {
+        let (program, index) = self.open_call(id, number)?;
+
+        if let ProgramEntry::Call(call) = &mut program.entries[index] {
+            call.state = state.clone();
+        }
+
+        program.active_ms = at_ms;
+        Ok(())
+    }
+
+    fn withdraw_call(&mut self, id: ProgramId, number: u32) -> Result<(), StateError> {
+        let (program, index) = self.open_call(id, number)?;
+        program.entries.truncate(index);
+        Ok(())
+    }
+
+    /// Ends a program with its children, and gives what is left of its budget back to its parent.
+    fn end(&mut self, id: ProgramId, reason: EndReason, at_ms: u64) -> Result<(), StateError> {
+        self.open_program(id)?;
+
+        for child in self.open_children(id) {
+            self.end(child, EndReason::ParentEnded, at_ms)?;
+        }
+
+        let program = self.open_program(id)?;
+        program.end_reason = Some(reason);
+        program.active_ms = at_ms;
+        let spent = program.spent_tokens;
+        let budget = program.terms.budget_tokens;
+
+        if let Some(parent) = program.terms.parent.and_then(|it| self.programs.get_mut(&it)) {
+            parent.child_tokens -= budget;
+            parent.spent_tokens += spent;
+            parent.chunk_limit += spent;
+        }
+
+        Ok(())
+    }
+
+    pub(crate) fn open_children(&self, id: ProgramId) -> Vec<ProgramId> {
+        self.open_programs()
+            .filter(|program| program.terms.parent == Some(id))
+            .map(|program| program.terms.id)
+            .collect()
+    }
+
+    fn forget(&mut self, id: ProgramId) -> Result<(), StateError> {
+        match self.program(id)?.end_reason {
+            Some(_) => {
+                self.programs.remove(&id);
+                Ok(())
+            }
+            None => Err(StateError::Number { program: id, number: 0 }),
+        }
+    }
+}
--- /dev/null
+++ b/src/subcommand/config.rs
@@ -0,0 +1,92 @@
+//! `ragwortknot config`: reads and patches the configuration.
+
+use std::io::Read;
+
+use getopts::{Matches, Options};
+
+use crate::CliError;
+
+const BRIEF: &str = "Usage: ragwortknot config get --url URL
+       ragwortknot config patch --url URL --number N FILE   (FILE - is standard input)
+       ragwortknot config history --url URL [--after N]";
+
+pub(super) fn run(arguments: &[String]) -> Result<(), CliError> {
+    let mut options = Options::new();
+    super::operator::add_options(&mut options);
+    options.optopt("n", "number", "number that the patch is against", "N");
+    options.optopt("", "after", "number after which the history begins", "N");
+    let matches = super::parse(options, BRIEF, arguments)?;
+
+    match matches.free.first().map(String::as_str) {
+        Some("get") => get(&matches),
+        Some("patch") => patch(&matches),
+        Some("history") => history(&matches),
+        _ => Err(CliError::Usage("config: expected get, patch or history".into())),
+    }
+}
+
+fn get(matches: &Matches) -> Result<(), CliError> {
+    let client = super::operator::client(matches)?;
+    let answer = super::block_on(async { Ok(client.get("/admin/v1/config").await?) })?;
+
+    if !matches.opt_present("json") {
+        println!("number {}", answer["number"]);
+    }
+
+    println!("{:#}", if matches.opt_present("json") { &answer } else { &answer["config"] });
+    Ok(())
+}
+
+fn patch(matches: &Matches) -> Result<(), CliError> {
+    let client = super::operator::client(matches)?;
+
+    let number = matches.opt_get::<u64>("number").ok().flatten().ok_or_else(|| {
+        CliError::Usage("config patch: expected --number with the number in force".into())
+    })?;
+
+    let file = matches.free.get(1).ok_or_else(|| {
+        CliError::Usage("config patch: expected a file with a JSON merge patch".into())
+    })?;
+
+    let body = read(file)?;
+
+    let answer =
+        super::block_on(async { Ok(client.patch("/admin/v1/config", number, body).await?) })?;
+
+    if matches.opt_present("json") {
+        println!("{answer:#}");
+    } else {
+        println!("accepted as number {}", answer["number"]);
+    }
+
+    Ok(())
+}
+
+fn history(matches: &Matches) -> Result<(), CliError> {
+    let client = super::operator::client(matches)?;
+    let after = matches.opt_get_default::<u64>("after", 0).unwrap_or(0);
+    let path = format!("/admin/v1/config/history?after={after}");
+    let answer = super::block_on(async { Ok(client.get(&path).await?) })?;
+
+    if matches.opt_present("json") {
+        println!("{answer:#}");
+        return Ok(());
+    }
+
+    for entry in answer["entries"].as_array().into_iter().flatten() {
+        println!("{} at {} ms: {}", entry["number"], entry["at_ms"], entry["patch"]);
+    }
+
+    Ok(())
+}
+
+fn read(file: &str) -> Result<String, CliError> {
+    if file != "-" {
+        let text = std::fs::read_to_string(file);
+        return text.map_err(|error| CliError::Usage(format!("{file}: {error}")));
+    }
+
+    let mut text = String::new();
+    std::io::stdin().read_to_string(&mut text)?;
+    Ok(text)
+}
--- /dev/null
+++ b/src/token_usage.rs
@@ -0,0 +1,19 @@
+//! Tokens that one turn took.
+
+use serde::{Deserialize, Serialize};
+
+/// Tokens of one turn, as the engine counted them.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct TokenUsage {
+    pub(crate) prompt: u64,
+    /// Part of `prompt` that the engine had in its prefix cache.
+    pub(crate) cached: u64,
+    pub(crate) completion: u64,
+}
+
+impl TokenUsage {
+    /// Tokens that count against a budget.
+    pub(crate) fn total(self) -> u64 {
+        self.prompt.saturating_add(self.completion)
+    }
+}
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,8 @@
+//! A cluster of real processes behind stand-ins that run in the test's own process.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+pub(crate) mod caller;
+pub(crate) mod checker;
+pub(crate) mod cluster;
+pub(crate) mod host_process;
--- /dev/null
+++ b/tests/whole_path.rs
@@ -0,0 +1,33 @@
+//! The whole path over real processes: any host serves any program.
+
+mod support;
+
+use support::{
+    caller::{call_body, turn_body},
+    checker::check,
+    cluster::{Cluster, SIX_HOSTS},
+};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn program_through_any_host() {
+    let cluster = Cluster::start("whole_path", &SIX_HOSTS).await;
+    let caller = &cluster.caller;
+    let program = caller.create(cluster.hosts[0].callers, 60_000).await;
+
+    for number in 1..=6 {
+        let host = cluster.hosts[number as usize % 6].callers;
+        let body = turn_body(&format!("{program} message {number}"));
+        let answer = caller.turn(host, &program, number, &body).await.expect("an answer");
+        assert!(answer.is_completed(), "{answer:?}");
+        assert_eq!(answer.body["ragwortknot"]["durability"], "logged");
+
+        let again = caller.turn(cluster.hosts[0].callers, &program, number, &body).await;
+        assert_eq!(again.expect("an answer").content(), answer.content());
+    }
+
+    let call = call_body("one settlement");
+    let answer = caller.call(cluster.hosts[3].callers, &program, 7, &call).await;
+    assert!(answer.is_some_and(|it| it.is_completed()));
+    assert_eq!(cluster.tool.runs().len(), 1);
+    assert_eq!(check(&cluster).await, Vec::<String>::new());
+}
