Confirm the ownership by the log before anything is said not to have run

Cause: a host whose shard was taken by another does not know it until its next append. Asked in that time for a program that was created at the new owner, it answered 404 with outcome not_run (seen in 3 of 6 runs of tests/whole_path.rs, while shards move at the start). That is a false 'not run'.

Ruled out: a wrong route (the entry host asked the holder that it had heard of last, as designed); a lost record (the new owner had it); a lease by clock (a paused host would trust it).

Now a negative answer, a status and a history wait for one read of the log at the owner's next number: absent means that nobody claimed before the request came. Concurrent requests share a read, and an append that has succeeded meanwhile saves it. While the platform is unavailable every known host is asked; where one does not answer, the outcome is 'unknown'. A creation whose owner is deposed is tried again under the same identity.

--- a/benches/cell_decision.rs
+++ b/benches/cell_decision.rs
@@ -1,1 +1,3 @@
+//! Cost of one decision.
+
 fn main() {}
--- a/src/call_runner.rs
+++ b/src/call_runner.rs
@@ -11,7 +11,8 @@
     CallAnswer, CallRecord, CallRequest, CallState, CellPermit, CellReport, CellRequest,
     CellResult, CommitOutcome, LogRecord, ModelKind, ModelName, OwnedProgram, Problem, ProblemKind,
     ProgramAnswer, ProgramEntry, ProgramId, ProgramService, SlotAdmission, TokenUsage,
-    UpstreamError, UpstreamName, UpstreamReply, program_service::PLATFORM_RETRY_S,
+    UpstreamError, UpstreamName, UpstreamReply,
+    program_service::{PLATFORM_RETRY_S, deposed},
     unix_clock::unix_millis,
 };
 
@@ -192,11 +193,7 @@
                 let problem = Problem::not_run(ProblemKind::PlatformUnavailable, detail);
                 return Err(problem.retry_after(PLATFORM_RETRY_S));
             }
-            CommitOutcome::Deposed => {
-                let detail = "the program has moved to another host; ask again";
-                let problem = Problem::unknown(ProblemKind::OwnerUnreachable, detail);
-                return Err(problem.retry_after(1));
-            }
+            CommitOutcome::Deposed => return Err(deposed()),
         }
 
         let state = match self.send(call, permit).await {
--- a/src/cluster_view.rs
+++ b/src/cluster_view.rs
@@ -64,6 +64,11 @@
         table.holder(shard).is_some_and(|name| name != table.own())
     }
 
+    /// Names of all hosts that are known, dead ones too.
+    pub(crate) fn host_names(&self) -> Vec<HostName> {
+        self.table.lock().members().map(|(name, _)| name.clone()).collect()
+    }
+
     /// All hosts that are heard, but this one.
     pub(crate) fn peers(&self) -> Vec<HostTarget> {
         let table = self.table.lock();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -55,6 +55,7 @@
 mod node_settings;
 mod operator_api;
 mod operator_client;
+mod owner_witnesses;
 mod peer_error;
 mod peer_gateway;
 mod peer_message;
@@ -162,6 +163,7 @@
     node_metrics::NodeMetrics,
     node_settings::NodeSettings,
     operator_client::OperatorClient,
+    owner_witnesses::{OwnerWitnesses, PeerWitnesses},
     peer_error::PeerError,
     peer_gateway::PeerGateway,
     peer_message::{CellRefusal, PeerMessage},
@@ -194,7 +196,7 @@
     shard_id::ShardId,
     shard_keeper::ShardKeeper,
     shard_log::ShardLog,
-    shard_owner::{CommitOutcome, CommitTicket, ShardOwner},
+    shard_owner::{CommitOutcome, CommitTicket, OwnerConfirmation, ShardOwner},
     shard_state::ShardState,
     shard_table::ShardTable,
     slot_admission::SlotAdmission,
--- a/src/node.rs
+++ b/src/node.rs
@@ -23,9 +23,9 @@
 use crate::{
     BackoffPolicy, ClusterView, ConfigSpreader, ConfigStore, DispatcherTable, HostLifecycle,
     HostPhase, HttpUpstream, LifecycleEvent, MembershipService, NodeCore, NodeMetrics,
-    NodeSettings, PeerGateway, PeerService, PeerTransport, ProgramRouter, ProgramService,
-    ProgramSweeper, QuicTransport, ReceiptSealer, RetryBudget, ShardKeeper, ShardTable,
-    UpstreamClient, caller_api::caller_routes, operator_api::operator_routes,
+    NodeSettings, PeerGateway, PeerService, PeerTransport, PeerWitnesses, ProgramRouter,
+    ProgramService, ProgramSweeper, QuicTransport, ReceiptSealer, RetryBudget, ShardKeeper,
+    ShardTable, UpstreamClient, caller_api::caller_routes, operator_api::operator_routes,
 };
 
 /// Pause between tries to reach the platform at the start.
@@ -131,6 +131,10 @@
             cells: Arc::new(gateway),
             upstreams: Arc::clone(&upstreams),
             platform: Arc::clone(&platform),
+            witnesses: Arc::new(PeerWitnesses {
+                view: view.clone(),
+                transport: Arc::clone(&transport),
+            }),
             sealer: ReceiptSealer::new(&settings.receipt_key),
             retries: RetryBudget::default(),
             metrics: Arc::clone(&metrics),
@@ -147,7 +151,6 @@
             service: Arc::clone(&service),
             membership: Arc::clone(&membership),
             metrics: Arc::clone(&metrics),
-            moving: Mutex::default(),
             phase: Mutex::new(HostPhase::Starting),
             is_stopped: AtomicBool::new(false),
             release_timeout: settings.drain_timeout,
--- a/src/peer_message.rs
+++ b/src/peer_message.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     CellId, CellReport, CellRequest, ConfigEntry, HostName, MemberRumor, ProgramEvent, ProgramId,
-    ProgramRequest, UpstreamName,
+    ProgramRequest, ShardId, UpstreamName,
 };
 
 /// One message. The first of a stream says what the exchange is about.
@@ -83,6 +83,15 @@
         programs: Vec<ProgramId>,
     },
 
+    /// Ownership: do you hold a shard, or may you be about to? Answered by [`PeerMessage::Holder`].
+    HolderQuery {
+        shard: ShardId,
+    },
+    Holder {
+        may_hold: bool,
+        hosts: Vec<HostName>,
+    },
+
     /// The exchange is refused.
     Refused {
         reason: Arc<str>,
--- a/src/peer_service.rs
+++ b/src/peer_service.rs
@@ -67,6 +67,10 @@
             PeerMessage::EndedQuery { programs } => {
                 PeerMessage::Ended { programs: self.ended(&programs) }
             }
+            PeerMessage::HolderQuery { shard } => PeerMessage::Holder {
+                may_hold: self.programs.shards.may_hold(shard),
+                hosts: self.membership.view.host_names(),
+            },
             _ => PeerMessage::Refused { reason: "an exchange can't begin like this".into() },
         }
     }
--- a/src/program_service.rs
+++ b/src/program_service.rs
@@ -3,14 +3,14 @@
 
 use std::{sync::Arc, time::Duration};
 
-use tokio::sync::mpsc;
+use tokio::{sync::mpsc, time::Instant};
 
 use crate::{
     CallRunner, CellGateway, CommitOutcome, ConfigStore, CreateRequest, EndReason, LogRecord,
-    NodeMetrics, PlatformClient, Problem, ProblemKind, Program, ProgramAnswer, ProgramEvent,
-    ProgramHistory, ProgramId, ProgramOperation, ProgramRequest, ProgramStatus, ProgramTerms,
-    ReceiptSealer, RetryBudget, ShardOwner, ShardState, ShardTable, TeamName, TurnRunner,
-    UpstreamClient, unix_clock::unix_millis,
+    NodeMetrics, OwnerConfirmation, OwnerWitnesses, PlatformClient, Problem, ProblemKind, Program,
+    ProgramAnswer, ProgramEvent, ProgramHistory, ProgramId, ProgramOperation, ProgramRequest,
+    ProgramStatus, ProgramTerms, ReceiptSealer, RequestOutcome, RetryBudget, ShardOwner,
+    ShardState, ShardTable, TeamName, TurnRunner, UpstreamClient, unix_clock::unix_millis,
 };
 
 /// Events of one answer. Their number is bounded, so a slow reader does not grow memory.
@@ -27,6 +27,7 @@
     pub(crate) cells: Arc<dyn CellGateway>,
     pub(crate) upstreams: Arc<dyn UpstreamClient>,
     pub(crate) platform: Arc<dyn PlatformClient>,
+    pub(crate) witnesses: Arc<dyn OwnerWitnesses>,
     pub(crate) sealer: ReceiptSealer,
     pub(crate) retries: RetryBudget,
     pub(crate) metrics: Arc<NodeMetrics>,
@@ -99,13 +100,62 @@
             return;
         };
 
+        let arrived = Instant::now();
         let program = OwnedProgram { owner, id: request.program, team: request.team };
         let result = self.dispatch(&program, request.operation, &events).await;
         program.owner.release_slot(program.id);
-        let answer = result.unwrap_or_else(ProgramAnswer::Problem);
+
+        let answer = match result {
+            Ok(answer) => self.confirmed_answer(&program, arrived, answer).await,
+            Err(problem) => self.confirmed_problem(&program, arrived, problem).await.into(),
+        };
+
         let _ = events.send(ProgramEvent::Answer(answer)).await;
     }
 
+    /// A state that may be behind the log must not be shown as the last word.
+    async fn confirmed_answer(
+        &self,
+        program: &OwnedProgram,
+        arrived: Instant,
+        answer: ProgramAnswer,
+    ) -> ProgramAnswer {
+        if !matches!(answer, ProgramAnswer::Status(_) | ProgramAnswer::History(_)) {
+            return answer;
+        }
+
+        match program.owner.confirm(arrived).await {
+            OwnerConfirmation::Deposed => deposed().into(),
+            OwnerConfirmation::Confirmed | OwnerConfirmation::Unconfirmed => answer,
+        }
+    }
+
+    /// Only an owner may say that something did not run, and only after it has made sure that it is one. While the
+    /// platform is unavailable the other hosts are asked; where one of them does not answer, nobody can tell.
+    async fn confirmed_problem(
+        &self,
+        program: &OwnedProgram,
+        arrived: Instant,
+        problem: Problem,
+    ) -> Problem {
+        if problem.outcome != RequestOutcome::NotRun {
+            return problem;
+        }
+
+        match program.owner.confirm(arrived).await {
+            OwnerConfirmation::Confirmed => problem,
+            OwnerConfirmation::Deposed => deposed(),
+            OwnerConfirmation::Unconfirmed => {
+                if self.witnesses.is_sole_owner(program.id.shard).await {
+                    return problem;
+                }
+
+                let retry_after_s = problem.retry_after_s.or(Some(PLATFORM_RETRY_S));
+                Problem { outcome: RequestOutcome::Unknown, retry_after_s, ..problem }
+            }
+        }
+    }
+
     async fn dispatch(
         self: &Arc<Self>,
         program: &OwnedProgram,
@@ -157,7 +207,8 @@
                 log::info!(program:% = program.id, team:% = program.team; "program created");
                 program.status().map(ProgramAnswer::Status)
             }
-            CommitOutcome::Pending | CommitOutcome::Deposed => {
+            CommitOutcome::Deposed => Err(deposed()),
+            CommitOutcome::Pending => {
                 let detail = "the program may have been created; it ends by itself if unused";
                 let problem = Problem::unknown(ProblemKind::OutcomeUnknown, detail);
                 Err(problem.retry_after(PLATFORM_RETRY_S))
@@ -196,10 +247,14 @@
         if reason.is_none() {
             let ticket = self.end_program(program, EndReason::Requested)?;
 
-            if program.owner.wait(ticket, self.commit_patience).await != CommitOutcome::Durable {
-                let detail = "the end of the program is not logged yet";
-                let problem = Problem::unknown(ProblemKind::OutcomeUnknown, detail);
-                return Err(problem.retry_after(PLATFORM_RETRY_S));
+            match program.owner.wait(ticket, self.commit_patience).await {
+                CommitOutcome::Durable => (),
+                CommitOutcome::Deposed => return Err(deposed()),
+                CommitOutcome::Pending => {
+                    let detail = "the end of the program is not logged yet";
+                    let problem = Problem::unknown(ProblemKind::OutcomeUnknown, detail);
+                    return Err(problem.retry_after(PLATFORM_RETRY_S));
+                }
             }
         }
 
@@ -253,6 +308,13 @@
     }
 }
 
+/// The shard has another owner, and what was taken in here is not in the log. The entry host asks that owner, under the
+/// same number, so nothing happens twice.
+pub(crate) fn deposed() -> Problem {
+    let detail = "the program has moved to another host; ask again under the same number";
+    Problem::unknown(ProblemKind::OwnerUnreachable, detail).retry_after(1)
+}
+
 /// Collects the terms of a program and of all its living descendants.
 fn collect_living(state: &ShardState, id: ProgramId, found: &mut Vec<ProgramTerms>) {
     found.extend(state.program(id).ok().map(|program| program.terms.clone()));
--- a/src/shard_keeper.rs
+++ b/src/shard_keeper.rs
@@ -1,7 +1,6 @@
 //! Takes the shards that this host should own, and gives up those that it should not.
 
 use std::{
-    collections::BTreeSet,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -36,8 +35,6 @@
     pub(crate) service: Arc<ProgramService>,
     pub(crate) membership: Arc<MembershipService>,
     pub(crate) metrics: Arc<NodeMetrics>,
-    /// Shards that are being claimed or released.
-    pub(crate) moving: Mutex<BTreeSet<ShardId>>,
     pub(crate) phase: Mutex<HostPhase>,
     pub(crate) is_stopped: AtomicBool,
     /// Time that a release waits for what runs.
@@ -77,7 +74,7 @@
 
     fn keep(self: &Arc<Self>) {
         for owner in self.shards.owners() {
-            if owner.is_closed() && !self.moving.lock().contains(&owner.shard()) {
+            if owner.is_closed() && !self.shards.is_moving(owner.shard()) {
                 self.shards.remove(owner.shard());
             }
         }
@@ -101,14 +98,14 @@
     fn start_claim(self: &Arc<Self>, shard: ShardId) {
         let may_claim = self.platform.is_available() && !self.view.is_held_elsewhere(shard);
 
-        if may_claim && self.moving.lock().insert(shard) {
+        if may_claim && self.shards.begin_move(shard) {
             let keeper = Arc::clone(self);
 
             tokio::spawn(async move {
                 if let Err(error) = keeper.claim(shard).await {
                     log::warn!(shard:% = shard; "the shard was not claimed: {error}");
                 }
-                keeper.moving.lock().remove(&shard);
+                keeper.shards.end_move(shard);
             });
         }
     }
@@ -120,7 +117,7 @@
         let epoch = claimed.state.epoch;
         let programs = claimed.state.programs.len();
         let metrics = Arc::clone(&self.metrics);
-        let owner = Arc::new(ShardOwner::new(shard, claimed.state, metrics));
+        let owner = Arc::new(ShardOwner::new(shard, claimed.state, &claimed.log, started, metrics));
         tokio::spawn(Arc::clone(&owner).run_writer(claimed.log));
         self.shards.insert(Arc::clone(&owner));
         self.state_own();
@@ -152,12 +149,12 @@
     }
 
     fn start_release(self: &Arc<Self>, owner: Arc<ShardOwner>) {
-        if self.moving.lock().insert(owner.shard()) {
+        if self.shards.begin_move(owner.shard()) {
             let keeper = Arc::clone(self);
 
             tokio::spawn(async move {
                 keeper.release(&owner).await;
-                keeper.moving.lock().remove(&owner.shard());
+                keeper.shards.end_move(owner.shard());
             });
         }
     }
--- a/src/shard_log.rs
+++ b/src/shard_log.rs
@@ -100,6 +100,14 @@
         Ok(())
     }
 
+    pub(crate) fn reader(&self) -> &LogReader {
+        &self.reader
+    }
+
+    pub(crate) fn writer(&self) -> WriterId {
+        self.writer
+    }
+
     /// Sequence number of the last batch.
     pub(crate) fn last(&self) -> u64 {
         self.next - 1
--- a/src/shard_owner.rs
+++ b/src/shard_owner.rs
@@ -1,17 +1,22 @@
 //! A shard that this host owns: its state, and the queue of records on their way to the log.
 
-use std::{collections::BTreeMap, collections::VecDeque, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use parking_lot::{Mutex, MutexGuard};
 use tokio::{
     sync::{Notify, watch},
-    time::timeout,
+    time::{Instant, timeout},
 };
 
 use crate::{
-    BackoffPolicy, LogError, LogRecord, NodeMetrics, Problem, ProblemKind, ProgramId, ProgramSlot,
-    ShardId, ShardLog, ShardState, encode_frame, snapshot_store::OBJECT_LIMIT_BYTES,
+    BackoffPolicy, LogError, LogReader, LogRecord, NodeMetrics, Problem, ProblemKind, ProgramId,
+    ProgramSlot, ShardId, ShardLog, ShardState, WriterId, encode_frame,
+    snapshot_store::OBJECT_LIMIT_BYTES,
 };
 
 /// Batches after which a snapshot is written, which bounds what the next owner replays.
@@ -20,6 +25,12 @@
 /// Bytes of records that may wait for the log; beyond them nothing new is taken in.
 const QUEUE_LIMIT_BYTES: usize = 16 << 20;
 
+/// Looks at the log for one confirmation.
+const CONFIRM_ATTEMPTS: u32 = 5;
+
+/// Time for the answer to an append that is known to have taken effect.
+const CONFIRM_PATIENCE: Duration = Duration::from_secs(1);
+
 /// Pause between tries of an append that the platform did not answer.
 const APPEND_BACKOFF: BackoffPolicy =
     BackoffPolicy { first: Duration::from_millis(25), limit: Duration::from_secs(1) };
@@ -28,12 +39,25 @@
 pub(crate) type CommitTicket = u64;
 
 /// How far the log has come.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 struct LogProgress {
     durable: CommitTicket,
+    /// Sequence number of the last batch that this owner knows of.
+    sequence: u64,
+    /// When the last successful append was begun.
+    appended: Instant,
     is_closed: bool,
 }
 
+/// Whether this host is still the owner.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum OwnerConfirmation {
+    Confirmed,
+    Deposed,
+    /// The platform gave no answer.
+    Unconfirmed,
+}
+
 /// What became of a record within the time that was given.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum CommitOutcome {
@@ -85,17 +109,34 @@
     slots: Mutex<BTreeMap<ProgramId, Arc<ProgramSlot>>>,
     wake: Notify,
     progress: watch::Sender<LogProgress>,
+    reader: LogReader,
+    writer: WriterId,
+    /// When the last look at the log that confirmed the ownership was begun.
+    confirmed: tokio::sync::Mutex<Instant>,
     metrics: Arc<NodeMetrics>,
 }
 
 impl ShardOwner {
-    pub(crate) fn new(shard: ShardId, state: ShardState, metrics: Arc<NodeMetrics>) -> Self {
+    /// Takes over a shard whose claim was begun at `claimed`.
+    pub(crate) fn new(
+        shard: ShardId,
+        state: ShardState,
+        log: &ShardLog,
+        claimed: Instant,
+        metrics: Arc<NodeMetrics>,
+    ) -> Self {
+        let progress =
+            LogProgress { durable: 0, sequence: log.last(), appended: claimed, is_closed: false };
+
         Self {
             shard,
             state: Mutex::new(OwnerState { shard: state, ..OwnerState::default() }),
             slots: Mutex::default(),
             wake: Notify::new(),
-            progress: watch::Sender::default(),
+            progress: watch::Sender::new(progress),
+            reader: log.reader().clone(),
+            writer: log.writer(),
+            confirmed: tokio::sync::Mutex::new(claimed),
             metrics,
         }
     }
@@ -222,6 +263,51 @@
         self.progress.borrow().durable >= ticket
     }
 
+    /// Makes sure that no other host had claimed the shard by `since`. A host that was paused or cut off may have been
+    /// deposed without knowing it, and its state may lack what has run since; so it must not say that something did
+    /// not run before the log has told that it is still the owner.
+    pub(crate) async fn confirm(&self, since: Instant) -> OwnerConfirmation {
+        let mut confirmed = self.confirmed.lock().await;
+
+        for _ in 0..CONFIRM_ATTEMPTS {
+            let progress = *self.progress.borrow();
+
+            if progress.is_closed {
+                return OwnerConfirmation::Deposed;
+            }
+
+            if progress.appended >= since || *confirmed >= since {
+                return OwnerConfirmation::Confirmed;
+            }
+
+            let started = Instant::now();
+
+            match self.reader.batch(progress.sequence + 1).await {
+                Ok(None) => {
+                    *confirmed = started;
+                    return OwnerConfirmation::Confirmed;
+                }
+                Ok(Some(batch)) if batch.writer == self.writer => {
+                    // The answer to this host's own append is still on its way.
+                    let mut changes = self.progress.subscribe();
+                    let moved = changes.wait_for(|it| it.sequence > progress.sequence);
+                    let _ = timeout(CONFIRM_PATIENCE, moved).await;
+                }
+                Ok(Some(_)) => {
+                    log::warn!(shard:% = self.shard; "another host has taken the shard");
+                    self.close();
+                    return OwnerConfirmation::Deposed;
+                }
+                Err(error) => {
+                    log::debug!(shard:% = self.shard; "the ownership is not confirmed: {error}");
+                    return OwnerConfirmation::Unconfirmed;
+                }
+            }
+        }
+
+        OwnerConfirmation::Unconfirmed
+    }
+
     /// Tells whether everything taken in is durable.
     pub(crate) fn is_settled(&self) -> bool {
         let submitted = self.state.lock().submitted;
@@ -287,6 +373,7 @@
 
     fn close(&self) {
         self.state.lock().is_closed = true;
+        self.wake.notify_one();
         self.progress.send_modify(|progress| progress.is_closed = true);
     }
 
@@ -335,6 +422,7 @@
     async fn append(&self, log: &mut ShardLog, drained: DrainedBatch) -> Result<(), LogError> {
         let batch = log.encode(drained.records);
         let mut attempt = 0;
+        let mut started = Instant::now();
 
         while let Err(error) = log.commit(&batch).await {
             if error == LogError::Deposed {
@@ -344,10 +432,16 @@
             log::debug!(shard:% = self.shard; "an append is tried again: {error}");
             APPEND_BACKOFF.sleep(attempt).await;
             attempt += 1;
+            started = Instant::now();
         }
 
         self.metrics.count_log_batch(batch.bytes());
-        self.progress.send_modify(|progress| progress.durable = drained.last);
+
+        self.progress.send_modify(|progress| {
+            progress.durable = drained.last;
+            progress.sequence = log.last();
+            progress.appended = started;
+        });
 
         if let Some(snapshot) = drained.snapshot
             && let Err(error) = log.write_snapshot(log.last(), &snapshot).await
--- a/src/shard_table.rs
+++ b/src/shard_table.rs
@@ -1,8 +1,11 @@
 //! The shards that this host owns.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
-use parking_lot::RwLock;
+use parking_lot::{Mutex, RwLock};
 
 use crate::{ShardId, ShardOwner};
 
@@ -10,9 +13,29 @@
 #[derive(Debug, Default)]
 pub(crate) struct ShardTable {
     owners: RwLock<BTreeMap<ShardId, Arc<ShardOwner>>>,
+    /// Shards that are being claimed or released.
+    moving: Mutex<BTreeSet<ShardId>>,
 }
 
 impl ShardTable {
+    /// Marks a shard as being claimed or released, unless it is already.
+    pub(crate) fn begin_move(&self, shard: ShardId) -> bool {
+        self.moving.lock().insert(shard)
+    }
+
+    pub(crate) fn end_move(&self, shard: ShardId) {
+        self.moving.lock().remove(&shard);
+    }
+
+    pub(crate) fn is_moving(&self, shard: ShardId) -> bool {
+        self.moving.lock().contains(&shard)
+    }
+
+    /// Tells whether this host has the shard, or may be about to.
+    pub(crate) fn may_hold(&self, shard: ShardId) -> bool {
+        self.is_moving(shard) || self.owners.read().contains_key(&shard)
+    }
+
     pub(crate) fn insert(&self, owner: Arc<ShardOwner>) {
         self.owners.write().insert(owner.shard(), owner);
     }
--- a/src/turn_runner.rs
+++ b/src/turn_runner.rs
@@ -19,7 +19,8 @@
     CommitOutcome, CommitTicket, EventSender, LogRecord, ModelTerms, OwnedProgram, Problem,
     ProblemKind, ProgramAnswer, ProgramEntry, ProgramEvent, ProgramLimits, ProgramService,
     RefusalReason, SlotAdmission, StreamTimeouts, TokenUsage, TurnAnswer, TurnReceipt, TurnRecord,
-    TurnRequest, UpstreamError, UpstreamName, program_service::PLATFORM_RETRY_S,
+    TurnRequest, UpstreamError, UpstreamName,
+    program_service::{PLATFORM_RETRY_S, deposed},
     unix_clock::unix_millis,
 };
 
@@ -636,11 +637,6 @@
     TokenUsage { prompt, completion, ..usage }
 }
 
-fn deposed() -> Problem {
-    let detail = "the program has moved to another host; ask again under the same number";
-    Problem::unknown(ProblemKind::OwnerUnreachable, detail).retry_after(1)
-}
-
 impl FailedAttempt {
     fn problem(&self) -> Problem {
         let detail = format!("upstream {}: {}", self.upstream, self.error);
--- a/tests/support/caller.rs
+++ b/tests/support/caller.rs
@@ -16,7 +16,7 @@
 use serde_json::{Value, json};
 
 /// Longest time that a caller waits for an answer.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(60);
+const ANSWER_TIMEOUT: Duration = Duration::from_mins(1);
 
 /// An answer, or none where the connection broke.
 #[derive(Clone, Debug)]
--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -48,7 +48,7 @@
 }
 
 fn hash(key: &str) -> String {
-    Sha256::digest(key).iter().map(|byte| format!("{byte:02x}")).collect()
+    format!("{:x}", Sha256::digest(key))
 }
 
 impl Cluster {
@@ -218,12 +218,14 @@
     pub(crate) async fn wait_ready(&self) {
         for host in &self.hosts {
             let wait = async {
-                while !self
-                    .caller
-                    .json(host.callers, Method::GET, "/readyz", &Value::Null)
-                    .await
-                    .is_some_and(|answer| answer.status == 200)
-                {
+                loop {
+                    let answer =
+                        self.caller.json(host.callers, Method::GET, "/readyz", &Value::Null);
+
+                    if answer.await.is_some_and(|answer| answer.status == 200) {
+                        return;
+                    }
+
                     tokio::time::sleep(Duration::from_millis(20)).await;
                 }
             };
