--- a/src/caller_api.rs
+++ b/src/caller_api.rs
@@ -83,8 +83,13 @@
     }
 }
 
-/// Finds the team of a caller.
+/// Finds the team of a caller. A host that starts does not know the teams yet, and must not refuse any.
 fn authorize(node: &Node, headers: &HeaderMap) -> Result<TeamName, Problem> {
+    if node.phase() == crate::HostPhase::Starting {
+        let detail = "this host has not read the configuration yet";
+        return Err(Problem::unknown(ProblemKind::NotReady, detail).retry_after(1));
+    }
+
     bearer(headers).and_then(|key| node.config.document().team_by_key(key).cloned()).ok_or_else(
         || {
             let detail = "Authorization: expected Bearer and the key of a team";
--- a/src/problem_kind.rs
+++ b/src/problem_kind.rs
@@ -19,12 +19,12 @@
     ConfigStale,
     #[display("deadline-passed")]
     DeadlinePassed,
-    #[display("draining")]
-    Draining,
     #[display("limit-reached")]
     LimitReached,
     #[display("not-durable")]
     NotDurable,
+    #[display("not-ready")]
+    NotReady,
     #[display("number-mismatch")]
     NumberMismatch,
     #[display("number-out-of-range")]
@@ -67,8 +67,8 @@
             | Self::UnknownModel => StatusCode::UNPROCESSABLE_ENTITY,
             Self::ConfigStale => StatusCode::PRECONDITION_FAILED,
             Self::DeadlinePassed | Self::OutcomeUnknown => StatusCode::GATEWAY_TIMEOUT,
-            Self::Draining
-            | Self::NotDurable
+            Self::NotDurable
+            | Self::NotReady
             | Self::Overloaded
             | Self::OwnerUnreachable
             | Self::PlatformUnavailable => StatusCode::SERVICE_UNAVAILABLE,
@@ -90,9 +90,9 @@
             Self::ConfigInvalid => "the patched configuration is not valid",
             Self::ConfigStale => "the configuration has a newer number",
             Self::DeadlinePassed => "the deadline has passed",
-            Self::Draining => "this host is shutting down",
             Self::LimitReached => "a limit of the configuration is reached",
             Self::NotDurable => "the team asks for durable turns and the platform is unavailable",
+            Self::NotReady => "this host is starting",
             Self::NumberMismatch => "another request was made under this number",
             Self::NumberOutOfRange => "the number is not the next one",
             Self::OutcomeUnknown => "it is not known whether the request ran",
--- a/src/tests/receipts.rs
+++ b/src/tests/receipts.rs
@@ -27,20 +27,20 @@
 fn open_each_case() {
     let sealer = ReceiptSealer::new(&Arc::from("key"));
     let receipt = receipt();
-    let sealed = sealer.seal(&receipt);
+    let text = sealer.seal(&receipt);
     let program = receipt.program;
     let other = ProgramId { serial: 9, ..program };
 
-    assert_eq!(sealer.open(&sealed, &"tuul".into(), program), Ok(receipt));
-    assert_eq!(sealer.open(&sealed, &"ebro".into(), program), Err(ReceiptError::Team));
-    assert_eq!(sealer.open(&sealed, &"tuul".into(), other), Err(ReceiptError::Program));
+    assert_eq!(sealer.open(&text, &"tuul".into(), program), Ok(receipt));
+    assert_eq!(sealer.open(&text, &"ebro".into(), program), Err(ReceiptError::Team));
+    assert_eq!(sealer.open(&text, &"tuul".into(), other), Err(ReceiptError::Program));
     assert_eq!(sealer.open("no receipt", &"tuul".into(), program), Err(ReceiptError::Malformed));
 
     let foreign = ReceiptSealer::new(&Arc::from("another key"));
-    assert_eq!(foreign.open(&sealed, &"tuul".into(), program), Err(ReceiptError::Seal));
+    assert_eq!(foreign.open(&text, &"tuul".into(), program), Err(ReceiptError::Seal));
 
-    for index in 0..sealed.len() - 1 {
-        let mut altered: Vec<u8> = sealed.bytes().collect();
+    for index in 0..text.len() - 1 {
+        let mut altered: Vec<u8> = text.bytes().collect();
         altered[index] = if altered[index] == b'A' { b'B' } else { b'A' };
         let altered = String::from_utf8(altered).expect("text");
         assert!(sealer.open(&altered, &"tuul".into(), program).is_err(), "byte {index}");
--- /dev/null
+++ b/tests/faults_of_hosts.rs
@@ -0,0 +1,159 @@
+//! Hosts that die, freeze, are cut off and are restarted, while callers go on.
+
+mod support;
+
+use std::{collections::BTreeMap, time::Duration};
+
+use nix::sys::signal::Signal;
+use serde_json::json;
+use support::{
+    caller::turn_body,
+    checker::check,
+    cluster::{Cluster, SIX_HOSTS},
+    workload::Workload,
+};
+use tokio::task::JoinSet;
+
+/// Programs that run while hosts fail.
+const PROGRAMS: u64 = 24;
+
+/// Turns and calls of each.
+const NUMBERS: u32 = 12;
+
+fn start_programs(cluster: &Cluster, numbers: u32) -> JoinSet<Workload> {
+    let mut programs = JoinSet::new();
+
+    for seed in 0..PROGRAMS {
+        let mut workload = cluster.workload(seed);
+
+        programs.spawn(async move {
+            workload.program(numbers).await;
+            workload
+        });
+    }
+
+    programs
+}
+
+async fn finish(programs: JoinSet<Workload>) {
+    for workload in programs.join_all().await {
+        assert!(workload.retries < 2_000);
+    }
+}
+
+async fn assert_whole(cluster: &Cluster) {
+    assert_eq!(check(cluster).await, Vec::<String>::new());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn kill_two_hosts_and_restart_one() {
+    let mut cluster = Cluster::start("kill_hosts", &SIX_HOSTS).await;
+    let programs = start_programs(&cluster, NUMBERS);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    cluster.kill_host("ub-2");
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    cluster.kill_host("dk-1");
+    cluster.start_host("ub-2", "ub-a").await;
+    cluster.hosts.retain(|host| host.name != "dk-1");
+    cluster.wait_ready().await;
+    finish(programs).await;
+    assert_whole(&cluster).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn freeze_owner_past_its_shards() {
+    let cluster = Cluster::start("freeze_owner", &SIX_HOSTS).await;
+    let mut workload = cluster.workload(1);
+    let program = workload.create(200_000).await;
+    workload.turn(&program, 1).await;
+    let name = cluster.owner(&program).await;
+    let owner = cluster.host(&name);
+    cluster.remove_address(owner.callers);
+    owner.signal(Signal::SIGSTOP);
+
+    // The rest of the hosts take the shard over and go on.
+    for number in 2..=5 {
+        workload.turn(&program, number).await;
+    }
+
+    workload.call(&program, 6).await;
+    owner.signal(Signal::SIGCONT);
+
+    // The host that wakes still thinks that the program is at its first turn.
+    let late = cluster.caller.turn(owner.callers, &program, 3, &turn_body("another")).await;
+    let late = late.expect("an answer");
+    assert_ne!(late.outcome, "not_run", "{late:?}");
+    assert!(!late.is_completed(), "{late:?}");
+
+    let status = cluster.caller.status(owner.callers, &program).await.expect("an answer");
+    assert_eq!(status.body["next"], json!(7), "{status:?}");
+    workload.turn(&program, 7).await;
+    assert_whole(&cluster).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_links_one_way_and_both_ways() {
+    let cluster = Cluster::start("cut_links", &SIX_HOSTS).await;
+    let programs = start_programs(&cluster, NUMBERS);
+    tokio::time::sleep(Duration::from_millis(200)).await;
+
+    // One host hears all and is heard by none.
+    for other in cluster.names().iter().filter(|name| *name != "er-1") {
+        cluster.cut("er-1", other);
+    }
+
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    cluster.heal();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+
+    // A region is cut off from the others.
+    for inside in ["dk-1", "dk-2"] {
+        for outside in ["ub-1", "ub-2", "er-1", "er-2"] {
+            cluster.cut(inside, outside);
+            cluster.cut(outside, inside);
+        }
+    }
+
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    cluster.heal();
+    finish(programs).await;
+    assert_whole(&cluster).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn rolling_restart_interrupts_nothing() {
+    let mut cluster = Cluster::start("rolling_restart", &SIX_HOSTS).await;
+    let programs = start_programs(&cluster, 60);
+
+    for (name, region) in SIX_HOSTS {
+        let callers = cluster.host(name).callers;
+        cluster.host(name).signal(Signal::SIGTERM);
+
+        // The balancer sees that the host is not ready, and chooses it no more.
+        let path = "/readyz";
+        let ready = || cluster.caller.json(callers, hyper::Method::GET, path, &json!(null));
+        while ready().await.is_some_and(|answer| answer.status == 200) {}
+        cluster.remove_address(callers);
+
+        let status = cluster.host_mut(name).wait();
+        assert!(status.success(), "host {name} ends with {status}");
+        cluster.start_host(name, region).await;
+        cluster.wait_ready().await;
+    }
+
+    finish(programs).await;
+    let told = cluster.caller.told.lock().expect("no panic").clone();
+    let mut interrupted: BTreeMap<String, u32> = BTreeMap::new();
+
+    for it in &told {
+        let outcome = it.answer.as_ref().map_or("broken", |answer| answer.outcome.as_str());
+
+        if outcome != "completed" {
+            let detail = it.answer.as_ref().map_or("", |answer| answer.text.as_str());
+            *interrupted.entry(format!("{outcome}: {detail}")).or_default() += 1;
+        }
+    }
+
+    assert!(interrupted.is_empty(), "of {} requests: {interrupted:#?}", told.len());
+    assert_whole(&cluster).await;
+}
--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -11,7 +11,12 @@
 use sha2::{Digest, Sha256};
 use tokio::time::Instant;
 
-use super::{caller::Caller, host_process::HostProcess};
+use super::{
+    caller::Caller,
+    host_process::HostProcess,
+    udp_relay::{CutLinks, UdpRelay},
+    workload::{HostAddresses, Workload},
+};
 
 /// Hosts of a whole cluster, two in each of three regions.
 pub(crate) const SIX_HOSTS: [(&str, &str); 6] = [
@@ -42,6 +47,11 @@
     pub(crate) tool: Arc<ToolService>,
     pub(crate) caller: Caller,
     pub(crate) folder: PathBuf,
+    /// Callers' addresses of the hosts that take requests.
+    pub(crate) addresses: HostAddresses,
+    /// Links between hosts that are cut.
+    pub(crate) cuts: CutLinks,
+    relays: Vec<UdpRelay>,
     platform_server: StandinServer,
     _servers: Vec<StandinServer>,
     extra: String,
@@ -114,13 +124,16 @@
             tool,
             caller: Caller::new(TEAM_KEY),
             folder,
+            addresses: HostAddresses::default(),
+            cuts: CutLinks::default(),
+            relays: Vec::new(),
             platform_server,
             _servers: servers,
             extra,
         };
 
         for (name, region) in hosts {
-            cluster.start_host(name, region);
+            cluster.start_host(name, region).await;
         }
 
         let config = json!({
@@ -144,21 +157,65 @@
     }
 
     /// Starts a host, and puts it on the platform's list.
-    pub(crate) fn start_host(&mut self, name: &str, region: &str) {
+    pub(crate) async fn start_host(&mut self, name: &str, region: &str) {
         let url = self.platform_server.url();
         let host = HostProcess::start(&self.folder, name, region, &url, &self.extra);
 
+        let relay = UdpRelay::start(host.peers, Arc::clone(&self.cuts)).await;
+
         self.platform.set_host(HostEntry {
             name: name.to_owned(),
             region: region.to_owned(),
-            peer_address: host.peers.to_string(),
+            peer_address: relay.address.to_string(),
             is_leaving: false,
         });
 
+        self.relays.push(relay);
         self.hosts.retain(|it| it.name != name);
         self.hosts.push(host);
     }
 
+    /// Ends a host at once, and takes it from the balancer.
+    pub(crate) fn kill_host(&mut self, name: &str) {
+        let callers = self.host(name).callers;
+        self.host_mut(name).kill();
+        self.remove_address(callers);
+    }
+
+    /// Adds a host that is ready to the balancer.
+    fn add_address(&self, callers: std::net::SocketAddr) {
+        let mut addresses = self.addresses.write().expect("no panic");
+
+        if !addresses.contains(&callers) {
+            addresses.push(callers);
+        }
+    }
+
+    /// Takes a host from the balancer.
+    pub(crate) fn remove_address(&self, callers: std::net::SocketAddr) {
+        self.addresses.write().expect("no panic").retain(|it| *it != callers);
+    }
+
+    /// Cuts the way from one host to another, in this direction alone.
+    pub(crate) fn cut(&self, from: &str, to: &str) {
+        let link = (self.host(from).peers, self.host(to).peers);
+        self.cuts.lock().expect("no panic").insert(link);
+    }
+
+    pub(crate) fn heal(&self) {
+        self.cuts.lock().expect("no panic").clear();
+    }
+
+    /// Names of the hosts that run.
+    pub(crate) fn names(&self) -> Vec<String> {
+        self.hosts.iter().map(|host| host.name.clone()).collect()
+    }
+
+    /// A caller that drives programs.
+    pub(crate) fn workload(&self, seed: u64) -> Workload {
+        Workload::new(&self.caller, &self.addresses, seed)
+    }
+
     pub(crate) fn host(&self, name: &str) -> &HostProcess {
         self.hosts.iter().find(|host| host.name == name).expect("a host of this name")
     }
@@ -223,7 +280,7 @@
                         self.caller.json(host.callers, Method::GET, "/readyz", &Value::Null);
 
                     if answer.await.is_some_and(|answer| answer.status == 200) {
-                        return;
+                        return self.add_address(host.callers);
                     }
 
                     tokio::time::sleep(Duration::from_millis(20)).await;
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -6,3 +6,5 @@
 pub(crate) mod checker;
 pub(crate) mod cluster;
 pub(crate) mod host_process;
+pub(crate) mod udp_relay;
+pub(crate) mod workload;
