--- a/src/lib.rs
+++ b/src/lib.rs
@@ -64,6 +64,7 @@
 mod placement;
 mod platform_client;
 mod platform_error;
+mod policy_bench;
 mod prefix_model;
 mod problem;
 mod problem_kind;
--- /dev/null
+++ b/src/policy_bench.rs
@@ -0,0 +1,38 @@
+//! Benchmark of the dispatch policy: the real decision code over small fakes of engines, in virtual time. The same seed
+//! always gives the same figures. See docs/design/dispatch.md and docs/BENCHMARKS.md.
+
+mod bench_plot;
+mod bench_policy;
+mod bench_report;
+mod bench_scenario;
+mod fake_engine;
+mod program_plan;
+mod simulation;
+
+pub(crate) use self::{
+    bench_plot::plot_svg,
+    bench_policy::BenchPolicy,
+    bench_report::{PolicyReport, ScenarioFigures},
+    bench_scenario::BenchScenario,
+};
+
+use self::simulation::Simulation;
+
+/// Runs one scenario under one policy.
+pub(crate) fn run_scenario(scenario: &BenchScenario, policy: BenchPolicy) -> ScenarioFigures {
+    Simulation::new(scenario, policy).run()
+}
+
+/// Runs every scenario of the benchmark under every policy.
+pub(crate) fn run_all(progress: impl Fn(&str)) -> PolicyReport {
+    let mut report = PolicyReport::default();
+
+    for scenario in BenchScenario::all() {
+        for policy in scenario.policies() {
+            progress(&format!("{} under {}", scenario.name, policy.name()));
+            report.rows.push(run_scenario(&scenario, policy));
+        }
+    }
+
+    report
+}
