Slopes and overhead measured; the log's trimming and the spread of rumors mended by what they showed

Cause: after every 256 batches the writer deleted them one by one within its call budget, and appends waited behind. Deletions now run beside the writer, one each 50 ms, and each shard's appends have a pace.

Cause: what a starting host learns from a peer was passed on again, 27 times for each host, and news waited behind it. Now it is not, the newest rumors go first, and a message carries 30 instead of 6 while more than 30 wait.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -55,6 +55,7 @@
 mod node_settings;
 mod operator_api;
 mod operator_client;
+mod overhead_bench;
 mod owner_witnesses;
 mod peer_error;
 mod peer_gateway;
@@ -94,6 +95,7 @@
 mod shard_owner;
 mod shard_state;
 mod shard_table;
+mod slope_bench;
 mod slot_admission;
 mod snapshot_store;
 mod state_error;
@@ -112,7 +114,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use self::{run_cli::run_cli, run_daemon::run_daemon};
+pub use self::{run_cli::run_cli, run_daemon::run_daemon, slope_bench::LoadedQueue};
 
 pub(crate) use self::{
     answer_builder::{AnswerBuilder, ChunkKind},
@@ -153,7 +155,7 @@
     http_upstream::HttpUpstream,
     journal_audit::{JournalAudit, TeamStanding},
     key_files::KeyFiles,
-    local_cluster::LocalCluster,
+    local_cluster::{LocalCluster, LocalOptions},
     log_batch::{LogBatch, WriterId},
     log_error::LogError,
     log_reader::{LogReader, LogReplay},
--- a/src/local_cluster.rs
+++ b/src/local_cluster.rs
@@ -4,22 +4,22 @@
 
 use eyre::Result;
 use ragwortknot_standins::{
-    EngineOptions, EngineService, HostEntry, PlatformService, StandinServer, ToolService,
+    CallCounts, EngineOptions, EngineService, HostEntry, PlatformService, StandinServer,
+    ToolService,
 };
 use serde_json::{Map, Value, json};
 
 use crate::{
-    KeyFiles, Node, NodeSettings, Problem,
+    HostPhase, KeyFiles, Node, NodeSettings, Problem,
     config_document::key_hash,
-    http_client::http_client,
     key_files::{KeyAuthority, random_key},
 };
 
-/// Engines of a local cluster.
-const ENGINE_COUNT: usize = 3;
-
 /// Shards of a local cluster.
-const SHARD_COUNT: u16 = 4;
+const SHARD_COUNT: u16 = 16;
+
+/// Region of a local cluster.
+const REGION: &str = "local";
 
 /// Time that a local cluster takes to become ready at the most.
 const READY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -27,84 +27,154 @@
 /// Port that a local cluster listens on for callers, unless another is asked for.
 pub(crate) const LOCAL_ADDRESS: &str = "127.0.0.1:0";
 
-/// A host with its stand-ins. They end with it.
+/// How a local cluster is set up.
+#[derive(Clone, Debug)]
+pub(crate) struct LocalOptions {
+    /// Address for callers of the first host; others take free ports.
+    pub(crate) callers_address: String,
+    pub(crate) hosts: usize,
+    pub(crate) engines: usize,
+    /// Requests that each engine runs at once.
+    pub(crate) slots: usize,
+}
+
+impl Default for LocalOptions {
+    fn default() -> Self {
+        Self { callers_address: LOCAL_ADDRESS.into(), hosts: 1, engines: 3, slots: 8 }
+    }
+}
+
+/// Hosts with their stand-ins. They end with it.
 #[derive(Debug)]
 pub(crate) struct LocalCluster {
-    pub(crate) node: Arc<Node>,
+    pub(crate) nodes: Vec<Arc<Node>>,
+    pub(crate) engine_urls: Vec<String>,
     pub(crate) team_key: String,
     pub(crate) operator_key: String,
-    _servers: Vec<StandinServer>,
+    platform: Arc<PlatformService>,
+    servers: Vec<StandinServer>,
 }
 
 impl LocalCluster {
-    /// Starts everything, and waits until the host is ready.
-    pub(crate) async fn start(callers_address: &str) -> Result<Self> {
+    /// Starts everything, and waits until the hosts are ready.
+    pub(crate) async fn start(options: &LocalOptions) -> Result<Self> {
         let platform = Arc::new(PlatformService::default());
         let platform_server =
             StandinServer::start(LOCAL_ADDRESS, Arc::clone(&platform).router()).await?;
         let tool = Arc::new(ToolService::default());
         let tool_server = StandinServer::start(LOCAL_ADDRESS, tool.router()).await?;
-        let operator_key = random_key();
-        let team_key = random_key();
-        let settings = settings(&platform_server.url(), &operator_key, callers_address)?;
-        let mut servers = vec![platform_server, tool_server];
-        let tool_url = servers[1].url();
-        let mut upstreams = Map::new();
+        let platform_url = platform_server.url();
+        let tool_url = tool_server.url();
+
+        let mut cluster = Self {
+            nodes: Vec::new(),
+            engine_urls: Vec::new(),
+            team_key: random_key(),
+            operator_key: random_key(),
+            platform,
+            servers: vec![platform_server, tool_server],
+        };
 
-        for index in 1..=ENGINE_COUNT {
+        cluster.start_engines(options).await?;
+        cluster.start_nodes(options, &platform_url).await?;
+        let patch = cluster.config(options, &tool_url);
+        cluster.first().config.patch(0, &patch).await.map_err(report)?;
+        let ready = tokio::time::timeout(READY_TIMEOUT, cluster.wait_ready());
+        ready.await??;
+        Ok(cluster)
+    }
+
+    /// The host that callers are told of.
+    pub(crate) fn first(&self) -> &Arc<Node> {
+        &self.nodes[0]
+    }
+
+    /// Base address for clients of the chat-completions protocol.
+    pub(crate) fn base_url(&self) -> String {
+        format!("http://{}/v1", self.first().addresses.callers)
+    }
+
+    /// Calls that the platform has counted.
+    pub(crate) fn platform_counts(&self) -> CallCounts {
+        self.platform.counts()
+    }
+
+    async fn start_engines(&mut self, options: &LocalOptions) -> Result<()> {
+        for index in 1..=options.engines {
             let name = format!("engine-{index}");
-            let options = EngineOptions { name: name.clone(), ..EngineOptions::default() };
-            let engine = Arc::new(EngineService::new(options));
-            let server = StandinServer::start(LOCAL_ADDRESS, engine.router()).await?;
-            upstreams.insert(name, upstream(&server.url(), "agent-llm", true));
-            servers.push(server);
+            let slots = options.slots;
+            let engine = EngineService::new(EngineOptions { name, slots, ..Default::default() });
+            let server = StandinServer::start(LOCAL_ADDRESS, Arc::new(engine).router()).await?;
+            self.engine_urls.push(server.url());
+            self.servers.push(server);
+        }
+
+        Ok(())
+    }
+
+    async fn start_nodes(&mut self, options: &LocalOptions, platform_url: &str) -> Result<()> {
+        let authority = KeyAuthority::generate()?;
+        let receipt_key: Arc<str> = random_key().into();
+
+        for index in 0..options.hosts {
+            let name = if index == 0 { "local".into() } else { format!("local-{index}") };
+            let callers = if index == 0 { &*options.callers_address } else { LOCAL_ADDRESS };
+            let keys = authority.issue(&name)?;
+            let settings = settings(&name, keys, &receipt_key, platform_url, &self.operator_key);
+            let node = Node::start(NodeSettings { callers_address: callers.parse()?, ..settings? });
+            let node = node.await?;
+
+            self.platform.set_host(HostEntry {
+                name,
+                region: REGION.into(),
+                peer_address: node.addresses.peers.to_string(),
+                is_leaving: false,
+            });
+
+            self.nodes.push(node);
         }
 
-        upstreams.insert("ledger-1".into(), upstream(&tool_url, "ledger-app", false));
-        let node = Node::start(settings).await?;
+        Ok(())
+    }
 
-        platform.set_host(HostEntry {
-            name: "local".into(),
-            region: "local".into(),
-            peer_address: node.addresses.peers.to_string(),
-            is_leaving: false,
-        });
+    fn config(&self, options: &LocalOptions, tool_url: &str) -> Value {
+        let mut upstreams = Map::new();
+
+        for (index, url) in self.engine_urls.iter().enumerate() {
+            let engine = upstream(url, "agent-llm", true, options.slots);
+            upstreams.insert(format!("engine-{}", index + 1), engine);
+        }
 
-        let patch = json!({
-            "teams": { "trial": { "key_hash": key_hash(&team_key) } },
+        upstreams.insert("ledger-1".into(), upstream(tool_url, "ledger-app", false, 8));
+
+        json!({
+            "teams": { "trial": { "key_hash": key_hash(&self.team_key) } },
             "models": {
                 "agent-llm": { "kind": "engine" },
                 "ledger-app": { "kind": "service", "status_path": "/status/{key}" },
             },
             "upstreams": upstreams,
-        });
-
-        let cluster = Self { node, team_key, operator_key, _servers: servers };
-        cluster.node.config.patch(0, &patch).await.map_err(report)?;
-        cluster.wait_ready().await?;
-        Ok(cluster)
-    }
-
-    /// Base address for clients of the chat-completions protocol.
-    pub(crate) fn base_url(&self) -> String {
-        format!("http://{}/v1", self.node.addresses.callers)
+        })
     }
 
+    /// Waits until every host is ready, has the configuration, and agrees with the others on the shards.
     async fn wait_ready(&self) -> Result<()> {
-        let client = http_client(READY_TIMEOUT);
-        let uri: hyper::Uri = format!("http://{}/readyz", self.node.addresses.callers).parse()?;
-
-        let ready = async {
-            let is_owning = || !self.node.shards.shards().is_empty();
-
-            while !is_owning()
-                || !client.get(uri.clone()).await.is_ok_and(|it| it.status().is_success())
-            {
-                tokio::time::sleep(Duration::from_millis(20)).await;
-            }
+        let shards = || self.nodes.iter().map(|node| node.shards.shards().len()).sum::<usize>();
+
+        let is_settled = || {
+            let mut nodes = self.nodes.iter();
+            shards() == usize::from(SHARD_COUNT)
+                && nodes.all(|node| {
+                    node.phase() == HostPhase::Serving
+                        && node.config.number() > 0
+                        && !node.shards.shards().is_empty()
+                })
         };
 
-        tokio::time::timeout(READY_TIMEOUT, ready).await?;
+        while !is_settled() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+
         Ok(())
     }
 }
@@ -113,23 +183,28 @@
     eyre::eyre!("{problem}")
 }
 
-fn upstream(url: &str, model: &str, checks_fencing: bool) -> Value {
+fn upstream(url: &str, model: &str, checks_fencing: bool, window: usize) -> Value {
     json!({
-        "region": "local",
+        "region": REGION,
+        "window": window,
         "model": model,
         "url": url,
         "checks_fencing": checks_fencing,
     })
 }
 
-fn settings(platform_url: &str, operator_key: &str, callers: &str) -> Result<NodeSettings> {
-    let keys: KeyFiles = KeyAuthority::generate()?.issue("local")?;
-
+fn settings(
+    name: &str,
+    keys: KeyFiles,
+    receipt_key: &Arc<str>,
+    platform_url: &str,
+    operator_key: &str,
+) -> Result<NodeSettings> {
     Ok(NodeSettings {
-        host: "local".into(),
-        region: "local".into(),
-        data_centre: "local".into(),
-        callers_address: callers.parse()?,
+        host: name.into(),
+        region: REGION.into(),
+        data_centre: REGION.into(),
+        callers_address: LOCAL_ADDRESS.parse()?,
         operators_address: LOCAL_ADDRESS.parse()?,
         peers_address: LOCAL_ADDRESS.parse()?,
         platform_url: platform_url.into(),
@@ -137,8 +212,9 @@
         platform_calls_per_second: 500,
         keys,
         operator_key_hash: key_hash(operator_key),
-        receipt_key: random_key().into(),
+        receipt_key: Arc::clone(receipt_key),
         shards: SHARD_COUNT,
+        append_rate: 40,
         heartbeat_interval: Duration::from_millis(300),
         suspect_after: Duration::from_millis(1_200),
         host_list_interval: Duration::from_secs(2),
--- a/src/membership_service.rs
+++ b/src/membership_service.rs
@@ -86,7 +86,8 @@
 
             match timeout(SYNC_TIMEOUT, peer_call(&*self.transport, peer.address, &request)).await {
                 Ok(Ok(PeerMessage::Members { config_number, rumors })) => {
-                    self.learn(&rumors);
+                    let changes = self.view.lock().learn_members(unix_millis(), &rumors);
+                    self.act(changes);
 
                     if config_number > self.spreader.store.number() {
                         self.spreader.pull_from(&peer.name).await;
--- a/src/membership_table.rs
+++ b/src/membership_table.rs
@@ -1,7 +1,7 @@
 //! Which hosts are there, as this host knows: a SWIM failure detector as a pure state machine. Its cost for each host
 //! does not grow with their number. See docs/design/membership.md.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr};
 
 use crate::{
     HostName, HostPhase, HostRecord, MemberRumor, MemberStatus, RegionName, RumorAge, ShardId,
@@ -10,6 +10,9 @@
 /// Rumors that one message carries.
 const RUMORS_PER_MESSAGE: usize = 6;
 
+/// Rumors that one message carries while more than this wait to be passed on, as after the loss of a data centre.
+const RUMORS_PER_BURST: usize = 30;
+
 /// A rumor is passed on this often for each doubling of the number of hosts.
 const RUMOR_REPEATS: u32 = 3;
 
@@ -25,6 +28,8 @@
     suspected_ms: u64,
     /// How often the rumor has still to be passed on.
     repeats: u32,
+    /// When the rumor was learnt, in the order of this table.
+    learnt: u64,
 }
 
 impl MemberEntry {
@@ -60,6 +65,7 @@
     /// Hosts in the order in which they are probed.
     probe_order: Vec<HostName>,
     suspicion_ms: u64,
+    rumors_learnt: u64,
 }
 
 impl MembershipTable {
@@ -78,6 +84,7 @@
             rumor: Some(rumor),
             suspected_ms: 0,
             repeats: 0,
+            learnt: 0,
         };
 
         Self {
@@ -85,6 +92,7 @@
             members: BTreeMap::from([(record.name.clone(), entry)]),
             probe_order: Vec::new(),
             suspicion_ms,
+            rumors_learnt: 0,
         }
     }
 
@@ -100,6 +108,7 @@
                 rumor: None,
                 suspected_ms: 0,
                 repeats: 0,
+                learnt: 0,
             });
 
             if entry.address != host.peer_address {
@@ -130,6 +139,25 @@
         rumors.iter().filter_map(|rumor| self.learn_rumor(now_ms, rumor)).collect()
     }
 
+    /// Takes in what a peer knows of all hosts. The others know it too, so it is not passed on.
+    pub(crate) fn learn_members(
+        &mut self,
+        now_ms: u64,
+        rumors: &[MemberRumor],
+    ) -> Vec<MemberChange> {
+        let changes = self.learn_rumors(now_ms, rumors);
+
+        for rumor in rumors {
+            if let Some(entry) =
+                self.members.get_mut(&rumor.host).filter(|_| rumor.host != self.own)
+            {
+                entry.repeats = 0;
+            }
+        }
+
+        changes
+    }
+
     /// Takes note that a host answered, directly or through another one.
     pub(crate) fn record_answer(&mut self, host: &HostName) {
         let repeats = self.repeats();
@@ -201,16 +229,7 @@
     /// Gives the rumors for a message to `peer`: about this host, about the peer where it has something to refute, and
     /// those that have been passed on the least.
     pub(crate) fn rumors_for(&mut self, peer: Option<&HostName>) -> Vec<MemberRumor> {
-        let mut fresh: Vec<(u32, HostName)> = self
-            .members
-            .iter()
-            .filter(|(name, entry)| **name != self.own && entry.repeats > 0)
-            .map(|(name, entry)| (u32::MAX - entry.repeats, name.clone()))
-            .collect();
-
-        fresh.sort();
-        fresh.truncate(RUMORS_PER_MESSAGE);
-        let mut names: Vec<HostName> = fresh.into_iter().map(|(_, name)| name).collect();
+        let mut names: Vec<HostName> = self.fresh_names();
         let refutable = peer.filter(|name| self.is_refutable(name) && !names.contains(name));
         names.extend(refutable.cloned());
         names.push(self.own.clone());
@@ -225,6 +244,25 @@
             .collect()
     }
 
+    /// Hosts whose rumors have still to be passed on: the least repeated first, and the newest among those.
+    fn fresh_names(&self) -> Vec<HostName> {
+        let mut fresh: Vec<(Reverse<u32>, Reverse<u64>, &HostName)> = self
+            .members
+            .iter()
+            .filter(|(name, entry)| **name != self.own && entry.repeats > 0)
+            .map(|(name, entry)| (Reverse(entry.repeats), Reverse(entry.learnt), name))
+            .collect();
+
+        let limit = match fresh.len() {
+            count if count > RUMORS_PER_BURST => RUMORS_PER_BURST,
+            _ => RUMORS_PER_MESSAGE,
+        };
+
+        fresh.sort_unstable();
+        fresh.truncate(limit);
+        fresh.into_iter().map(|(_, _, name)| name.clone()).collect()
+    }
+
     fn is_refutable(&self, peer: &HostName) -> bool {
         self.members.get(peer).is_some_and(|entry| entry.status() != MemberStatus::Alive)
     }
@@ -302,6 +340,8 @@
         }
 
         let repeats = self.repeats();
+        self.rumors_learnt += 1;
+        let learnt = self.rumors_learnt;
 
         let Some(entry) = self.members.get_mut(&rumor.host) else {
             let is_dead = rumor.age.status == MemberStatus::Dead;
@@ -324,6 +364,7 @@
 
         entry.rumor = Some(rumor.clone());
         entry.repeats = repeats;
+        entry.learnt = learnt;
         let is_dead = rumor.age.status == MemberStatus::Dead && was_status != MemberStatus::Dead;
         (is_dead || is_restarted).then_some(MemberChange::Gone { address: entry.address })
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -145,6 +145,7 @@
             host: settings.host.clone(),
             writer,
             shard_count: settings.shards,
+            append_rate: settings.append_rate,
             shards: Arc::clone(&shards),
             view: view.clone(),
             platform,
--- a/src/node_settings.rs
+++ b/src/node_settings.rs
@@ -20,6 +20,7 @@
     pub(crate) operator_key_hash: Arc<str>,
     pub(crate) receipt_key: Arc<str>,
     pub(crate) shards: u16,
+    pub(crate) append_rate: u32,
     pub(crate) heartbeat_interval: Duration,
     pub(crate) suspect_after: Duration,
     pub(crate) host_list_interval: Duration,
@@ -56,6 +57,7 @@
     KEYS_OPERATOR = "keys" "operator_key_hash" "64 hexadecimal digits" None;
     KEYS_RECEIPT = "keys" "receipt_key" "a file that all hosts share" None;
     CLUSTER_SHARDS = "cluster" "shards" "a number from 1 to 65535, the same on all hosts" Some("32");
+    CLUSTER_APPEND = "cluster" "append_rate" "a rate such as 40 /s" Some("40 /s");
     CLUSTER_HEARTBEAT = "cluster" "heartbeat_interval" "a time such as 300 ms" Some("300 ms");
     CLUSTER_SUSPECT = "cluster" "suspect_after" "a time such as 1200 ms" Some("1200 ms");
     CLUSTER_HOST_LIST = "cluster" "host_list_interval" "a time such as 2 s" Some("2 s");
@@ -94,6 +96,7 @@
             operator_key_hash: reader.text(KEYS_OPERATOR)?,
             receipt_key: read_file(reader, KEYS_RECEIPT)?,
             shards: reader.parsed(CLUSTER_SHARDS)?,
+            append_rate: reader.rate(CLUSTER_APPEND)?,
             heartbeat_interval: reader.duration(CLUSTER_HEARTBEAT)?,
             suspect_after: reader.duration(CLUSTER_SUSPECT)?,
             host_list_interval: reader.duration(CLUSTER_HOST_LIST)?,
--- a/src/shard_keeper.rs
+++ b/src/shard_keeper.rs
@@ -29,6 +29,8 @@
     pub(crate) host: HostName,
     pub(crate) writer: WriterId,
     pub(crate) shard_count: u16,
+    /// Appends a second that a busy shard makes.
+    pub(crate) append_rate: u32,
     pub(crate) shards: Arc<ShardTable>,
     pub(crate) view: ClusterView,
     pub(crate) platform: Arc<dyn PlatformClient>,
@@ -127,7 +129,7 @@
         let programs = claimed.state.programs.len();
         let metrics = Arc::clone(&self.metrics);
         let owner = Arc::new(ShardOwner::new(shard, claimed.state, &claimed.log, started, metrics));
-        tokio::spawn(Arc::clone(&owner).run_writer(claimed.log));
+        tokio::spawn(Arc::clone(&owner).run_writer(claimed.log, self.append_rate));
         self.shards.insert(Arc::clone(&owner));
         self.state_own();
         self.recover_calls(&owner);
--- a/src/shard_log.rs
+++ b/src/shard_log.rs
@@ -1,7 +1,7 @@
 //! A shard's log, as its one writer holds it. See docs/design/shard-log.md for why no clock and no consensus is
 //! needed.
 
-use std::{collections::BTreeSet, sync::Arc};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 
@@ -118,18 +118,16 @@
         self.last() - self.snapshot
     }
 
-    /// Writes a snapshot of the state after the batch `sequence`, then deletes what it replaces.
+    /// Writes a snapshot of the state after the batch `sequence`, and gives what it replaces, to be deleted at leisure.
     pub(crate) async fn write_snapshot(
         &mut self,
         sequence: u64,
         state: &[u8],
-    ) -> Result<(), LogError> {
+    ) -> Result<LogTrim, LogError> {
         self.reader.snapshots.write(sequence, state).await?;
         let replaced = self.snapshot;
         self.snapshot = sequence;
-        self.delete_batches(replaced, sequence).await?;
-        self.reader.snapshots.delete(replaced).await?;
-        Ok(())
+        Ok(self.trim(replaced, sequence))
     }
 
     async fn is_own(&self, batch: &EncodedBatch) -> Result<bool, LogError> {
@@ -148,17 +146,45 @@
         Ok(())
     }
 
-    /// Deletes the batches that a snapshot covers. Each claim stays, and the batch before it: a deposed writer that
-    /// wakes after any time tries one of these two numbers next, and must find them taken.
-    async fn delete_batches(&mut self, replaced: u64, snapshot: u64) -> Result<(), LogError> {
+    /// Gives the batches that a snapshot covers. Each claim stays, and the batch before it: a deposed writer that wakes
+    /// after any time tries one of these two numbers next, and must find them taken.
+    fn trim(&mut self, replaced: u64, snapshot: u64) -> LogTrim {
         let kept: BTreeSet<u64> =
             self.claims.iter().flat_map(|claim| [*claim, claim.saturating_sub(1)]).collect();
 
-        for sequence in (replaced.max(1)..snapshot).filter(|it| !kept.contains(it)) {
+        let batches = (replaced.max(1)..snapshot).filter(|it| !kept.contains(it)).collect();
+        self.claims.retain(|claim| *claim >= snapshot);
+
+        LogTrim {
+            platform: Arc::clone(&self.platform),
+            reader: self.reader.clone(),
+            batches,
+            snapshot: replaced,
+        }
+    }
+}
+
+/// Objects that a snapshot has replaced.
+#[derive(Debug)]
+pub(crate) struct LogTrim {
+    platform: Arc<dyn PlatformClient>,
+    reader: LogReader,
+    batches: Vec<u64>,
+    snapshot: u64,
+}
+
+impl LogTrim {
+    /// Deletes the objects, with a pause after each, so that appends do not wait behind them.
+    pub(crate) async fn delete(self, pause: Duration) -> Result<(), LogError> {
+        for sequence in self.batches {
             self.platform.delete(&self.reader.key(sequence)).await?;
+
+            if !pause.is_zero() {
+                tokio::time::sleep(pause).await;
+            }
         }
 
-        self.claims.retain(|claim| *claim >= snapshot);
+        self.reader.snapshots.delete(self.snapshot).await?;
         Ok(())
     }
 }
--- a/src/shard_owner.rs
+++ b/src/shard_owner.rs
@@ -14,14 +14,17 @@
 };
 
 use crate::{
-    BackoffPolicy, LogError, LogReader, LogRecord, NodeMetrics, Problem, ProblemKind, ProgramId,
-    ProgramSlot, ShardId, ShardLog, ShardState, WriterId, encode_frame,
+    BackoffPolicy, CallBudget, LogError, LogReader, LogRecord, NodeMetrics, Problem, ProblemKind,
+    ProgramId, ProgramSlot, ShardId, ShardLog, ShardState, WriterId, encode_frame,
     snapshot_store::OBJECT_LIMIT_BYTES,
 };
 
 /// Batches after which a snapshot is written, which bounds what the next owner replays.
 const SNAPSHOT_BATCHES: u64 = 256;
 
+/// Pause between two deletions of what a snapshot has replaced.
+const TRIM_PAUSE: Duration = Duration::from_millis(50);
+
 /// Bytes of records that may wait for the log; beyond them nothing new is taken in.
 const QUEUE_LIMIT_BYTES: usize = 16 << 20;
 
@@ -359,9 +362,11 @@
         self.wait(ticket, patience).await
     }
 
-    /// Appends what is taken in, until the shard is released or another host has it.
-    pub(crate) async fn run_writer(self: Arc<Self>, mut log: ShardLog) {
-        while let Some(batch) = self.next_batch(log.tail()).await {
+    /// Appends what is taken in, at most so often a second, until the shard is released or another host has it.
+    pub(crate) async fn run_writer(self: Arc<Self>, mut log: ShardLog, append_rate: u32) {
+        let pace = CallBudget::new(append_rate);
+
+        while let Some(batch) = self.next_batch(log.tail(), &pace).await {
             if self.append(&mut log, batch).await.is_err() {
                 log::warn!(shard:% = self.shard; "another host has taken the shard");
                 break;
@@ -377,24 +382,25 @@
         self.progress.send_modify(|progress| progress.is_closed = true);
     }
 
-    /// Waits for records, and takes all that fit into one object. While an append is under way more come together, so
-    /// a busy log writes larger batches and not more of them.
-    async fn next_batch(&self, tail: u64) -> Option<DrainedBatch> {
+    /// Waits for records, and takes all that fit into one object. An idle log takes them at once; while an append is
+    /// under way, or the log's pace is used up, more come together, so a busy log writes larger batches and not more.
+    async fn next_batch(&self, tail: u64, pace: &CallBudget) -> Option<DrainedBatch> {
         loop {
             let wake = self.wake.notified();
 
             {
-                let mut state = self.state.lock();
+                let state = self.state.lock();
 
-                if !state.queue.is_empty() {
-                    return Some(Self::drain(&mut state, tail));
-                }
-
-                if state.is_closed {
+                if state.queue.is_empty() && state.is_closed {
                     return None;
                 }
             }
 
+            if !self.state.lock().queue.is_empty() {
+                pace.acquire().await;
+                return Some(Self::drain(&mut self.state.lock(), tail));
+            }
+
             wake.await;
         }
     }
@@ -443,12 +449,26 @@
             progress.appended = started;
         });
 
-        if let Some(snapshot) = drained.snapshot
-            && let Err(error) = log.write_snapshot(log.last(), &snapshot).await
-        {
-            log::warn!(shard:% = self.shard; "a snapshot was not finished: {error}");
+        if let Some(snapshot) = drained.snapshot {
+            self.write_snapshot(log, &snapshot).await;
         }
 
         Ok(())
     }
+
+    /// Writes a snapshot. One that fails is made up for by the next.
+    async fn write_snapshot(&self, log: &mut ShardLog, state: &[u8]) {
+        let shard = self.shard;
+
+        match log.write_snapshot(log.last(), state).await {
+            Ok(trim) => {
+                tokio::spawn(async move {
+                    if let Err(error) = trim.delete(TRIM_PAUSE).await {
+                        log::warn!(shard:% = shard; "replaced batches were not deleted: {error}");
+                    }
+                });
+            }
+            Err(error) => log::warn!(shard:% = shard; "a snapshot was not finished: {error}"),
+        }
+    }
 }
--- a/src/subcommand/bench.rs
+++ b/src/subcommand/bench.rs
@@ -1,47 +1,76 @@
 //! `ragwortknot bench`: benchmarks.
 
 use getopts::{Matches, Options};
+use serde::Serialize;
 
 use crate::{
     CliError,
+    overhead_bench::run_overhead,
     policy_bench::{plot_svg, run_all},
+    slope_bench::run_slopes,
 };
 
-const BRIEF: &str = "Usage: ragwortknot bench policy [--json] [--plot FILE]
+const BRIEF: &str = "Usage: ragwortknot bench NAME [--json] [--plot FILE]
 
-  policy  the dispatch policy against baselines, in virtual time";
+  policy    the dispatch policy against baselines, in virtual time
+  overhead  what a host adds to an answer, against the engine itself
+  slopes    what each mechanism costs, for docs/CAPACITY.md";
 
 pub(super) fn run(arguments: &[String]) -> Result<(), CliError> {
     let mut options = Options::new();
     options.optflag("", "json", "print the figures alone, as JSON");
-    options.optopt("", "plot", "write a plot", "FILE.svg");
+    options.optopt("", "plot", "write a plot (policy)", "FILE.svg");
     let matches = super::parse(options, BRIEF, arguments)?;
 
     match matches.free.first().map(String::as_str) {
         Some("policy") => policy(&matches),
-        _ => Err(CliError::Usage("bench: expected policy".into())),
+        Some("overhead") => {
+            let figures = super::block_on(async { Ok(run_overhead().await?) })?;
+            print_json(&figures)
+        }
+        Some("slopes") => slopes(&matches),
+        _ => Err(CliError::Usage("bench: expected policy, overhead or slopes".into())),
     }
 }
 
-fn policy(matches: &Matches) -> Result<(), CliError> {
-    let is_json = matches.opt_present("json");
+fn progress(matches: &Matches) -> impl Fn(&str) {
+    let is_quiet = matches.opt_present("json");
 
-    let report = run_all(|step| {
-        if !is_json {
+    move |step| {
+        if !is_quiet {
             eprintln!("{step}");
         }
-    });
+    }
+}
+
+fn policy(matches: &Matches) -> Result<(), CliError> {
+    let report = run_all(progress(matches));
 
     if let Some(file) = matches.opt_str("plot") {
         std::fs::write(file, plot_svg(&report)?)?;
     }
 
-    if is_json {
-        let text = serde_json::to_string_pretty(&report);
-        println!("{}", text.map_err(|error| CliError::Failed(error.into()))?);
-    } else {
-        println!("{}", report.table());
+    if matches.opt_present("json") {
+        return print_json(&report);
     }
 
+    println!("{}", report.table());
+    Ok(())
+}
+
+fn slopes(matches: &Matches) -> Result<(), CliError> {
+    let report = run_slopes(progress(matches));
+
+    if matches.opt_present("json") {
+        return print_json(&report);
+    }
+
+    println!("{}", report.table());
+    Ok(())
+}
+
+fn print_json(figures: &impl Serialize) -> Result<(), CliError> {
+    let text = serde_json::to_string_pretty(figures);
+    println!("{}", text.map_err(|error| CliError::Failed(error.into()))?);
     Ok(())
 }
--- a/src/subcommand/local.rs
+++ b/src/subcommand/local.rs
@@ -9,7 +9,7 @@
 use serde_json::{Value, json};
 
 use crate::{
-    CliError, HttpClient, LocalCluster,
+    CliError, HttpClient, LocalCluster, LocalOptions,
     decision_journal::JOURNAL_TARGET,
     http_client::http_client,
     local_cluster::LOCAL_ADDRESS,
@@ -38,12 +38,16 @@
     super::block_on(async { Ok(serve(&address).await?) })
 }
 
+fn options(address: &str) -> LocalOptions {
+    LocalOptions { callers_address: address.to_owned(), ..LocalOptions::default() }
+}
+
 async fn serve(address: &str) -> Result<()> {
-    let cluster = LocalCluster::start(address).await?;
+    let cluster = LocalCluster::start(&options(address)).await?;
     println!("callers:       {}", cluster.base_url());
     println!("team's key:    {}", cluster.team_key);
     println!("model:         agent-llm");
-    println!("operators:     http://{}", cluster.node.addresses.operators);
+    println!("operators:     http://{}", cluster.first().addresses.operators);
     println!("operators' key: {}", cluster.operator_key);
     println!("\nTry: curl {}/chat/completions \\", cluster.base_url());
     println!("  -H 'Authorization: Bearer {}' \\", cluster.team_key);
@@ -52,8 +56,8 @@
     );
     println!("\nInterrupt to stop.");
     tokio::signal::ctrl_c().await?;
-    cluster.node.request_drain();
-    cluster.node.run().await;
+    cluster.first().request_drain();
+    cluster.first().run().await;
     Ok(())
 }
 
@@ -116,7 +120,7 @@
     let buffer = LogBuffer::default();
     let sink = LogSink::Buffer(buffer.clone());
     start_log(&"local".into(), &"local".into(), "info", sink);
-    let cluster = LocalCluster::start(address).await?;
+    let cluster = LocalCluster::start(&options(address)).await?;
 
     let caller = DemoCaller {
         client: http_client(CONNECT_TIMEOUT),
@@ -125,7 +129,7 @@
     };
 
     run_program(&caller).await?;
-    cluster.node.stop().await;
+    cluster.first().stop().await;
     println!("\nDecisions:");
 
     for line in buffer.text().lines() {
--- a/src/tests/shard_log_model.rs
+++ b/src/tests/shard_log_model.rs
@@ -9,6 +9,7 @@
         atomic::{AtomicU64, Ordering},
     },
     task::{Context, Waker},
+    time::Duration,
 };
 
 use parking_lot::Mutex;
@@ -114,7 +115,10 @@
 
         if log.tail() >= SNAPSHOT_BATCHES {
             let snapshot = encode_frame(&state);
-            let _ = log.write_snapshot(log.last(), &snapshot).await;
+
+            if let Ok(trim) = log.write_snapshot(log.last(), &snapshot).await {
+                let _ = trim.delete(Duration::ZERO).await;
+            }
         }
     }
 }
