--- a/src/cell_dispatcher.rs
+++ b/src/cell_dispatcher.rs
@@ -3,12 +3,12 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use parking_lot::Mutex;
-use tokio::sync::oneshot;
+use tokio::sync::{mpsc, oneshot};
 
 use crate::{
     CellDecision, CellEvent, CellId, CellPolicy, CellQueue, CellRefusal, CellReport, CellRequest,
-    CellResult, DecisionJournal, JournalItem, NodeMetrics, ProgramId, TicketNumber, UpstreamName,
-    UpstreamTerms, unix_clock::unix_millis,
+    CellResult, CrashNote, DecisionJournal, JournalItem, NodeMetrics, ProgramId, TicketNumber,
+    UpstreamName, UpstreamTerms, unix_clock::unix_millis,
 };
 
 /// What a dispatcher answers to a request.
@@ -60,6 +60,14 @@
     cell: CellId,
     state: Mutex<DispatcherState>,
     metrics: Arc<NodeMetrics>,
+    news: mpsc::UnboundedSender<CrashNews>,
+}
+
+/// What a cell has found out about requests that crash upstreams.
+#[derive(Clone, Debug)]
+pub(crate) struct CrashNews {
+    pub(crate) cell: CellId,
+    pub(crate) notes: Vec<CrashNote>,
 }
 
 impl CellDispatcher {
@@ -68,6 +76,7 @@
         policy: CellPolicy,
         term: &str,
         metrics: Arc<NodeMetrics>,
+        news: mpsc::UnboundedSender<CrashNews>,
     ) -> Self {
         let journal = DecisionJournal::begin(cell.clone(), term, unix_millis(), policy);
 
@@ -80,7 +89,7 @@
             is_retired: false,
         };
 
-        Self { cell, state: Mutex::new(state), metrics }
+        Self { cell, state: Mutex::new(state), metrics, news }
     }
 
     /// Puts a request into the queue.
@@ -196,6 +205,11 @@
         state.queue.handle(now_ms, &event);
         state.journal.write(now_ms, JournalItem::Event(event));
         self.decide(state, now_ms);
+        let notes = state.queue.crashes.take_news();
+
+        if !notes.is_empty() {
+            let _ = self.news.send(CrashNews { cell: self.cell.clone(), notes });
+        }
     }
 
     fn decide(&self, state: &mut DispatcherState, now_ms: u64) {
--- a/src/cell_event.rs
+++ b/src/cell_event.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{CellReport, CellRequest, ProgramId, UpstreamName};
+use crate::{CellReport, CellRequest, CrashNote, ProgramId, UpstreamName};
 
 /// Number of a request in one dispatcher's time of office.
 pub(crate) type TicketNumber = u64;
@@ -23,6 +23,8 @@
     Serving { upstream: UpstreamName, is_serving: bool },
     /// An upstream died with what ran on it.
     Crashed { upstream: UpstreamName },
+    /// Another cell has found out about requests that crash upstreams.
+    CrashesNoted { notes: Vec<CrashNote> },
     /// A granted request has ended.
     Finished { ticket: TicketNumber, report: CellReport },
     /// A waiting request is of no use any more.
--- a/src/cell_queue.rs
+++ b/src/cell_queue.rs
@@ -88,6 +88,9 @@
             CellEvent::Left { upstream } => self.leave(upstream),
             CellEvent::Serving { upstream, is_serving } => self.serve(upstream, *is_serving),
             CellEvent::Crashed { upstream } => self.crash(upstream),
+            CellEvent::CrashesNoted { notes } => {
+                notes.iter().for_each(|note| self.crashes.import(*note));
+            }
             CellEvent::Finished { ticket, report } => self.finish(now_ms, *ticket, report),
             CellEvent::Withdrawn { ticket } => self.withdraw(*ticket),
             CellEvent::ProgramEnded { program } => self.prefixes.drop_program(*program),
--- a/src/crash_ledger.rs
+++ b/src/crash_ledger.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use crate::CrashNote;
+
 /// Requests that are remembered at once. The oldest is forgotten first.
 const LEDGER_LIMIT: usize = 4_096;
 
@@ -17,11 +19,45 @@
 pub(crate) struct CrashLedger {
     entries: BTreeMap<u64, CrashEntry>,
     orders: u64,
+    /// What this cell has found out and others have to be told.
+    news: Vec<CrashNote>,
 }
 
 impl CrashLedger {
     pub(crate) fn clear(&mut self, fingerprint: u64) {
-        self.entries.remove(&fingerprint);
+        if self.entries.remove(&fingerprint).is_some() {
+            self.news.push(CrashNote { fingerprint, crashes: 0 });
+        }
+    }
+
+    /// Takes over what another cell has found out.
+    pub(crate) fn import(&mut self, note: CrashNote) {
+        if note.crashes == 0 {
+            self.entries.remove(&note.fingerprint);
+            return;
+        }
+
+        self.orders += 1;
+        let order = self.orders;
+        let entry = self.entries.entry(note.fingerprint);
+        let entry = entry.or_insert(CrashEntry { crashes: 0, order });
+        entry.crashes = entry.crashes.max(note.crashes);
+        self.forget_oldest();
+    }
+
+    /// Gives all that is known, for a cell that opens.
+    pub(crate) fn notes(&self) -> Vec<CrashNote> {
+        let entries = self.entries.iter();
+        let note = |(fingerprint, entry): (&u64, &CrashEntry)| CrashNote {
+            fingerprint: *fingerprint,
+            crashes: entry.crashes,
+        };
+        entries.map(note).collect()
+    }
+
+    /// Gives what others have to be told, once.
+    pub(crate) fn take_news(&mut self) -> Vec<CrashNote> {
+        std::mem::take(&mut self.news)
     }
 
     /// Upstreams that crashed while this request ran on them, as far as it is not cleared.
@@ -34,6 +70,8 @@
         for fingerprint in blamed {
             if let Some(entry) = self.entries.get_mut(fingerprint) {
                 entry.crashes = entry.crashes.saturating_sub(1);
+                let crashes = entry.crashes;
+                self.news.push(CrashNote { fingerprint: *fingerprint, crashes });
             }
         }
 
@@ -56,7 +94,12 @@
         let order = self.orders;
         let entry = self.entries.entry(fingerprint).or_insert(CrashEntry { crashes: 0, order });
         entry.crashes += 1;
+        let crashes = entry.crashes;
+        self.news.push(CrashNote { fingerprint, crashes });
+        self.forget_oldest();
+    }
 
+    fn forget_oldest(&mut self) {
         if self.entries.len() > LEDGER_LIMIT {
             let oldest = self.entries.iter().min_by_key(|(_, entry)| entry.order);
 
--- a/src/dispatcher_table.rs
+++ b/src/dispatcher_table.rs
@@ -1,14 +1,20 @@
 //! The dispatchers that this host plays.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Weak},
+    time::Duration,
+};
 
-use futures_util::{StreamExt, stream};
+use futures_util::{StreamExt, future::join_all, stream};
 use parking_lot::Mutex;
+use tokio::sync::mpsc;
 
 use crate::{
-    CellDispatcher, CellId, CellStatus, ClusterView, ConfigStore, CreateOutcome, EngineOrder,
-    HostName, ModelKind, NodeMetrics, PlatformClient, ProgramId, UpstreamClient, UpstreamName,
-    UpstreamTerms, UpstreamWatcher, frame_codec::encode_frame,
+    CellDispatcher, CellEvent, CellId, CellStatus, ClusterView, ConfigStore, CrashLedger,
+    CrashNews, CrashNote, CreateOutcome, EngineOrder, HostName, ModelKind, NodeMetrics,
+    PeerMessage, PeerTransport, PlatformClient, ProgramId, UpstreamClient, UpstreamName,
+    UpstreamTerms, UpstreamWatcher, frame_codec::encode_frame, peer_transport::peer_call,
 };
 
 /// Time between two looks at the queues for what only time has changed.
@@ -38,7 +44,11 @@
     config: Arc<ConfigStore>,
     platform: Arc<dyn PlatformClient>,
     client: Arc<dyn UpstreamClient>,
+    transport: Arc<dyn PeerTransport>,
     metrics: Arc<NodeMetrics>,
+    /// What all cells have found out about requests that crash upstreams, for cells that open later.
+    crashes: Mutex<CrashLedger>,
+    news: mpsc::UnboundedSender<CrashNews>,
 }
 
 /// An upstream for operators.
@@ -63,9 +73,41 @@
         config: Arc<ConfigStore>,
         platform: Arc<dyn PlatformClient>,
         client: Arc<dyn UpstreamClient>,
+        transport: Arc<dyn PeerTransport>,
         metrics: Arc<NodeMetrics>,
-    ) -> Self {
-        Self { offices: Mutex::default(), host, view, config, platform, client, metrics }
+    ) -> Arc<Self> {
+        let (news, receiver) = mpsc::unbounded_channel();
+
+        let table = Arc::new(Self {
+            offices: Mutex::default(),
+            host,
+            view,
+            config,
+            platform,
+            client,
+            transport,
+            metrics,
+            crashes: Mutex::default(),
+            news,
+        });
+
+        tokio::spawn(tell_crashes(Arc::downgrade(&table), receiver));
+        table
+    }
+
+    /// Takes over what a cell, here or on a peer, has found out about requests that crash upstreams.
+    pub(crate) fn note_crashes(&self, from: &CellId, notes: &[CrashNote]) {
+        notes.iter().for_each(|note| self.crashes.lock().import(*note));
+
+        let dispatchers: Vec<Arc<CellDispatcher>> = {
+            let offices = self.offices.lock();
+            let others = offices.iter().filter(|(cell, _)| *cell != from);
+            others.map(|(_, office)| Arc::clone(&office.dispatcher)).collect()
+        };
+
+        for dispatcher in dispatchers {
+            dispatcher.feed(CellEvent::CrashesNoted { notes: notes.to_vec() });
+        }
     }
 
     /// Gives the dispatcher of a cell, if this host plays it.
@@ -124,7 +166,7 @@
 
         for program in programs {
             let upstreams = dispatcher.residences(program);
-            dispatcher.feed(crate::CellEvent::ProgramEnded { program });
+            dispatcher.feed(CellEvent::ProgramEnded { program });
             self.release(cell, &upstreams, program).await;
         }
     }
@@ -192,7 +234,9 @@
         let term = format!("{}-{:016x}", self.host, rand::random::<u64>());
         let policy = self.config.document().document.policy;
         let metrics = Arc::clone(&self.metrics);
-        let dispatcher = Arc::new(CellDispatcher::new(cell.clone(), policy, &term, metrics));
+        let news = self.news.clone();
+        let dispatcher = Arc::new(CellDispatcher::new(cell.clone(), policy, &term, metrics, news));
+        dispatcher.feed(CellEvent::CrashesNoted { notes: self.crashes.lock().notes() });
         let watcher = UpstreamWatcher::start(&dispatcher, Arc::clone(&self.client));
         let wanted = self.wanted(cell);
         dispatcher.sync_upstreams(&wanted);
@@ -268,3 +312,26 @@
         0
     }
 }
+
+/// Tells all cells, here and on peers, what one of them has found out. Crashes are rare, so each host is told itself.
+async fn tell_crashes(table: Weak<DispatcherTable>, mut news: mpsc::UnboundedReceiver<CrashNews>) {
+    while let Some(CrashNews { cell, notes }) = news.recv().await {
+        let Some(table) = table.upgrade() else {
+            return;
+        };
+
+        table.note_crashes(&cell, &notes);
+        let message = PeerMessage::CrashesNoted { cell, notes };
+
+        let told = table.view.peers().into_iter().map(|peer| {
+            let (table, message) = (&table, &message);
+            async move { peer_call(&*table.transport, peer.address, message).await }
+        });
+
+        for result in join_all(told).await {
+            if let Err(error) = result {
+                log::debug!("a peer was not told of crashes: {error}");
+            }
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,7 @@
 mod config_state;
 mod config_store;
 mod crash_ledger;
+mod crash_note;
 mod decision_journal;
 mod dispatcher_table;
 mod end_reason;
@@ -123,7 +124,7 @@
     call_record::{CallRecord, CallState},
     call_runner::CallRunner,
     cell_decision::{CellDecision, GrantReason, RefusalReason},
-    cell_dispatcher::{CellDispatcher, CellStatus, DispatchTicket, DispatchVerdict},
+    cell_dispatcher::{CellDispatcher, CellStatus, CrashNews, DispatchTicket, DispatchVerdict},
     cell_event::{CellEvent, TicketNumber},
     cell_gateway::{CellGateway, CellPermit},
     cell_id::CellId,
@@ -143,6 +144,7 @@
     config_state::ConfigState,
     config_store::ConfigStore,
     crash_ledger::CrashLedger,
+    crash_note::CrashNote,
     decision_journal::{DecisionJournal, JournalItem, JournalLine},
     dispatcher_table::DispatcherTable,
     end_reason::EndReason,
--- a/src/node.rs
+++ b/src/node.rs
@@ -106,14 +106,15 @@
         let peers = quic.address()?;
         let upstreams: Arc<dyn UpstreamClient> = Arc::new(HttpUpstream::new());
 
-        let dispatchers = Arc::new(DispatcherTable::new(
+        let dispatchers = DispatcherTable::new(
             settings.host.clone(),
             view.clone(),
             Arc::clone(&config),
             Arc::clone(&platform),
             Arc::clone(&upstreams),
+            Arc::clone(&transport),
             Arc::clone(&metrics),
-        ));
+        );
 
         let gateway = PeerGateway {
             region: settings.region.clone(),
--- a/src/peer_message.rs
+++ b/src/peer_message.rs
@@ -5,8 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    CellId, CellReport, CellRequest, ConfigEntry, HostName, MemberRumor, ProgramEvent, ProgramId,
-    ProgramRequest, ShardId, UpstreamName,
+    CellId, CellReport, CellRequest, ConfigEntry, CrashNote, HostName, MemberRumor, ProgramEvent,
+    ProgramId, ProgramRequest, ShardId, UpstreamName,
 };
 
 /// One message. The first of a stream says what the exchange is about.
@@ -92,6 +92,12 @@
         hosts: Vec<HostName>,
     },
 
+    /// Dispatch: a cell has found out about requests that crash upstreams.
+    CrashesNoted {
+        cell: CellId,
+        notes: Vec<CrashNote>,
+    },
+
     /// The exchange is refused.
     Refused {
         reason: Arc<str>,
--- a/src/peer_service.rs
+++ b/src/peer_service.rs
@@ -67,6 +67,10 @@
             PeerMessage::EndedQuery { programs } => {
                 PeerMessage::Ended { programs: self.ended(&programs) }
             }
+            PeerMessage::CrashesNoted { cell, notes } => {
+                self.dispatchers.note_crashes(&cell, &notes);
+                PeerMessage::Done
+            }
             PeerMessage::HolderQuery { shard } => PeerMessage::Holder {
                 may_hold: self.programs.shards.may_hold(shard),
                 hosts: self.membership.view.host_names(),
--- a/src/quic_transport.rs
+++ b/src/quic_transport.rs
@@ -259,3 +259,21 @@
         let _ = self.send.finish();
     }
 }
+
+#[cfg(test)]
+impl QuicTransport {
+    /// Sends bytes that need not be a message, and gives the reason for which the peer refuses them.
+    pub(crate) async fn send_raw(&self, peer: SocketAddr, length: u32, bytes: &[u8]) -> String {
+        let connection = self.connection(peer).await.expect("a connection");
+        let (mut send, receive) = connection.open_bi().await.expect("a stream");
+        send.write_all(&length.to_le_bytes()).await.expect("the length is sent");
+        send.write_all(bytes).await.expect("the bytes are sent");
+        send.finish().expect("the stream ends");
+        let mut stream = QuicStream { send, receive, metrics: Arc::clone(&self.metrics) };
+
+        match stream.receive().await {
+            Ok(Some(PeerMessage::Refused { reason })) => reason.to_string(),
+            other => panic!("expected a refusal, not {other:?}"),
+        }
+    }
+}
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -12,3 +12,4 @@
 mod shard_log_model;
 mod shard_state;
 mod small_parts;
+mod transport;
--- a/standins/src/engine_service.rs
+++ b/standins/src/engine_service.rs
@@ -149,6 +149,11 @@
         self.cache.lock().held()
     }
 
+    /// Whether a request has crashed the engine.
+    pub fn is_crashed(&self) -> bool {
+        self.is_crashed.load(Ordering::SeqCst)
+    }
+
     /// Routes of the engine.
     pub fn router(self: Arc<Self>) -> Router {
         Router::new()
@@ -185,7 +190,7 @@
             self.crash();
         }
 
-        if self.is_crashed.load(Ordering::SeqCst) || faults.leaving {
+        if faults.leaving {
             return Err(StatusCode::SERVICE_UNAVAILABLE);
         }
 
@@ -303,6 +308,12 @@
     Word(String),
 }
 
+/// A crashed engine that shares its process with a test breaks every connection.
+fn broken_connection() -> Response {
+    let cut = futures_util::stream::iter([Err::<Bytes, _>(std::io::Error::other("crashed"))]);
+    Body::from_stream(cut).into_response()
+}
+
 async fn post_chat(State(engine): State<Arc<EngineService>>, body: Bytes) -> Response {
     let Ok(request) = serde_json::from_slice::<ChatRequest>(&body) else {
         return StatusCode::BAD_REQUEST.into_response();
@@ -313,6 +324,10 @@
         Err(status) => return status.into_response(),
     };
 
+    if engine.is_crashed() {
+        return broken_connection();
+    }
+
     let is_stream = request.stream;
     let model = request.model.clone();
     let (sender, receiver) = mpsc::channel(STREAM_DEPTH);
@@ -400,17 +415,22 @@
     })
 }
 
-async fn get_health(State(engine): State<Arc<EngineService>>) -> StatusCode {
-    let is_well = !engine.is_crashed.load(Ordering::SeqCst) && !engine.faults.get().leaving;
-    if is_well { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }
+async fn get_health(State(engine): State<Arc<EngineService>>) -> Response {
+    if engine.is_crashed() {
+        return broken_connection();
+    }
+
+    let is_leaving = engine.faults.get().leaving;
+    let status = if is_leaving { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::OK };
+    status.into_response()
 }
 
 async fn get_load(State(engine): State<Arc<EngineService>>) -> Json<Value> {
     Json(json!({
-      "name": engine.options.name,
-      "running": engine.running.load(Ordering::Relaxed),
-      "waiting": engine.waiting.load(Ordering::Relaxed),
-      "slots": engine.options.slots,
+        "name": engine.options.name,
+        "running": engine.running.load(Ordering::Relaxed),
+        "waiting": engine.waiting.load(Ordering::Relaxed),
+        "slots": engine.options.slots,
     }))
 }
 
