Compare a team that waits with the most served one; shards stay in their home region; quicker suspicion

Cause of the gap between waiting teams (221,068 tokens, bound 152,996): a team counted as behind only against the next one, so two that were held together fell behind all others. Ruled out: full windows (a freed place is offered to the least served first), corrections of charges (bounded by one request).

Shards were owned by any region's host, so 5 of 6 programs of a host without shards would have sent all their tokens across regions. Each shard now has a home region; a program is created in the region of its entry host.

--- a/src/caller_api.rs
+++ b/src/caller_api.rs
@@ -204,15 +204,20 @@
     respond(Arc::clone(&node), "create", work).await
 }
 
-/// Chooses where a program lives: with its parent, else on this host if it owns a shard, so that its creation and its
-/// calls through this host need no further hop.
+/// Chooses where a program lives: with its parent, else on this host if it owns a shard, else in this region.
 fn new_program(node: &Node, parent: Option<ProgramId>) -> ProgramId {
     if let Some(parent) = parent {
         return ProgramId::random(parent.shard);
     }
 
-    let own = node.shards.shards();
-    let shard = own.choose(&mut rand::rng()).copied();
+    let mut shards = node.shards.shards();
+
+    if shards.is_empty() {
+        let all = (0..node.settings.shards).map(ShardId);
+        shards = all.filter(|shard| node.view.is_at_home(*shard)).collect();
+    }
+
+    let shard = shards.choose(&mut rand::rng()).copied();
 
     let shard = shard.unwrap_or_else(|| ShardId(rand::rng().random_range(0..node.settings.shards)));
 
--- a/src/cell_policy.rs
+++ b/src/cell_policy.rs
@@ -44,7 +44,7 @@
             hold_limit_ms: 120_000,
             wait_limit_ms: 120_000,
             scan_limit: 64,
-            lag_limit_tokens: 20_000,
+            lag_limit_tokens: 50_000,
             token_time_target_us: 72_000,
             crash_limit: 2,
             uses_fair_share: true,
--- a/src/cell_queue.rs
+++ b/src/cell_queue.rs
@@ -319,10 +319,10 @@
         choice
     }
 
-    /// Tells whether the least served team has fallen behind the next one by more than the limit.
+    /// Tells whether a team has fallen behind any other one that waits by more than the limit.
     fn is_lagging(&self, service: u64) -> bool {
         let limit = self.policy.lag_limit_tokens * 1_000;
-        self.backlog.iter().nth(1).is_some_and(|(next, _)| next - service > limit)
+        self.backlog.last().is_some_and(|(most, _)| most - service > limit)
     }
 
     /// Gives a team's requests in order of age. Programs without a prefix are passed over while no cache has room for
--- a/src/cluster_view.rs
+++ b/src/cluster_view.rs
@@ -1,6 +1,6 @@
 //! Who plays which role, as this host sees it. Every look-up is a pure function of the membership table.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc};
 
 use parking_lot::{Mutex, MutexGuard};
 
@@ -41,13 +41,24 @@
         winner.and_then(|name| target(&table, name))
     }
 
-    /// The host that should own a shard.
+    /// The host that should own a shard: one of the shard's home region, or any where that region has none. So a
+    /// program that is created in a region stays there, and its tokens don't cross the links between regions.
     pub(crate) fn shard_winner(&self, shard: ShardId) -> Option<HostTarget> {
         let table = self.table.lock();
-        let winner = rendezvous_winner(&shard_key(shard), serving_hosts(&table, None))?;
+        let key = shard_key(shard);
+        let home = home_region(&table, shard);
+        let at_home = home.and_then(|it| rendezvous_winner(&key, serving_hosts(&table, Some(it))));
+        let winner = at_home.or_else(|| rendezvous_winner(&key, serving_hosts(&table, None)))?;
         target(&table, winner)
     }
 
+    /// Tells whether a shard's home is the region of this host.
+    pub(crate) fn is_at_home(&self, shard: ShardId) -> bool {
+        let table = self.table.lock();
+        let own = table.member(table.own()).map(|entry| &entry.region);
+        home_region(&table, shard) == own
+    }
+
     /// The host to ask for a shard: the one that says it owns it, else the one that should.
     pub(crate) fn shard_host(&self, shard: ShardId) -> Option<HostTarget> {
         let holder = {
@@ -87,6 +98,13 @@
     format!("shard/{shard}")
 }
 
+/// Shards are spread evenly over the regions of all hosts that are listed, dead ones too, so that a region's shards come
+/// back to it.
+fn home_region(table: &MembershipTable, shard: ShardId) -> Option<&RegionName> {
+    let regions: BTreeSet<&RegionName> = table.members().map(|(_, entry)| &entry.region).collect();
+    regions.iter().nth(usize::from(shard.0) % regions.len().max(1)).copied()
+}
+
 fn target(table: &MembershipTable, name: &HostName) -> Option<HostTarget> {
     let entry = table.member(name)?;
     Some(HostTarget { name: name.clone(), address: entry.address, is_own: name == table.own() })
--- a/src/membership_service.rs
+++ b/src/membership_service.rs
@@ -136,7 +136,10 @@
             return PeerMessage::NoAck;
         };
 
-        match timeout(self.heartbeat_interval, self.ping(other, address)).await {
+        // Shorter than the asker's patience, so that its answer is still waited for.
+        let patience = self.heartbeat_interval * 2 / 3;
+
+        match timeout(patience, self.ping(other, address)).await {
             Ok(Ok(())) => {
                 let rumors = self.view.lock().rumors_for(None);
                 PeerMessage::Ack { config_number: self.spreader.store.number(), rumors }
@@ -193,8 +196,9 @@
 
         let asked = helpers.into_iter().take(HELPERS).map(|helper| async move {
             let request = PeerMessage::PingOther { other: host.clone() };
-            let patience = self.heartbeat_interval * 2;
-            let answer = timeout(patience, peer_call(&*self.transport, helper, &request)).await;
+            let answer =
+                timeout(self.heartbeat_interval, peer_call(&*self.transport, helper, &request))
+                    .await;
             matches!(answer, Ok(Ok(PeerMessage::Ack { .. })))
         });
 
--- a/src/node_settings.rs
+++ b/src/node_settings.rs
@@ -59,7 +59,7 @@
     CLUSTER_SHARDS = "cluster" "shards" "a number from 1 to 65535, the same on all hosts" Some("32");
     CLUSTER_APPEND = "cluster" "append_rate" "a rate such as 40 /s" Some("40 /s");
     CLUSTER_HEARTBEAT = "cluster" "heartbeat_interval" "a time such as 300 ms" Some("300 ms");
-    CLUSTER_SUSPECT = "cluster" "suspect_after" "a time such as 1200 ms" Some("1200 ms");
+    CLUSTER_SUSPECT = "cluster" "suspect_after" "a time such as 1000 ms" Some("1000 ms");
     CLUSTER_HOST_LIST = "cluster" "host_list_interval" "a time such as 2 s" Some("2 s");
     LIMITS_DRAIN = "limits" "drain_timeout" "a time such as 30 s" Some("30 s");
     LIMITS_COMMIT = "limits" "commit_patience" "a time such as 3 s" Some("3 s");
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of single modules, on small fakes at their borders.
 
 mod cell_queue;
+mod cluster_view;
 mod config_model;
 mod frame_codec;
 mod journal_audit;
