Services have no prefix memory; a cache's model has a floor; peers know of a crash before its report is answered

Cause: the memory rule of the dispatch was measured with engines alone. A plain service reports no cached tokens, so each of its answers looked like an eviction and shrank the modelled cache to nothing; then no cell had room for another program, and calls waited for ever (5 process tests failed with requests that had no answer for 60 s). The same could befall an engine that was started again. Now a cache of size 0 keeps nothing and always has room, a modelled size never falls below half of the stated one, and an idle upstream takes any program. Tests: service_without_cache_never_lacks_room, engine_that_forgets_prefixes_still_takes_ new_programs; the 5 tests pass.

One run of poisonous_request_takes_two_upstreams_at_most had 4 crashed engines: the second try through another region came before its dispatcher knew. A report of a broken request is now answered after all peers have taken note (300 ms at most).

--- a/src/cell_dispatcher.rs
+++ b/src/cell_dispatcher.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use parking_lot::Mutex;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::oneshot;
 
 use crate::{
     CellDecision, CellEvent, CellId, CellPolicy, CellQueue, CellRefusal, CellReport, CellRequest,
@@ -60,14 +60,6 @@
     cell: CellId,
     state: Mutex<DispatcherState>,
     metrics: Arc<NodeMetrics>,
-    news: mpsc::UnboundedSender<CrashNews>,
-}
-
-/// What a cell has found out about requests that crash upstreams.
-#[derive(Clone, Debug)]
-pub(crate) struct CrashNews {
-    pub(crate) cell: CellId,
-    pub(crate) notes: Vec<CrashNote>,
 }
 
 impl CellDispatcher {
@@ -76,7 +68,6 @@
         policy: CellPolicy,
         term: &str,
         metrics: Arc<NodeMetrics>,
-        news: mpsc::UnboundedSender<CrashNews>,
     ) -> Self {
         let journal = DecisionJournal::begin(cell.clone(), term, unix_millis(), policy);
 
@@ -89,7 +80,11 @@
             is_retired: false,
         };
 
-        Self { cell, state: Mutex::new(state), metrics, news }
+        Self { cell, state: Mutex::new(state), metrics }
+    }
+
+    pub(crate) fn cell(&self) -> &CellId {
+        &self.cell
     }
 
     /// Puts a request into the queue.
@@ -175,6 +170,11 @@
             .collect()
     }
 
+    /// Gives what this cell has found out about requests that crash upstreams, once.
+    pub(crate) fn take_crash_news(&self) -> Vec<CrashNote> {
+        self.state.lock().queue.crashes.take_news()
+    }
+
     pub(crate) fn status(&self) -> CellStatus {
         let now_ms = unix_millis();
         let state = self.state.lock();
@@ -205,11 +205,6 @@
         state.queue.handle(now_ms, &event);
         state.journal.write(now_ms, JournalItem::Event(event));
         self.decide(state, now_ms);
-        let notes = state.queue.crashes.take_news();
-
-        if !notes.is_empty() {
-            let _ = self.news.send(CrashNews { cell: self.cell.clone(), notes });
-        }
     }
 
     fn decide(&self, state: &mut DispatcherState, now_ms: u64) {
--- a/src/dispatcher_table.rs
+++ b/src/dispatcher_table.rs
@@ -1,25 +1,24 @@
 //! The dispatchers that this host plays.
 
-use std::{
-    collections::BTreeMap,
-    sync::{Arc, Weak},
-    time::Duration,
-};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use futures_util::{StreamExt, future::join_all, stream};
 use parking_lot::Mutex;
-use tokio::sync::mpsc;
+use tokio::time::timeout;
 
 use crate::{
     CellDispatcher, CellEvent, CellId, CellStatus, ClusterView, ConfigStore, CrashLedger,
-    CrashNews, CrashNote, CreateOutcome, EngineOrder, HostName, ModelKind, NodeMetrics,
-    PeerMessage, PeerTransport, PlatformClient, ProgramId, UpstreamClient, UpstreamName,
-    UpstreamTerms, UpstreamWatcher, frame_codec::encode_frame, peer_transport::peer_call,
+    CrashNote, CreateOutcome, EngineOrder, HostName, ModelKind, NodeMetrics, PeerMessage,
+    PeerTransport, PlatformClient, ProgramId, UpstreamClient, UpstreamName, UpstreamTerms,
+    UpstreamWatcher, frame_codec::encode_frame, peer_transport::peer_call,
 };
 
 /// Time between two looks at the queues for what only time has changed.
 const TICK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Time for a peer to take note of crashes.
+const TELL_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Release orders that run at once.
 const ORDER_CONCURRENCY: usize = 8;
 
@@ -48,7 +47,6 @@
     metrics: Arc<NodeMetrics>,
     /// What all cells have found out about requests that crash upstreams, for cells that open later.
     crashes: Mutex<CrashLedger>,
-    news: mpsc::UnboundedSender<CrashNews>,
 }
 
 /// An upstream for operators.
@@ -75,10 +73,8 @@
         client: Arc<dyn UpstreamClient>,
         transport: Arc<dyn PeerTransport>,
         metrics: Arc<NodeMetrics>,
-    ) -> Arc<Self> {
-        let (news, receiver) = mpsc::unbounded_channel();
-
-        let table = Arc::new(Self {
+    ) -> Self {
+        Self {
             offices: Mutex::default(),
             host,
             view,
@@ -88,11 +84,36 @@
             transport,
             metrics,
             crashes: Mutex::default(),
-            news,
+        }
+    }
+
+    /// Tells all cells, here and on peers, what one of them has found out about requests that crash upstreams. Whoever
+    /// reports a crash waits for this, so that a request that is sent again finds it known everywhere. Crashes are rare,
+    /// so each host is told itself.
+    pub(crate) async fn tell_crashes(&self, cell: &CellId) {
+        let dispatcher = self.offices.lock().get(cell).map(|it| Arc::clone(&it.dispatcher));
+        let notes = dispatcher.map(|it| it.take_crash_news()).unwrap_or_default();
+
+        if notes.is_empty() {
+            return;
+        }
+
+        self.note_crashes(cell, &notes);
+        let message = PeerMessage::CrashesNoted { cell: cell.clone(), notes };
+
+        let told = self.view.peers().into_iter().map(|peer| {
+            let message = &message;
+
+            async move {
+                let exchange = peer_call(&*self.transport, peer.address, message);
+
+                if !matches!(timeout(TELL_TIMEOUT, exchange).await, Ok(Ok(_))) {
+                    log::warn!(peer:% = peer.name; "a peer was not told of crashes");
+                }
+            }
         });
 
-        tokio::spawn(tell_crashes(Arc::downgrade(&table), receiver));
-        table
+        join_all(told).await;
     }
 
     /// Takes over what a cell, here or on a peer, has found out about requests that crash upstreams.
@@ -148,7 +169,10 @@
                 offices.values().map(|office| Arc::clone(&office.dispatcher)).collect()
             };
 
-            dispatchers.iter().for_each(|dispatcher| dispatcher.tick());
+            for dispatcher in dispatchers {
+                dispatcher.tick();
+                self.tell_crashes(dispatcher.cell()).await;
+            }
         }
     }
 
@@ -234,8 +258,7 @@
         let term = format!("{}-{:016x}", self.host, rand::random::<u64>());
         let policy = self.config.document().document.policy;
         let metrics = Arc::clone(&self.metrics);
-        let news = self.news.clone();
-        let dispatcher = Arc::new(CellDispatcher::new(cell.clone(), policy, &term, metrics, news));
+        let dispatcher = Arc::new(CellDispatcher::new(cell.clone(), policy, &term, metrics));
         dispatcher.feed(CellEvent::CrashesNoted { notes: self.crashes.lock().notes() });
         let watcher = UpstreamWatcher::start(&dispatcher, Arc::clone(&self.client));
         let wanted = self.wanted(cell);
@@ -271,12 +294,21 @@
     fn wanted(&self, cell: &CellId) -> BTreeMap<UpstreamName, UpstreamTerms> {
         let config = self.config.document();
 
+        let model = config.document.models.get(&cell.model);
+        let is_service = model.is_some_and(|model| model.kind == ModelKind::Service);
+
+        let wanted = |terms: &UpstreamTerms| UpstreamTerms {
+            // A service caches no prefixes, whatever the configuration says of its memory.
+            cache_tokens: if is_service { 0 } else { terms.cache_tokens },
+            ..terms.clone()
+        };
+
         config
             .document
             .upstreams
             .iter()
             .filter(|(_, terms)| terms.region == cell.region && terms.model == cell.model)
-            .map(|(name, terms)| (name.clone(), terms.clone()))
+            .map(|(name, terms)| (name.clone(), wanted(terms)))
             .collect()
     }
 
@@ -312,26 +344,3 @@
         0
     }
 }
-
-/// Tells all cells, here and on peers, what one of them has found out. Crashes are rare, so each host is told itself.
-async fn tell_crashes(table: Weak<DispatcherTable>, mut news: mpsc::UnboundedReceiver<CrashNews>) {
-    while let Some(CrashNews { cell, notes }) = news.recv().await {
-        let Some(table) = table.upgrade() else {
-            return;
-        };
-
-        table.note_crashes(&cell, &notes);
-        let message = PeerMessage::CrashesNoted { cell, notes };
-
-        let told = table.view.peers().into_iter().map(|peer| {
-            let (table, message) = (&table, &message);
-            async move { peer_call(&*table.transport, peer.address, message).await }
-        });
-
-        for result in join_all(told).await {
-            if let Err(error) = result {
-                log::debug!("a peer was not told of crashes: {error}");
-            }
-        }
-    }
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -124,7 +124,7 @@
     call_record::{CallRecord, CallState},
     call_runner::CallRunner,
     cell_decision::{CellDecision, GrantReason, RefusalReason},
-    cell_dispatcher::{CellDispatcher, CellStatus, CrashNews, DispatchTicket, DispatchVerdict},
+    cell_dispatcher::{CellDispatcher, CellStatus, DispatchTicket, DispatchVerdict},
     cell_event::{CellEvent, TicketNumber},
     cell_gateway::{CellGateway, CellPermit},
     cell_id::CellId,
--- a/src/node.rs
+++ b/src/node.rs
@@ -106,7 +106,7 @@
         let peers = quic.address()?;
         let upstreams: Arc<dyn UpstreamClient> = Arc::new(HttpUpstream::new());
 
-        let dispatchers = DispatcherTable::new(
+        let dispatchers = Arc::new(DispatcherTable::new(
             settings.host.clone(),
             view.clone(),
             Arc::clone(&config),
@@ -114,7 +114,7 @@
             Arc::clone(&upstreams),
             Arc::clone(&transport),
             Arc::clone(&metrics),
-        );
+        ));
 
         let gateway = PeerGateway {
             region: settings.region.clone(),
--- a/src/peer_gateway.rs
+++ b/src/peer_gateway.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use async_trait::async_trait;
+use tokio::time::timeout;
 
 use crate::{
     CellGateway, CellId, CellPermit, CellRefusal, CellReport, CellRequest, CellResult, ClusterView,
@@ -14,6 +15,9 @@
 /// Pause before a request goes to the next dispatcher, while hosts agree on who it is.
 const MOVE_PAUSE: Duration = Duration::from_millis(50);
 
+/// Time for a dispatcher's answer to a report.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Times that a request is sent on before it is refused.
 const MOVE_LIMIT: u32 = 200;
 
@@ -205,6 +209,7 @@
 
         if is_doubtful(report.result) {
             self.dispatchers.suspect(&self.cell, &self.upstream);
+            self.dispatchers.tell_crashes(&self.cell).await;
         }
     }
 
@@ -229,6 +234,11 @@
         }
 
         self.stream.finish();
+
+        if is_doubtful(report.result) {
+            // The dispatcher answers when all cells know of the crash, if it was one.
+            let _ = timeout(REPORT_TIMEOUT, self.stream.receive()).await;
+        }
     }
 
     fn upstream(&self) -> &UpstreamName {
--- a/src/peer_service.rs
+++ b/src/peer_service.rs
@@ -143,8 +143,9 @@
 
         if is_doubtful(report.result) {
             self.dispatchers.suspect(&cell, &upstream);
+            self.dispatchers.tell_crashes(&cell).await;
         }
 
-        Ok(())
+        stream.send(&PeerMessage::Done).await
     }
 }
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -100,6 +100,7 @@
         let headroom = policy.headroom_percent;
 
         !policy.uses_memory
+            || self.queue.upstreams[upstream].in_flight.is_empty()
             || self.queue.prefixes.has_room(upstream, tokens, headroom, idle_before_ms)
     }
 
--- a/src/prefix_model.rs
+++ b/src/prefix_model.rs
@@ -9,6 +9,10 @@
 /// Share of its tokens that a cache is taken to hold after it was found to have dropped a prefix, in percent.
 const SHRINK_PERCENT: u64 = 95;
 
+/// Part of its stated size below which a cache's modelled capacity does not shrink, in percent. An engine that was
+/// started again, or that releases early, says nothing about its size.
+const FLOOR_PERCENT: u64 = 50;
+
 /// Growth of a cache's modelled capacity with each hit, in tokens.
 const GROWTH_TOKENS: u64 = 256;
 
@@ -40,7 +44,7 @@
 }
 
 impl PrefixModel {
-    /// Adds a cache, or changes its size.
+    /// Adds a cache, or changes its size. One of size 0, as a plain service has, keeps nothing and always has room.
     pub(crate) fn add(&mut self, upstream: UpstreamKey, capacity_tokens: u64) {
         if !self.caches.contains_key(upstream) {
             self.caches.insert(upstream, CacheModel::default());
@@ -95,8 +99,8 @@
         headroom_percent: u64,
         idle_before_ms: u64,
     ) -> bool {
-        let Some(cache) = self.caches.get(upstream) else {
-            return false;
+        let Some(cache) = self.caches.get(upstream).filter(|cache| cache.limit_tokens > 0) else {
+            return true;
         };
 
         let limit = cache.capacity_tokens * (100 - headroom_percent) / 100;
@@ -144,7 +148,8 @@
     ) {
         if let Some(cache) = self.caches.get_mut(upstream) {
             if cached < expected / 2 {
-                cache.capacity_tokens = (cache.held_tokens * SHRINK_PERCENT / 100).max(1);
+                let floor = cache.limit_tokens * FLOOR_PERCENT / 100;
+                cache.capacity_tokens = (cache.held_tokens * SHRINK_PERCENT / 100).max(floor);
             } else if expected > 0 {
                 let grown = cache.capacity_tokens + GROWTH_TOKENS;
                 cache.capacity_tokens = grown.min(cache.limit_tokens);
@@ -188,7 +193,8 @@
         self.drop_prefix(upstream, program);
         self.uses += 1;
 
-        let Some(cache) = self.caches.get_mut(upstream) else {
+        let Some(cache) = self.caches.get_mut(upstream).filter(|cache| cache.limit_tokens > 0)
+        else {
             return;
         };
 
--- a/src/tests/cell_queue.rs
+++ b/src/tests/cell_queue.rs
@@ -277,3 +277,35 @@
     finish(&mut queue, 2, 1, usage(10, 0, 1));
     assert_eq!(queue.decide(2), None);
 }
+
+#[test]
+fn service_without_cache_never_lacks_room() {
+    let mut queue = CellQueue::new(CellPolicy::default());
+    let joined =
+        CellEvent::Joined { upstream: "ledger".into(), window: 2, cache_tokens: 0, prefill_us: 1 };
+    queue.handle(0, &joined);
+
+    // A service reports no cached tokens, and programs call it again and again.
+    for ticket in 0..50 {
+        arrive(&mut queue, ticket, ticket, request("t", ticket % 3, 1));
+        assert_eq!(granted(queue.decide(ticket)).0, ticket);
+
+        if ticket > 0 {
+            finish(&mut queue, ticket, ticket - 1, usage(1, 0, 1));
+        }
+    }
+}
+
+#[test]
+fn engine_that_forgets_prefixes_still_takes_new_programs() {
+    let mut queue = queue(&["a"], 2);
+
+    for ticket in 0..200 {
+        arrive(&mut queue, ticket, ticket, request("t", ticket % 7, 2_000));
+        assert_eq!(granted(queue.decide(ticket)).0, ticket);
+
+        if ticket > 0 {
+            finish(&mut queue, ticket, ticket - 1, usage(2_000, 0, 10));
+        }
+    }
+}
