--- a/src/caller_api.rs
+++ b/src/caller_api.rs
@@ -1,61 +1,33 @@
 //! The API for callers. See docs/API.md.
 
-use std::sync::{Arc, atomic::Ordering};
+use std::sync::Arc;
 
 use axum::{
     Json, Router,
     body::{Body, Bytes, to_bytes},
     extract::{Path, Request, State},
-    http::{HeaderMap, HeaderValue, StatusCode, header},
+    http::{HeaderMap, StatusCode, header},
     response::{IntoResponse, Response},
     routing::{get, post},
 };
-use futures_util::stream;
 use rand::{RngExt, seq::IndexedRandom};
 use serde_json::{Value, json};
-use tokio::sync::mpsc;
 
 use crate::{
-    CallAnswer, CreateRequest, ModelKind, ModelName, Node, Problem, ProblemKind, ProgramAnswer,
-    ProgramEntry, ProgramEvent, ProgramHistory, ProgramId, ProgramOperation, ProgramRequest,
-    ProgramStatus, RequestOutcome, ShardId, TeamName, TurnAnswer, TurnRequest,
+    CreateRequest, HostPhase, InFlightGuard, ModelKind, ModelName, Node, Problem, ProblemKind,
+    ProgramAnswer, ProgramEvent, ProgramId, ProgramOperation, ProgramRequest, ShardId, TeamName,
+    TurnRequest,
+    answer_body::{PROGRAM_HEADER, answer_response},
+    answer_stream::stream_response,
     chat_body::{CreateBody, parse_call, parse_chat, parse_json},
-    problem::OUTCOME_HEADER,
     unix_clock::unix_millis,
 };
 
-/// Header by which a client of the chat-completions protocol names its program.
-const PROGRAM_HEADER: &str = "ragwortknot-program";
-
-/// Header that carries the receipt of a turn that could not be logged.
-const RECEIPT_HEADER: &str = "ragwortknot-receipt";
-
-/// Header that says how safe an answer is.
-const DURABILITY_HEADER: &str = "ragwortknot-durability";
-
 /// Budget of a program that a plain chat completion makes for itself, in turns of the model's largest context.
 const PLAIN_BUDGET_TURNS: u64 = 1;
 
 type SharedNode = State<Arc<Node>>;
 
-/// Counts a request as in flight until its answer has been given.
-struct InFlightGuard {
-    node: Arc<Node>,
-}
-
-impl InFlightGuard {
-    fn new(node: &Arc<Node>) -> Self {
-        node.in_flight.fetch_add(1, Ordering::SeqCst);
-        Self { node: Arc::clone(node) }
-    }
-}
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        self.node.in_flight.fetch_sub(1, Ordering::SeqCst);
-    }
-}
-
 /// Routes of the API.
 pub(crate) fn caller_routes(node: &Arc<Node>) -> Router {
     Router::new()
@@ -78,14 +50,14 @@
 
 pub(crate) async fn get_ready(State(node): SharedNode) -> StatusCode {
     match node.phase() {
-        crate::HostPhase::Serving => StatusCode::OK,
+        HostPhase::Serving => StatusCode::OK,
         _ => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
 
 /// Finds the team of a caller. A host that starts does not know the teams yet, and must not refuse any.
 fn authorize(node: &Node, headers: &HeaderMap) -> Result<TeamName, Problem> {
-    if node.phase() == crate::HostPhase::Starting {
+    if node.phase() == HostPhase::Starting {
         let detail = "this host has not read the configuration yet";
         return Err(Problem::unknown(ProblemKind::NotReady, detail).retry_after(1));
     }
@@ -170,7 +142,7 @@
     Err(no_answer())
 }
 
-fn no_answer() -> Problem {
+pub(crate) fn no_answer() -> Problem {
     Problem::unknown(ProblemKind::OwnerUnreachable, "the owner gave no answer").retry_after(1)
 }
 
@@ -434,252 +406,3 @@
 
     Json(json!({ "object": "list", "data": models })).into_response()
 }
-
-fn answer_response(
-    node: &Node,
-    operation: &'static str,
-    status: StatusCode,
-    answer: ProgramAnswer,
-) -> Response {
-    node.metrics.count_request(operation, RequestOutcome::Completed);
-
-    let mut response = match answer {
-        ProgramAnswer::Call(answer) => call_response(&answer),
-        ProgramAnswer::History(history) => Json(history_json(&history)).into_response(),
-        ProgramAnswer::Problem(problem) => return problem.into_response(),
-        ProgramAnswer::Status(program) => (status, Json(status_json(&program))).into_response(),
-        ProgramAnswer::Turn(turn) => turn_response(&turn),
-    };
-
-    set_outcome(&mut response, RequestOutcome::Completed);
-    response
-}
-
-fn set_outcome(response: &mut Response, outcome: RequestOutcome) {
-    if let Ok(value) = HeaderValue::from_str(&outcome.to_string()) {
-        response.headers_mut().insert(OUTCOME_HEADER, value);
-    }
-}
-
-fn call_response(answer: &CallAnswer) -> Response {
-    let body: Value = serde_json::from_str(&answer.body)
-        .unwrap_or_else(|_| Value::String(answer.body.to_string()));
-
-    Json(json!({ "status": answer.status, "body": body })).into_response()
-}
-
-fn status_json(status: &ProgramStatus) -> Value {
-    json!({
-        "program": status.program,
-        "team": status.team,
-        "model": status.model,
-        "state": status.state,
-        "end_reason": status.end_reason,
-        "parent": status.parent,
-        "children": status.children,
-        "budget_tokens": status.budget_tokens,
-        "spent_tokens": status.spent_tokens,
-        "presumed_tokens": status.presumed_tokens,
-        "reserved_tokens": status.reserved_tokens,
-        "next": status.next_number,
-        "durable": status.is_durable,
-    })
-}
-
-fn history_json(history: &ProgramHistory) -> Value {
-    let entries: Vec<Value> = history
-        .entries
-        .iter()
-        .enumerate()
-        .map(|(index, entry)| entry_json(index + 1, entry))
-        .collect();
-
-    json!({ "program": history.program, "entries": entries })
-}
-
-fn entry_json(number: usize, entry: &ProgramEntry) -> Value {
-    match entry {
-        ProgramEntry::Turn(turn) => {
-            let messages: Vec<Value> = turn.messages.iter().map(|text| json_value(text)).collect();
-
-            json!({
-                "number": number,
-                "kind": "turn",
-                "messages": messages,
-                "answer": json_value(&turn.answer),
-                "usage": turn.usage,
-            })
-        }
-        ProgramEntry::Call(call) => json!({
-            "number": number,
-            "kind": "call",
-            "service": call.service,
-            "repeatable": call.is_repeatable,
-            "state": call.state,
-        }),
-    }
-}
-
-fn json_value(text: &str) -> Value {
-    serde_json::from_str(text).unwrap_or_default()
-}
-
-fn usage_json(turn: &TurnAnswer) -> Value {
-    json!({
-        "prompt_tokens": turn.usage.prompt,
-        "completion_tokens": turn.usage.completion,
-        "total_tokens": turn.usage.total(),
-        "prompt_tokens_details": { "cached_tokens": turn.usage.cached },
-    })
-}
-
-fn own_json(turn: &TurnAnswer) -> Value {
-    let mut own = json!({
-        "program": turn.program,
-        "number": turn.number,
-        "outcome": RequestOutcome::Completed,
-        "durability": turn.durability,
-        "replayed": turn.is_replay,
-    });
-
-    if let Some(receipt) = &turn.receipt {
-        own["receipt"] = json!(receipt);
-    }
-
-    own
-}
-
-fn turn_response(turn: &TurnAnswer) -> Response {
-    let body = json!({
-        "id": format!("{}-{}", turn.program, turn.number),
-        "object": "chat.completion",
-        "created": 0,
-        "model": turn.model,
-        "choices": [{
-            "index": 0,
-            "message": json_value(&turn.message),
-            "finish_reason": turn.finish_reason,
-        }],
-        "usage": usage_json(turn),
-        "ragwortknot": own_json(turn),
-    });
-
-    let mut response = Json(body).into_response();
-    let headers = response.headers_mut();
-
-    let named = [
-        (DURABILITY_HEADER, Some(turn.durability.to_string())),
-        (PROGRAM_HEADER, Some(turn.program.to_string())),
-        (RECEIPT_HEADER, turn.receipt.as_ref().map(ToString::to_string)),
-    ];
-
-    for (name, value) in named {
-        if let Some(value) = value.and_then(|it| HeaderValue::from_str(&it).ok()) {
-            headers.insert(name, value);
-        }
-    }
-
-    response
-}
-
-/// Passes a stream on as it arrives. Its last chunk comes after the turn is safe, and states the outcome.
-fn stream_response(
-    node: &Arc<Node>,
-    first: ProgramEvent,
-    events: mpsc::Receiver<ProgramEvent>,
-) -> Response {
-    let guard = InFlightGuard::new(node);
-    let state =
-        StreamState { first: Some(first), events, guard, has_parts: false, is_ended: false };
-
-    let body = stream::unfold(state, |mut state| async move {
-        let part = state.next().await?;
-        Some((Ok::<_, std::convert::Infallible>(part), state))
-    });
-
-    let mut response = Body::from_stream(body).into_response();
-    let content_type = HeaderValue::from_static("text/event-stream");
-    response.headers_mut().insert(header::CONTENT_TYPE, content_type);
-    set_outcome(&mut response, RequestOutcome::Pending);
-    response
-}
-
-struct StreamState {
-    first: Option<ProgramEvent>,
-    events: mpsc::Receiver<ProgramEvent>,
-    guard: InFlightGuard,
-    has_parts: bool,
-    is_ended: bool,
-}
-
-impl StreamState {
-    async fn next(&mut self) -> Option<Bytes> {
-        if self.is_ended {
-            return None;
-        }
-
-        let event = match self.first.take() {
-            Some(event) => Some(event),
-            None => self.events.recv().await,
-        };
-
-        let (text, outcome) = match event {
-            Some(ProgramEvent::Delta(chunk)) => {
-                self.has_parts = true;
-                return Some(format!("data: {chunk}\n\n").into());
-            }
-            Some(ProgramEvent::Answer(ProgramAnswer::Turn(turn))) if turn.is_stream_whole => {
-                (closing_chunks(&turn, self.has_parts), RequestOutcome::Completed)
-            }
-            Some(ProgramEvent::Answer(ProgramAnswer::Turn(_))) => {
-                (error_chunk(&left_behind()), RequestOutcome::Completed)
-            }
-            Some(ProgramEvent::Answer(ProgramAnswer::Problem(problem))) => {
-                (error_chunk(&problem), problem.outcome)
-            }
-            Some(_) | None => (error_chunk(&no_answer()), RequestOutcome::Unknown),
-        };
-
-        self.is_ended = true;
-        self.guard.node.metrics.count_request("turn", outcome);
-        Some(text.into())
-    }
-}
-
-fn left_behind() -> Problem {
-    let detail = "the stream was read too slowly and has gaps; ask again under the same number";
-    Problem {
-        outcome: RequestOutcome::Completed,
-        ..Problem::failed(ProblemKind::LimitReached, detail)
-    }
-}
-
-/// Last chunks of a stream. An answer of which no part was streamed, as one that is given again, comes as one piece.
-fn closing_chunks(turn: &TurnAnswer, has_parts: bool) -> String {
-    let delta = if has_parts { json!({}) } else { json_value(&turn.message) };
-
-    let chunk = json!({
-        "id": format!("{}-{}", turn.program, turn.number),
-        "object": "chat.completion.chunk",
-        "created": 0,
-        "model": turn.model,
-        "choices": [{ "index": 0, "delta": delta, "finish_reason": turn.finish_reason }],
-        "usage": usage_json(turn),
-        "ragwortknot": own_json(turn),
-    });
-
-    format!("data: {chunk}\n\ndata: [DONE]\n\n")
-}
-
-fn error_chunk(problem: &Problem) -> String {
-    let chunk = json!({
-        "error": {
-            "type": format!("urn:ragwortknot:problem:{}", problem.kind),
-            "message": problem.detail,
-            "outcome": problem.outcome,
-            "retry_after_s": problem.retry_after_s,
-        },
-    });
-
-    format!("data: {chunk}\n\n")
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,9 @@
 //! A scheduler for agent programs that share model capacity. The library holds everything; `ragwortknotd` is the
 //! daemon of a host and `ragwortknot` the operators' command line. `docs/ARCHITECTURE.md` leads through the modules.
 
+mod answer_body;
 mod answer_builder;
+mod answer_stream;
 mod backoff_policy;
 mod call_budget;
 mod call_record;
@@ -38,6 +40,7 @@
 mod http_client;
 mod http_platform;
 mod http_upstream;
+mod in_flight_guard;
 mod journal_audit;
 mod key_files;
 mod local_cluster;
@@ -68,6 +71,7 @@
 mod platform_error;
 mod policy_bench;
 mod prefix_model;
+mod prepared_turn;
 mod problem;
 mod problem_kind;
 mod program;
@@ -103,6 +107,7 @@
 mod subcommand;
 mod team_account;
 mod token_usage;
+mod turn_attempt;
 mod turn_receipt;
 mod turn_record;
 mod turn_runner;
@@ -155,6 +160,7 @@
     http_client::HttpClient,
     http_platform::HttpPlatform,
     http_upstream::HttpUpstream,
+    in_flight_guard::InFlightGuard,
     journal_audit::{JournalAudit, TeamStanding},
     key_files::KeyFiles,
     local_cluster::{LocalCluster, LocalOptions},
@@ -180,6 +186,7 @@
     platform_client::{CreateOutcome, PlatformClient},
     platform_error::PlatformError,
     prefix_model::{PrefixModel, PrefixResidence},
+    prepared_turn::PreparedTurn,
     problem::Problem,
     problem_kind::ProblemKind,
     program::{Program, ProgramAdmission},
@@ -212,6 +219,7 @@
     state_error::StateError,
     team_account::{RequestAge, TeamAccount},
     token_usage::TokenUsage,
+    turn_attempt::FinishedAttempt,
     turn_receipt::{ReceiptSealer, TurnReceipt},
     turn_record::TurnRecord,
     turn_runner::TurnRunner,
--- a/src/membership_service.rs
+++ b/src/membership_service.rs
@@ -45,9 +45,6 @@
 
         loop {
             interval.tick().await;
-            let changes = self.view.lock().expire(unix_millis());
-            self.act(changes);
-
             let next = self.view.lock().next_probe(|hosts| hosts.shuffle(&mut rand::rng()));
 
             if let Some(host) = next {
@@ -56,6 +53,13 @@
         }
     }
 
+    /// Declares hosts dead whose time as suspects is over. The keeper of shards calls it before each look at who should
+    /// own what, since a takeover waits for it.
+    pub(crate) fn expire_suspects(&self) {
+        let changes = self.view.lock().expire(unix_millis());
+        self.act(changes);
+    }
+
     /// Reads the platform's list now and then, until the host stops.
     pub(crate) async fn run_host_list(self: Arc<Self>) {
         loop {
--- a/src/shard_keeper.rs
+++ b/src/shard_keeper.rs
@@ -77,6 +77,8 @@
     }
 
     fn keep(self: &Arc<Self>) {
+        self.membership.expire_suspects();
+
         for owner in self.shards.owners() {
             if owner.is_closed() && !self.shards.is_moving(owner.shard()) {
                 self.shards.record_deposed(owner.shard());
--- a/src/tests/config_model.rs
+++ b/src/tests/config_model.rs
@@ -2,13 +2,10 @@
 
 use std::{
     collections::BTreeMap,
-    future::Future,
-    pin::Pin,
     sync::{
         Arc,
         atomic::{AtomicUsize, Ordering},
     },
-    task::{Context, Waker},
     time::Duration,
 };
 
@@ -16,7 +13,10 @@
 use rand::{RngExt, SeedableRng, rngs::StdRng, seq::SliceRandom};
 use serde_json::json;
 
-use super::memory_platform::{FaultChances, MemoryPlatform};
+use super::{
+    memory_platform::{FaultChances, MemoryPlatform},
+    polling::{PolledTask, finish, poll_once},
+};
 use crate::{
     ConfigEntry, ConfigStore, PlatformClient, ProblemKind, RequestOutcome, WriterId,
     config_document::key_hash,
@@ -28,7 +28,6 @@
 
 /// Patches that operators were told are accepted, by number, with the weight that each sets.
 type Accepted = Arc<Mutex<BTreeMap<u64, u32>>>;
-type OperatorTask = Pin<Box<dyn Future<Output = ()>>>;
 
 fn patch(weight: u32) -> serde_json::Value {
     json!({ "teams": { "tuul": { "key_hash": &*key_hash("key"), "weight": weight } } })
@@ -43,21 +42,6 @@
     }
 }
 
-fn poll_once(task: &mut OperatorTask) -> bool {
-    task.as_mut().poll(&mut Context::from_waker(Waker::noop())).is_ready()
-}
-
-fn finish<T>(future: impl Future<Output = T>) -> T {
-    let mut future = Box::pin(future);
-    let mut context = Context::from_waker(Waker::noop());
-
-    loop {
-        if let std::task::Poll::Ready(value) = future.as_mut().poll(&mut context) {
-            return value;
-        }
-    }
-}
-
 fn store(platform: &Arc<MemoryPlatform>, writer: u64) -> Arc<ConfigStore> {
     let platform: Arc<dyn PlatformClient> = Arc::clone(platform) as Arc<dyn PlatformClient>;
     Arc::new(ConfigStore::new(platform, WriterId(writer), Duration::ZERO))
@@ -70,7 +54,7 @@
     let mut stores: Vec<Arc<ConfigStore>> =
         (0..HOSTS).map(|host| store(&platform, host as u64)).collect();
     let mut numbers = [0; HOSTS];
-    let mut tasks: Vec<(usize, OperatorTask)> = Vec::new();
+    let mut tasks: Vec<(usize, PolledTask)> = Vec::new();
 
     for step in 0..STEPS {
         let host = random.random_range(0..HOSTS);
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -8,6 +8,7 @@
 mod membership;
 mod memory_platform;
 mod policy_bench;
+mod polling;
 mod receipts;
 mod settings;
 mod shard_log_model;
--- a/src/tests/shard_log_model.rs
+++ b/src/tests/shard_log_model.rs
@@ -2,20 +2,20 @@
 
 use std::{
     collections::BTreeMap,
-    future::Future,
-    pin::Pin,
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
     },
-    task::{Context, Waker},
     time::Duration,
 };
 
 use parking_lot::Mutex;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
-use super::memory_platform::{FaultChances, MemoryPlatform};
+use super::{
+    memory_platform::{FaultChances, MemoryPlatform},
+    polling::{PolledTask, finish, poll_once},
+};
 use crate::{
     EndReason, LogError, LogReader, LogRecord, PlatformClient, ProgramId, ProgramTerms, ShardId,
     ShardLog, ShardState, TokenUsage, TurnRecord, WriterId, encode_frame,
@@ -43,8 +43,6 @@
     claims: u64,
 }
 
-type HostTask = Pin<Box<dyn Future<Output = ()>>>;
-
 fn terms() -> ProgramTerms {
     ProgramTerms {
         id: PROGRAM,
@@ -130,22 +128,6 @@
     }
 }
 
-fn poll_once(task: &mut HostTask) -> bool {
-    task.as_mut().poll(&mut Context::from_waker(Waker::noop())).is_ready()
-}
-
-/// Runs a task to its end, with nothing in between.
-fn finish<T>(future: impl Future<Output = T>) -> T {
-    let mut future = Box::pin(future);
-    let mut context = Context::from_waker(Waker::noop());
-
-    loop {
-        if let std::task::Poll::Ready(value) = future.as_mut().poll(&mut context) {
-            return value;
-        }
-    }
-}
-
 /// Everything that was told has to be in the log, in its place, and the budget has to hold.
 fn check_log(platform: &Arc<MemoryPlatform>, told: &ToldTurns) {
     platform.set_chances(FaultChances::default());
@@ -176,12 +158,12 @@
     let mut random = StdRng::seed_from_u64(seed);
     let mut writers = 0;
 
-    let mut start = || -> HostTask {
+    let mut start = || -> PolledTask {
         writers += 1;
         Box::pin(run_host(Arc::clone(&platform), writers, Arc::clone(&told)))
     };
 
-    let mut hosts: Vec<HostTask> = (0..HOSTS).map(|_| start()).collect();
+    let mut hosts: Vec<PolledTask> = (0..HOSTS).map(|_| start()).collect();
 
     for _ in 0..STEPS {
         let host = random.random_range(0..HOSTS);
@@ -220,14 +202,14 @@
 fn claim_after_trim_is_void() {
     let platform = MemoryPlatform::new(1, FaultChances::default());
     let told = Arc::new(Mutex::new(ToldTurns::default()));
-    let mut late: HostTask = Box::pin(run_host(Arc::clone(&platform), 1, Arc::clone(&told)));
+    let mut late: PolledTask = Box::pin(run_host(Arc::clone(&platform), 1, Arc::clone(&told)));
 
     // The late host has replayed the empty log and is paused before its claim takes effect.
     for _ in 0..4 {
         assert!(!poll_once(&mut late));
     }
 
-    let mut owner: HostTask = Box::pin(run_host(Arc::clone(&platform), 2, Arc::clone(&told)));
+    let mut owner: PolledTask = Box::pin(run_host(Arc::clone(&platform), 2, Arc::clone(&told)));
 
     for _ in 0..400 {
         assert!(!poll_once(&mut owner));
@@ -251,7 +233,7 @@
 fn snapshots_bound_the_log() {
     let platform = MemoryPlatform::new(1, FaultChances::default());
     let told = Arc::new(Mutex::new(ToldTurns::default()));
-    let mut owner: HostTask = Box::pin(run_host(Arc::clone(&platform), 1, Arc::clone(&told)));
+    let mut owner: PolledTask = Box::pin(run_host(Arc::clone(&platform), 1, Arc::clone(&told)));
 
     for _ in 0..2_000 {
         assert!(!poll_once(&mut owner));
--- a/src/tests/shard_state.rs
+++ b/src/tests/shard_state.rs
@@ -14,6 +14,19 @@
     ProgramId { shard: ShardId(0), serial }
 }
 
+fn terms() -> ProgramTerms {
+    ProgramTerms {
+        id: id(1),
+        team: "tuul".into(),
+        model: "agent-llm".into(),
+        budget_tokens: 2_000,
+        first_chunk_tokens: 500,
+        deadline_ms: None,
+        parent: None,
+        created_ms: 0,
+    }
+}
+
 fn turn(tokens: u64) -> TurnRecord {
     TurnRecord {
         fingerprint: tokens,
@@ -115,19 +128,9 @@
 #[test]
 fn claim_without_release_presumes_chunk_spent() {
     let mut state = ShardState::default();
-    let terms = ProgramTerms {
-        id: id(1),
-        team: "tuul".into(),
-        model: "agent-llm".into(),
-        budget_tokens: 2_000,
-        first_chunk_tokens: 500,
-        deadline_ms: None,
-        parent: None,
-        created_ms: 0,
-    };
     let claim = LogRecord::ShardClaimed { host: "host".into(), epoch: 1 };
 
-    state.apply(&LogRecord::ProgramCreated { terms }).expect("the record fits");
+    state.apply(&LogRecord::ProgramCreated { terms: terms() }).expect("the record fits");
     state.apply(&LogRecord::ShardReleased).expect("the record fits");
     state.apply(&claim).expect("the record fits");
     assert_eq!(state.program(id(1)).expect("a program").spent_tokens, 0);
@@ -144,17 +147,7 @@
 #[test]
 fn admit_each_number() {
     let mut state = ShardState::default();
-    let terms = ProgramTerms {
-        id: id(1),
-        team: "tuul".into(),
-        model: "agent-llm".into(),
-        budget_tokens: 2_000,
-        first_chunk_tokens: 500,
-        deadline_ms: None,
-        parent: None,
-        created_ms: 0,
-    };
-    state.apply(&LogRecord::ProgramCreated { terms }).expect("the record fits");
+    state.apply(&LogRecord::ProgramCreated { terms: terms() }).expect("the record fits");
     let finished = LogRecord::TurnFinished { program: id(1), number: 1, turn: turn(10) };
     state.apply(&finished).expect("the record fits");
     let program = state.program(id(1)).expect("a program");
--- a/src/turn_runner.rs
+++ b/src/turn_runner.rs
@@ -1,96 +1,35 @@
 //! A turn on its owner: admission, budget, place, stream, log. See docs/design/programs.md.
 
 use std::{
-    collections::BTreeMap,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 
-use bytes::Bytes;
-use serde_json::{json, value::RawValue};
-use tokio::sync::mpsc::error::TrySendError;
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
-    AnswerBuilder, AnswerDurability, CellPermit, CellReport, CellRequest, CellResult, ChunkKind,
-    CommitOutcome, CommitTicket, EventSender, LogRecord, ModelTerms, OwnedProgram, Problem,
-    ProblemKind, ProgramAnswer, ProgramEntry, ProgramEvent, ProgramLimits, ProgramService,
-    RefusalReason, SlotAdmission, StreamTimeouts, TokenUsage, TurnAnswer, TurnReceipt, TurnRecord,
-    TurnRequest, UpstreamError, UpstreamName,
+    AnswerDurability, CellPermit, CellRequest, CommitOutcome, CommitTicket, EventSender,
+    FinishedAttempt, LogRecord, OwnedProgram, PreparedTurn, Problem, ProblemKind, ProgramAnswer,
+    ProgramEntry, ProgramService, RefusalReason, SlotAdmission, TokenUsage, TurnAnswer,
+    TurnReceipt, TurnRecord, TurnRequest, UpstreamError, UpstreamName,
     program_service::{PLATFORM_RETRY_S, deposed},
     unix_clock::unix_millis,
 };
 
-/// Tokens that a message may take beyond its text.
-const MESSAGE_OVERHEAD_TOKENS: u64 = 16;
-
-/// Bytes of text that make a token on average. Budgets reckon with one token a byte, placement with this.
-const MEAN_TOKEN_BYTES: u64 = 4;
-
-/// Time that a caller who does not read may hold up an answer.
-const READER_PATIENCE: Duration = Duration::from_secs(5);
-
 /// Tries of one turn, the first included.
 const ATTEMPT_LIMIT: u32 = 4;
 
 /// Runs one turn.
 #[derive(Debug)]
 pub(crate) struct TurnRunner<'a> {
-    service: &'a Arc<ProgramService>,
-    program: &'a OwnedProgram,
-    events: EventSender,
+    pub(crate) service: &'a Arc<ProgramService>,
+    pub(crate) program: &'a OwnedProgram,
+    pub(crate) events: EventSender,
     /// Whether the caller read so slowly that parts of the stream were left out.
-    is_left_behind: AtomicBool,
-}
-
-/// Sizes of a turn, in tokens.
-#[derive(Clone, Copy, Debug)]
-struct TurnSize {
-    /// Prompt that is expected.
-    prompt: u64,
-    /// Prompt that can't be exceeded.
-    prompt_bound: u64,
-    answer_bound: u64,
-}
-
-impl TurnSize {
-    fn bound(self) -> u64 {
-        self.prompt_bound + self.answer_bound
-    }
-}
-
-/// A turn with all that its tries share.
-#[derive(Debug)]
-struct PreparedTurn {
-    number: u32,
-    messages: Vec<Arc<str>>,
-    /// Whether the caller takes parts of the answer; one who takes it whole can be served by another try unawares.
-    is_stream: bool,
-    body: Bytes,
-    size: TurnSize,
-    limits: ProgramLimits,
-    started: Instant,
-    started_ms: u64,
-    deadline_ms: Option<u64>,
-}
-
-/// A try that gave no answer.
-#[derive(Debug)]
-struct FailedAttempt {
-    upstream: UpstreamName,
-    error: UpstreamError,
-    has_started: bool,
-}
-
-/// A try that gave one.
-#[derive(Debug)]
-struct FinishedAttempt {
-    message: Arc<str>,
-    finish_reason: Arc<str>,
-    usage: TokenUsage,
+    pub(crate) is_left_behind: AtomicBool,
 }
 
 impl TurnRequest {
@@ -209,114 +148,6 @@
         Ok(answer.into())
     }
 
-    fn prepare(&self, turn: TurnRequest) -> Result<PreparedTurn, Problem> {
-        let config = self.service.config.document();
-        let limits = config.document.limits;
-        let model = self.program.read(|program| program.terms.model.clone())?;
-
-        let Some(terms) = config.document.models.get(&model) else {
-            let detail = format!("model {model} is not in the configuration any more");
-            return Err(Problem::not_run(ProblemKind::UnknownModel, detail));
-        };
-
-        let team = config.document.teams.get(&self.program.team);
-
-        if team.is_some_and(|team| team.require_durable) && !self.service.platform.is_available() {
-            let detail = "the platform is unavailable, and the team wants no receipts";
-            let problem = Problem::not_run(ProblemKind::NotDurable, detail);
-            return Err(problem.retry_after(PLATFORM_RETRY_S));
-        }
-
-        if turn.number > limits.turns {
-            let detail = format!("a program has at most {} turns and calls", limits.turns);
-            return Err(Problem::not_run(ProblemKind::LimitReached, detail));
-        }
-
-        let size = self.size(&turn, terms)?;
-        let history = self.program.read(crate::Program::messages)?;
-        let body = self.body(&turn, &history, terms, &model)?;
-        let deadline_ms = self.program.read(|program| program.terms.deadline_ms)?;
-
-        if deadline_ms.is_some_and(|deadline_ms| deadline_ms <= unix_millis()) {
-            let detail = "the program's deadline has passed";
-            return Err(Problem::not_run(ProblemKind::DeadlinePassed, detail));
-        }
-
-        Ok(PreparedTurn {
-            number: turn.number,
-            messages: turn.messages,
-            is_stream: turn.is_stream,
-            body,
-            size,
-            limits,
-            started: Instant::now(),
-            started_ms: unix_millis(),
-            deadline_ms,
-        })
-    }
-
-    fn size(&self, turn: &TurnRequest, terms: &ModelTerms) -> Result<TurnSize, Problem> {
-        let before = self.program.read(|program| program.last_usage().total())?;
-        let bytes: u64 = turn.messages.iter().map(|message| message.len() as u64).sum();
-        let parameters = turn.parameters.len() as u64;
-        let overhead = turn.messages.len() as u64 * MESSAGE_OVERHEAD_TOKENS;
-
-        let size = TurnSize {
-            prompt: before + bytes / MEAN_TOKEN_BYTES + 1,
-            prompt_bound: before + bytes + parameters + overhead,
-            answer_bound: turn.answer_tokens.unwrap_or(terms.answer_tokens),
-        };
-
-        if size.prompt + size.answer_bound > terms.context_tokens {
-            let detail =
-                format!("the model takes {} tokens, history included", terms.context_tokens);
-            return Err(Problem::not_run(ProblemKind::LimitReached, detail));
-        }
-
-        Ok(size)
-    }
-
-    /// Builds the engine's request: the whole history, then the new messages.
-    fn body(
-        &self,
-        turn: &TurnRequest,
-        history: &[Arc<str>],
-        terms: &ModelTerms,
-        model: &crate::ModelName,
-    ) -> Result<Bytes, Problem> {
-        let bad = |error: serde_json::Error| {
-            Problem::not_run(ProblemKind::BadRequest, format!("parameters: {error}"))
-        };
-
-        let mut fields: BTreeMap<&str, Box<RawValue>> =
-            serde_json::from_str(&turn.parameters).map_err(bad)?;
-
-        let mut messages = String::from("[");
-
-        for (index, message) in history.iter().chain(&turn.messages).enumerate() {
-            messages.push_str(if index == 0 { "" } else { "," });
-            messages.push_str(message);
-        }
-
-        messages.push(']');
-        let answer_tokens = turn.answer_tokens.unwrap_or(terms.answer_tokens);
-
-        let own = [
-            ("messages", messages),
-            ("model", json!(model.as_str()).to_string()),
-            ("max_tokens", answer_tokens.to_string()),
-            ("stream", "true".to_owned()),
-            ("stream_options", json!({ "include_usage": true }).to_string()),
-            ("prompt_cache_key", json!(self.program.id.to_string()).to_string()),
-        ];
-
-        for (name, value) in own {
-            fields.insert(name, RawValue::from_string(value).map_err(bad)?);
-        }
-
-        serde_json::to_vec(&fields).map(Bytes::from).map_err(bad)
-    }
-
     /// Makes sure that a try's worst case lies inside a chunk that is in the log.
     async fn reserve(&self, turn: &PreparedTurn) -> Result<(), Problem> {
         let owner = &self.program.owner;
@@ -443,99 +274,6 @@
         })
     }
 
-    async fn attempt(
-        &self,
-        turn: &PreparedTurn,
-        permit: Box<dyn CellPermit>,
-    ) -> Result<FinishedAttempt, FailedAttempt> {
-        let upstream = permit.upstream().clone();
-        let mut has_started = false;
-        let mut first_token = None;
-        let mut builder = AnswerBuilder::default();
-        let streamed =
-            self.stream(turn, &upstream, &mut builder, &mut has_started, &mut first_token).await;
-
-        let decode_us = first_token.map_or(0, |it: Instant| it.elapsed().as_micros() as u64);
-
-        match streamed {
-            Ok(()) => {
-                let size = turn.size;
-                let usage = builder.usage(size.prompt_bound, size.answer_bound);
-                let result = CellResult::Completed;
-                permit.finish(CellReport { result, usage, decode_us }).await;
-
-                Ok(FinishedAttempt {
-                    message: builder.message(),
-                    finish_reason: builder.finish_reason(),
-                    usage,
-                })
-            }
-            Err(error) => {
-                permit.finish(CellReport::without_usage(error.result())).await;
-                Err(FailedAttempt { upstream, error, has_started })
-            }
-        }
-    }
-
-    async fn stream(
-        &self,
-        turn: &PreparedTurn,
-        upstream: &UpstreamName,
-        builder: &mut AnswerBuilder,
-        has_started: &mut bool,
-        first_token: &mut Option<Instant>,
-    ) -> Result<(), UpstreamError> {
-        let config = self.service.config.document();
-
-        let Some(terms) = config.document.upstreams.get(upstream) else {
-            let reason = format!("upstream {upstream} is not in the configuration here");
-            return Err(UpstreamError::NotSent { reason });
-        };
-
-        let timeouts = StreamTimeouts {
-            first: Duration::from_millis(turn.limits.first_token_timeout_ms),
-            between: Duration::from_millis(turn.limits.token_timeout_ms),
-        };
-
-        let chat = self.service.upstreams.chat(&terms.url, turn.body.clone(), timeouts);
-        let mut stream = chat.await?;
-
-        while let Some(chunk) = stream.next().await? {
-            let kind = builder
-                .push(&chunk)
-                .map_err(|error| UpstreamError::Broken { reason: error.to_string() })?;
-
-            if kind == ChunkKind::Part {
-                if first_token.is_none() {
-                    *first_token = Some(Instant::now());
-                    self.service.metrics.record_first_token(turn.started.elapsed());
-                }
-
-                *has_started |= turn.is_stream && self.pass_on(chunk).await;
-            }
-        }
-
-        Ok(())
-    }
-
-    /// Passes a chunk on to the caller. One who does not read is left behind after a while; the answer goes on without
-    /// him, and he may ask for it again.
-    async fn pass_on(&self, chunk: Arc<str>) -> bool {
-        if self.is_left_behind.load(Ordering::Relaxed) {
-            return false;
-        }
-
-        match self.events.try_send(ProgramEvent::Delta(chunk)) {
-            Ok(()) => true,
-            Err(TrySendError::Closed(_)) => false,
-            Err(TrySendError::Full(event)) => {
-                let is_read = self.events.send_timeout(event, READER_PATIENCE).await.is_ok();
-                self.is_left_behind.store(!is_read, Ordering::Relaxed);
-                is_read
-            }
-        }
-    }
-
     /// Nobody knows what a broken try took, so its worst case counts.
     fn charge_failed(&self, turn: &PreparedTurn) -> Result<(), Problem> {
         self.program.owner.update(|state| {
@@ -639,17 +377,3 @@
     let completion = usage.completion.min(limit - prompt);
     TokenUsage { prompt, completion, ..usage }
 }
-
-impl FailedAttempt {
-    fn problem(&self) -> Problem {
-        let detail = format!("upstream {}: {}", self.upstream, self.error);
-
-        match self.error {
-            UpstreamError::Rejected { .. } => Problem::failed(ProblemKind::BadRequest, detail),
-            _ if self.error.is_not_run() => {
-                Problem::not_run(ProblemKind::UpstreamFailed, detail).retry_after(1)
-            }
-            _ => Problem::failed(ProblemKind::UpstreamFailed, detail).retry_after(1),
-        }
-    }
-}
