Keep shards through an outage of the platform

Cause: a host that learnt of the rightful owner while the platform was down began to give its shards up. Ruled out: lost rumors (the host knew the owner), the pace of appends (none was under way). Now a release begins only while the platform answers, is confirmed by one read of the log, and is taken back otherwise; a host that stops tries until its deadline. no_shard_is_given_up_in_an_outage shows it; the tests' clusters also wait until all hosts know each other, so that an outage does not begin in the moves of the start.

--- a/src/shard_keeper.rs
+++ b/src/shard_keeper.rs
@@ -13,8 +13,8 @@
 
 use crate::{
     CallRunner, CallState, ClusterView, CommitOutcome, HostName, HostPhase, LogError,
-    MembershipService, NodeMetrics, OwnedProgram, PlatformClient, ProgramEntry, ProgramService,
-    ShardId, ShardLog, ShardOwner, ShardTable, WriterId,
+    MembershipService, NodeMetrics, OwnedProgram, OwnerConfirmation, PlatformClient, ProgramEntry,
+    ProgramService, ShardId, ShardLog, ShardOwner, ShardTable, WriterId,
 };
 
 /// Time between two looks at who should own what.
@@ -86,11 +86,15 @@
             }
         }
 
+        // No shard changes hands while the platform is unavailable; a host that stops tries all the same.
+        let is_stopping = *self.phase.lock() >= HostPhase::Draining;
+        let may_release = is_stopping || self.platform.is_available();
+
         for shard in (0..self.shard_count).map(ShardId) {
             let is_winner = self.view.shard_winner(shard).is_some_and(|target| target.is_own);
 
             match self.shards.owner(shard) {
-                Some(owner) if !is_winner => self.start_release(owner),
+                Some(owner) if !is_winner && may_release => self.start_release(owner),
                 None if is_winner => self.start_claim(shard),
                 _ => (),
             }
@@ -172,7 +176,8 @@
         }
     }
 
-    /// Lets what runs come to its end, then gives the shard up.
+    /// Lets what runs come to its end, then gives the shard up. While the platform can't log that, a host that stays keeps
+    /// the shard: nobody else could take it.
     async fn release(&self, owner: &Arc<ShardOwner>) {
         let deadline = Instant::now() + self.release_timeout;
         owner.stop_admission();
@@ -183,6 +188,12 @@
 
         let is_busy = owner.is_busy();
 
+        if !is_busy && !self.confirm_release(owner, deadline).await {
+            log::info!(shard:% = owner.shard(); "the shard is kept: the platform is unavailable");
+            owner.resume_admission();
+            return;
+        }
+
         let outcome = match is_busy {
             // What runs may still spend, so the next owner has to count its chunk as spent.
             true => owner.abandon(),
@@ -194,6 +205,23 @@
         self.shards.remove(owner.shard());
         self.state_own();
     }
+
+    /// Tells whether the shard may be given up: the platform answers, or this host stops and can't wait any longer.
+    async fn confirm_release(&self, owner: &ShardOwner, deadline: Instant) -> bool {
+        loop {
+            if owner.confirm(Instant::now()).await != OwnerConfirmation::Unconfirmed {
+                return true;
+            }
+
+            let is_stopping = *self.phase.lock() >= HostPhase::Draining;
+
+            if !is_stopping || Instant::now() >= deadline {
+                return is_stopping;
+            }
+
+            tokio::time::sleep(KEEP_INTERVAL).await;
+        }
+    }
 }
 
 fn open_calls(owner: &Arc<ShardOwner>) -> Vec<OwnedProgram> {
--- a/src/shard_owner.rs
+++ b/src/shard_owner.rs
@@ -332,6 +332,11 @@
         self.slots.lock().values().for_each(|slot| slot.wake_waiters());
     }
 
+    /// Takes new requests again, where the shard could not be given up after all.
+    pub(crate) fn resume_admission(&self) {
+        self.state.lock().is_leaving = false;
+    }
+
     /// Tells whether requests are turned away.
     pub(crate) fn is_leaving(&self) -> bool {
         self.state.lock().is_leaving
--- a/tests/faults_of_platform.rs
+++ b/tests/faults_of_platform.rs
@@ -178,3 +178,39 @@
     assert_eq!(cluster.tool.runs().len(), 2, "neither call was sent again");
     assert_whole(&cluster).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_shard_is_given_up_in_an_outage() {
+    let mut cluster = Cluster::start("kept_shards", &SIX_HOSTS[..2]).await;
+    cluster.kill_host("ub-2");
+    cluster.hosts.retain(|host| host.name != "ub-2");
+    cluster.wait_owned().await;
+    let mut programs = Vec::new();
+
+    for seed in 0..12 {
+        let mut workload = cluster.workload(seed);
+        let program = workload.create(100_000).await;
+        workload.turn(&program, 1).await;
+        programs.push((workload, program));
+    }
+
+    // A second host is to have some of the shards again, and the platform goes down as soon as it is there.
+    cluster.start_host("ub-2", "ub-a").await;
+    cluster.wait_ready().await;
+    cluster.platform.set_faults(PlatformFaults { down: true, ..PlatformFaults::default() });
+
+    for number in 2..=4 {
+        for (workload, program) in &mut programs {
+            workload.turn(program, number).await;
+        }
+    }
+
+    cluster.platform.set_faults(PlatformFaults::default());
+
+    for (workload, program) in &mut programs {
+        workload.turn(program, 5).await;
+        workload.call(program, 6).await;
+    }
+
+    assert_whole(&cluster).await;
+}
--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -304,10 +304,27 @@
         }
     }
 
-    /// Waits until every shard has an owner that all hosts know.
+    /// Waits until all hosts know all others to be serving, and every shard has an owner that all hosts know.
     pub(crate) async fn wait_owned(&self) {
         let deadline = Instant::now() + SETTLE_TIMEOUT;
 
+        for host in &self.hosts {
+            loop {
+                let hosts = self.admin(host, "/admin/v1/hosts").await;
+                let rows = hosts["hosts"].as_array().cloned().unwrap_or_default();
+                let is_serving =
+                    |row: &&Value| row["phase"] == "serving" && row["status"] == "alive";
+                let serving = rows.iter().filter(is_serving).count();
+
+                if serving == self.hosts.len() {
+                    break;
+                }
+
+                assert!(Instant::now() < deadline, "hosts are not known: {rows:?}");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+
         for host in &self.hosts {
             loop {
                 let shards = self.admin(host, "/admin/v1/shards").await;
