--- a/src/cell_decision.rs
+++ b/src/cell_decision.rs
@@ -62,6 +62,21 @@
 }
 
 impl CellDecision {
+    /// What was decided, in a word or two: the upstream, or that the request is refused.
+    pub(crate) fn choice(&self) -> String {
+        match self {
+            Self::Grant { upstream, .. } => upstream.to_string(),
+            Self::Refuse { .. } => "refused".into(),
+        }
+    }
+
+    pub(crate) fn reason(&self) -> String {
+        match self {
+            Self::Grant { reason, .. } => reason.to_string(),
+            Self::Refuse { reason, .. } => reason.to_string(),
+        }
+    }
+
     pub(crate) fn ticket(&self) -> TicketNumber {
         match self {
             Self::Grant { ticket, .. } | Self::Refuse { ticket, .. } => *ticket,
--- a/src/cell_dispatcher.rs
+++ b/src/cell_dispatcher.rs
@@ -24,11 +24,18 @@
     Moved,
 }
 
+/// A request that waits for its verdict.
+#[derive(Debug)]
+struct WaitingRequest {
+    program: ProgramId,
+    sender: oneshot::Sender<DispatchVerdict>,
+}
+
 #[derive(Debug)]
 struct DispatcherState {
     queue: CellQueue,
     journal: DecisionJournal,
-    waiting: BTreeMap<TicketNumber, oneshot::Sender<DispatchVerdict>>,
+    waiting: BTreeMap<TicketNumber, WaitingRequest>,
     /// Upstreams as the queue was told of them.
     upstreams: BTreeMap<UpstreamName, UpstreamTerms>,
     next_ticket: TicketNumber,
@@ -97,7 +104,8 @@
         if state.is_retired {
             let _ = sender.send(DispatchVerdict::Moved);
         } else {
-            state.waiting.insert(ticket, sender);
+            let program = request.program;
+            state.waiting.insert(ticket, WaitingRequest { program, sender });
             self.take_in(&mut state, CellEvent::Arrived { ticket, request });
         }
 
@@ -151,8 +159,8 @@
         let mut state = self.state.lock();
         state.is_retired = true;
 
-        for (ticket, sender) in std::mem::take(&mut state.waiting) {
-            let _ = sender.send(DispatchVerdict::Moved);
+        for (ticket, request) in std::mem::take(&mut state.waiting) {
+            let _ = request.sender.send(DispatchVerdict::Moved);
             self.take_in(&mut state, CellEvent::Withdrawn { ticket });
         }
     }
@@ -209,8 +217,9 @@
 
     fn decide(&self, state: &mut DispatcherState, now_ms: u64) {
         while let Some(decision) = state.queue.decide(now_ms) {
-            state.journal.write(now_ms, JournalItem::Decision(decision.clone()));
-            let sender = state.waiting.remove(&decision.ticket());
+            let request = state.waiting.remove(&decision.ticket());
+            let program = request.as_ref().map(|request| request.program);
+            state.journal.write_decision(now_ms, &decision, program);
 
             let (choice, verdict) = match decision {
                 CellDecision::Grant { upstream, .. } => {
@@ -224,8 +233,8 @@
 
             self.metrics.count_decision(&self.cell, choice);
 
-            if let Some(sender) = sender {
-                let _ = sender.send(verdict);
+            if let Some(request) = request {
+                let _ = request.sender.send(verdict);
             }
         }
     }
--- a/src/decision_journal.rs
+++ b/src/decision_journal.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
-use crate::{CellDecision, CellEvent, CellId, CellPolicy, config_document::hex_text};
+use crate::{CellDecision, CellEvent, CellId, CellPolicy, ProgramId, config_document::hex_text};
 
 /// Target of the log lines.
 pub(crate) const JOURNAL_TARGET: &str = "decision";
@@ -43,6 +43,12 @@
     hex_text(&digest.finalize())
 }
 
+/// A line with its hash.
+struct JournalEntry {
+    record: String,
+    hash: String,
+}
+
 /// Writes the lines of one dispatcher.
 #[derive(Debug)]
 pub(crate) struct DecisionJournal {
@@ -61,7 +67,30 @@
         journal
     }
 
+    /// Writes a decision about a request of a program.
+    pub(crate) fn write_decision(
+        &mut self,
+        at_ms: u64,
+        decision: &CellDecision,
+        program: Option<ProgramId>,
+    ) {
+        let (choice, reason) = (decision.choice(), decision.reason());
+        let program = program.map(|it| it.to_string());
+        let JournalEntry { record, hash } =
+            self.append(at_ms, JournalItem::Decision(decision.clone()));
+
+        log::info!(
+            target: JOURNAL_TARGET, cell:% = self.cell, program, choice, reason, record, hash;
+            "decision"
+        );
+    }
+
     pub(crate) fn write(&mut self, at_ms: u64, item: JournalItem) {
+        let JournalEntry { record, hash } = self.append(at_ms, item);
+        log::info!(target: JOURNAL_TARGET, cell:% = self.cell, record, hash; "event");
+    }
+
+    fn append(&mut self, at_ms: u64, item: JournalItem) -> JournalEntry {
         let line = JournalLine {
             cell: self.cell.clone(),
             term: Arc::clone(&self.term),
@@ -72,17 +101,8 @@
 
         let record = serde_json::to_string(&line).expect("lines are encodable");
         let hash = line_hash(&self.previous, &record);
-        log_line(&line, &record, &hash);
-        self.previous = hash;
+        self.previous.clone_from(&hash);
         self.sequence += 1;
+        JournalEntry { record, hash }
     }
 }
-
-fn log_line(line: &JournalLine, record: &str, hash: &str) {
-    let message = match &line.item {
-        JournalItem::Decision(_) => "decision",
-        _ => "event",
-    };
-
-    log::info!(target: JOURNAL_TARGET, cell:% = line.cell, record, hash; "{message}");
-}
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -118,6 +118,21 @@
     words.extend(["--why", &why]);
     Run::cli(&words).expect(0, "was given engine-ub-a");
 
+    let decided = logs.iter().flat_map(|log| {
+        let text = std::fs::read_to_string(log).expect("a log");
+        let lines: Vec<serde_json::Value> =
+            text.lines().filter_map(|line| serde_json::from_str(line).ok()).collect();
+        lines.into_iter().filter(|line| line["message"] == "decision")
+    });
+    let decided: Vec<serde_json::Value> = decided.collect();
+    assert!(!decided.is_empty());
+
+    for line in decided {
+        for field in ["host", "region", "level", "cell", "program", "choice", "reason"] {
+            assert!(line[field].is_string(), "{field} is missing in {line}");
+        }
+    }
+
     for log in &logs {
         let text = std::fs::read_to_string(log).expect("a log");
         assert!(!text.contains("hello") && !text.contains(support::cluster::TEAM_KEY));
