--- a/src/cell_queue.rs
+++ b/src/cell_queue.rs
@@ -206,7 +206,6 @@
     fn enqueue(&mut self, key: RequestKey) {
         let age = self.age(key);
         let team_key = self.requests[key].team;
-        let work = self.requests[key].work_tokens();
         let is_warm = self.requests[key].is_warm;
         let team = &mut self.teams[team_key];
 
@@ -216,18 +215,15 @@
         }
 
         team.ages_mut(is_warm).insert(age);
-        team.waiting_tokens += work;
         self.waiting += 1;
     }
 
     fn dequeue(&mut self, key: RequestKey) {
         let age = self.age(key);
         let team_key = self.requests[key].team;
-        let work = self.requests[key].work_tokens();
         let is_warm = self.requests[key].is_warm;
         let team = &mut self.teams[team_key];
         team.ages_mut(is_warm).remove(&age);
-        team.waiting_tokens -= work;
         self.waiting -= 1;
 
         if !team.is_waiting() {
--- a/src/queued_request.rs
+++ b/src/queued_request.rs
@@ -25,10 +25,3 @@
     /// Tokens that the team was charged ahead, corrected by the report.
     pub(crate) charged_tokens: u64,
 }
-
-impl QueuedRequest {
-    /// Work that the request stands for, in tokens.
-    pub(crate) fn work_tokens(&self) -> u64 {
-        self.request.prompt_tokens + self.request.answer_tokens
-    }
-}
--- a/src/team_account.rs
+++ b/src/team_account.rs
@@ -19,8 +19,6 @@
     pub(crate) weight: u32,
     /// Served tokens divided by the weight, in thousandths of a token.
     pub(crate) service: u64,
-    /// Work of the waiting requests, in tokens.
-    pub(crate) waiting_tokens: u64,
     /// Requests whose programs have a prefix somewhere.
     pub(crate) warm: BTreeSet<RequestAge>,
     /// Requests whose programs have none.
@@ -33,7 +31,6 @@
             name,
             weight: weight.max(1),
             service: 0,
-            waiting_tokens: 0,
             warm: BTreeSet::new(),
             cold: BTreeSet::new(),
         }
