--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -278,6 +278,7 @@
     /// Makes the host unready. It goes on to answer what comes.
     pub fn drain(&self) {
         self.is_draining.send_replace(true);
+        self.budgets.mesh.drain();
         log::info!("draining");
     }
 
--- a/src/entry/peer_mesh.rs
+++ b/src/entry/peer_mesh.rs
@@ -76,6 +76,9 @@
     sequence: AtomicU64,
     /// Whether another host has removed this host's entry.
     is_unlisted: AtomicBool,
+    /// Whether this host is about to stop, and whether peers are to be told of it yet.
+    is_draining: AtomicBool,
+    is_drain_untold: AtomicBool,
     /// When a host came, went or fell silent last; the start of this host counts.
     disturbed_at: Mutex<Instant>,
 }
@@ -102,6 +105,8 @@
             heard: Mutex::default(),
             sequence: AtomicU64::new(0),
             is_unlisted: AtomicBool::new(false),
+            is_draining: AtomicBool::new(false),
+            is_drain_untold: AtomicBool::new(false),
             disturbed_at: Mutex::new(Instant::now()),
         }
     }
@@ -121,16 +126,7 @@
         self.note_disturbance();
         // It may be a new run, which knows nothing of older connections.
         self.connector.forget(address);
-        let peer = MeshPeer {
-            address,
-            region,
-            is_current: false,
-            is_busy: false,
-            failures: 0,
-            silent_since: None,
-            paused_until: None,
-            record_paused_until: None,
-        };
+        let peer = MeshPeer::new(address, region);
         self.peers.lock().insert(host, peer);
     }
 
@@ -139,14 +135,16 @@
     }
 
     /// Takes note that a peer has been heard. Gives false if it is not known under this address.
-    fn note_heard(&self, host: &Arc<str>, address: SocketAddr) -> bool {
+    fn note_heard(&self, host: &Arc<str>, address: SocketAddr, is_draining: bool) -> bool {
         let mut peers = self.peers.lock();
 
         match peers.get_mut(host) {
             Some(peer) if peer.address == address => {
-                if peer.failures > 0 {
+                if peer.failures > 0 || peer.is_draining != is_draining {
+                    log::info!(peer:% = host, is_draining; "a peer's state has changed");
                     self.note_disturbance();
                 }
+                peer.is_draining = is_draining;
                 peer.failures = 0;
                 peer.silent_since = None;
                 peer.paused_until = None;
@@ -198,7 +196,7 @@
         loop {
             let is_heard = {
                 let peers = self.peers.lock();
-                peers.values().all(|it| it.failures > 0 || (it.is_current && !it.is_busy))
+                peers.values().all(|it| it.failures > 0 || (it.is_current && it.told_at.is_none()))
             };
 
             if is_heard {
@@ -224,15 +222,26 @@
     /// one more. After a disturbance there may be one more still, since clients move to other regions while theirs has
     /// no host in service.
     pub(crate) fn serving_hosts(&self) -> u64 {
-        let floor = if self.is_disturbed() { 3 } else { 2 };
         let peers = self.peers.lock();
+        let floor = if self.is_disturbed(&peers) { 3 } else { 2 };
         let near = peers.values().filter(|peer| peer.region == self.identity.region).count();
         (1 + near as u64).max(floor)
     }
 
-    /// Whether hosts have come, gone or fallen silent of late.
-    fn is_disturbed(&self) -> bool {
-        self.disturbed_at.lock().elapsed() < DISTURBANCE_TIME
+    /// Whether clients may come in through hosts of other regions: hosts are about to stop or silent, or have come, gone
+    /// or been so of late.
+    fn is_disturbed(&self, peers: &HashMap<Arc<str>, MeshPeer>) -> bool {
+        let now = Instant::now();
+        let is_recent = self.disturbed_at.lock().elapsed() < DISTURBANCE_TIME;
+        is_recent
+            || self.is_draining.load(Ordering::Relaxed)
+            || peers.values().any(|peer| peer.is_unsteady(now))
+    }
+
+    /// Tells peers that this host is about to stop.
+    pub(crate) fn drain(&self) {
+        self.is_draining.store(true, Ordering::Relaxed);
+        self.is_drain_untold.store(true, Ordering::Relaxed);
     }
 
     fn note_disturbance(&self) {
@@ -260,18 +269,20 @@
     fn tell_all(self: &Arc<Self>) {
         let news = self.ledger.lock().take_untold();
         let crashes = self.crashes.lock().take_news();
+        let is_drain_untold = self.is_drain_untold.swap(false, Ordering::Relaxed);
+        let has_news = is_drain_untold || !news.is_empty() || !crashes.is_empty();
         let now = Instant::now();
         let mut targets = Vec::new();
 
         for (host, peer) in self.peers.lock().iter_mut() {
-            if peer.is_busy || peer.paused_until.is_some_and(|until| now < until) {
+            if peer.told_at.is_some() || peer.paused_until.is_some_and(|until| now < until) {
                 // It gets everything once it answers again.
-                peer.is_current &= news.is_empty() && crashes.is_empty();
+                peer.is_current &= !has_news;
                 continue;
             }
 
-            if !peer.is_current || !news.is_empty() || !crashes.is_empty() {
-                peer.is_busy = true;
+            if !peer.is_current || has_news {
+                peer.told_at = Some(now);
                 targets.push((Arc::clone(host), peer.address, peer.is_current));
             }
         }
@@ -310,6 +321,7 @@
             region: Arc::clone(&self.identity.region),
             writer: Arc::clone(&self.identity.writer),
             sequence,
+            is_draining: self.is_draining.load(Ordering::Relaxed),
             notes,
         }];
 
@@ -332,7 +344,7 @@
             return;
         };
 
-        peer.is_busy = false;
+        peer.told_at = None;
 
         if is_told {
             if peer.failures > 0 {
@@ -367,7 +379,7 @@
             let ledger = self.ledger.lock();
             let peers = self.peers.lock();
             let is_near = |peer: &MeshPeer| peer.region == self.identity.region;
-            let asks_all = self.is_disturbed() || !peers.values().any(is_near);
+            let asks_all = self.is_disturbed(&peers) || !peers.values().any(is_near);
 
             peers
                 .iter()
@@ -451,8 +463,16 @@
 
     fn answer(&self, message: PeerMessage) -> PeerMessage {
         match message {
-            PeerMessage::SpendsNoted { host, address, region, writer, sequence, notes } => {
-                if !self.note_heard(&host, address) {
+            PeerMessage::SpendsNoted {
+                host,
+                address,
+                region,
+                writer,
+                sequence,
+                is_draining,
+                notes,
+            } => {
+                if !self.note_heard(&host, address, is_draining) {
                     self.add_peer(host, address, region);
                 }
                 self.learn(&writer, sequence, &notes);
--- a/src/peer_message.rs
+++ b/src/peer_message.rs
@@ -112,6 +112,8 @@
         writer: Arc<str>,
         /// Grows with each message of a writer, so that an older one that comes late is not taken.
         sequence: u64,
+        /// Whether the sender is about to stop, so that its clients come in through other hosts.
+        is_draining: bool,
         notes: Vec<SpendNote>,
     },
     /// Entry: this is what a program has spent or reserved through the asker; what has it through you? Answered by
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -16,6 +16,7 @@
 mod membership;
 mod memory_platform;
 mod mesh_connector;
+mod peer_mesh;
 mod policy_bench;
 mod polling;
 mod receipts;
