The limit of unrecorded tokens is one function, used by its model too; kept connections that are too old are closed

- turn_budget::exposure_limit counts up to two other hosts (it counted one, while the model test counted each): half a turn may be unrecorded where three hosts may serve a program.
The model walks two to four hosts now.
- UpstreamChannel::forget was never called, so that connections to upstreams that are gone stayed in the pool.
It is close_expired now, called with the host's upkeep.

--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -223,6 +223,7 @@
         loop {
             sleep(UPKEEP_INTERVAL).await;
             self.pool.expire();
+            self.parts.channel.close_expired();
 
             if self.budgets.mesh.take_unlisted() && !self.is_draining() {
                 log::warn!("another host has removed this host's entry, registering again");
--- a/src/entry/turn_budget.rs
+++ b/src/entry/turn_budget.rs
@@ -22,7 +22,18 @@
 
 /// Part of a turn that one other host may hand out before it is heard. Hosts tell each other every 50 ms, in which a
 /// turn makes a few events.
-pub(crate) const UNHEARD_DIVISOR: u64 = 4;
+const UNHEARD_DIVISOR: u64 = 4;
+
+/// Other hosts that hand out tokens of one program at the same moment, at the most: its turns come in through one
+/// region, or through two others while that one has no host in service.
+const UNHEARD_HOSTS: u64 = 2;
+
+/// Tokens of a program that may be unrecorded while a turn of `reserved` tokens runs and `hosts` may serve the program:
+/// one turn less what the others may have handed out since they were heard last.
+pub(crate) fn exposure_limit(reserved: u64, hosts: u64) -> u64 {
+    let others = hosts.saturating_sub(1).min(UNHEARD_HOSTS);
+    reserved - reserved / UNHEARD_DIVISOR * others
+}
 
 /// Time to read the records of silent hosts.
 const LISTING_PATIENCE: Duration = Duration::from_millis(300);
@@ -91,8 +102,6 @@
     program: Arc<str>,
     reserved: u64,
     handed_out: u64,
-    /// Hosts that may hand out the program's tokens at the same time.
-    hosts: u64,
 }
 
 impl TurnBudget {
@@ -126,7 +135,6 @@
                 program: Arc::clone(program),
                 reserved: tokens,
                 handed_out: 0,
-                hosts,
             };
 
             if outcome == ReserveOutcome::Held {
@@ -148,16 +156,17 @@
     }
 
     /// Takes note of tokens that are about to go out to the client. Waits until less than one turn's tokens would become
-    /// unknown if all hosts were lost then, see [`Self::exposure_limit`]; the rules allow a program one turn beyond its
+    /// unknown if all hosts were lost then, see [`exposure_limit`]; the rules allow a program one turn beyond its
     /// budget. Gives false if the time runs out.
     pub(crate) async fn hand_out(&mut self, tokens: u64, limit: Instant) -> bool {
         self.handed_out += tokens;
         self.parts.ledger.lock().hand_out(&self.program, tokens);
+        let limit_tokens = exposure_limit(self.reserved, self.parts.mesh.serving_hosts());
 
         loop {
             {
                 let mut ledger = self.parts.ledger.lock();
-                if ledger.exposure(&self.program) <= self.exposure_limit() {
+                if ledger.exposure(&self.program) <= limit_tokens {
                     return true;
                 }
                 ledger.cover(&self.program);
@@ -169,11 +178,6 @@
         }
     }
 
-    /// Tokens that may be unrecorded: one turn less what other hosts may have handed out since they were heard last.
-    fn exposure_limit(&self) -> u64 {
-        self.reserved - self.reserved / UNHEARD_DIVISOR * (self.hosts - 1).min(1)
-    }
-
     pub(crate) fn handed_out(&self) -> u64 {
         self.handed_out
     }
--- a/src/entry/turn_journal.rs
+++ b/src/entry/turn_journal.rs
@@ -302,17 +302,25 @@
                     self.note_recorded(work, &self.writer, started, attempt);
                     return;
                 }
-                // Another host is asked at once.
-                Err(error) if attempt == 0 => {
-                    log::warn!(batch = batch.number, turns = batch.turns.len(); "a batch can't be recorded: {error}");
+                // The name was taken; the next one is tried at once.
+                Ok(false) => (),
+                Err(error) => {
+                    log::warn!(
+                        batch = batch.number, turns = batch.turns.len(), attempts = attempt + 1;
+                        "a batch can't be recorded: {error}"
+                    );
+                    // Hosts that have asked this one hear at once that it can't, so that nobody's turns wait for a
+                    // store that does not answer this host.
+                    work.foreign.clear();
+                    may_forward = true;
+
+                    // Another host is asked at once after the first try.
+                    if attempt > 0 {
+                        self.pause(attempt).await;
+                    }
                 }
-                Ok(false) | Err(_) => self.pause(attempt).await,
             }
 
-            // Hosts that have asked this one hear at once that it can't, so that nobody's turns wait for a store that
-            // does not answer this host.
-            work.foreign.clear();
-            may_forward = true;
             attempt += 1;
         }
     }
--- a/src/entry/upstream_channel.rs
+++ b/src/entry/upstream_channel.rs
@@ -95,6 +95,6 @@
         request: UpstreamRequest,
     ) -> Result<UpstreamAnswer, ChannelError>;
 
-    /// Closes idle connections to upstreams that are gone.
-    fn forget(&self, upstream: &UpstreamRecord);
+    /// Closes kept connections that are too old to be used again. The host calls it regularly.
+    fn close_expired(&self);
 }
--- a/src/tests/entry_budget.rs
+++ b/src/tests/entry_budget.rs
@@ -7,7 +7,7 @@
 use crate::entry::{
     BudgetLedger,
     budget_ledger::{ReserveOutcome, SpendNote, SpendRecord},
-    turn_budget::UNHEARD_DIVISOR,
+    turn_budget::exposure_limit,
 };
 
 /// Seeds that are walked, and steps for each.
@@ -52,7 +52,7 @@
     fn new(seed: u64) -> Self {
         let mut random = StdRng::seed_from_u64(seed);
         let budget = [1_150, 1_725, 2_600][random.random_range(0..3)];
-        let count = random.random_range(2..=3);
+        let count = random.random_range(2..=4);
 
         let mut model = Self {
             random,
@@ -174,8 +174,7 @@
         *turn += EVENT_TOKENS;
         host.ledger.hand_out(&self.program, EVENT_TOKENS);
 
-        let others = self.hosts.len() as u64 - 1;
-        let limit = TURN_TOKENS - TURN_TOKENS / UNHEARD_DIVISOR * others;
+        let limit = exposure_limit(TURN_TOKENS, self.hosts.len() as u64);
 
         if self.hosts[index].ledger.exposure(&self.program) > limit {
             self.hosts[index].ledger.cover(&self.program);
--- a/src/tests/entry_fakes.rs
+++ b/src/tests/entry_fakes.rs
@@ -281,7 +281,7 @@
         })
     }
 
-    fn forget(&self, _upstream: &UpstreamRecord) {}
+    fn close_expired(&self) {}
 }
 
 #[derive(Debug)]
