--- a/src/subcommand/audit.rs
+++ b/src/subcommand/audit.rs
@@ -45,6 +45,12 @@
     let (lines, decisions, findings) = (audit.lines, audit.decisions, audit.findings.len());
     println!("{lines} lines, {decisions} decisions, {findings} findings");
 
+    if decisions == 0 {
+        let files = matches.free.join(", ");
+        return Err(CliError::Failed(eyre::eyre!(
+            "no decision in {files}: are these logs of dispatchers, with the target `decision`?"
+        )));
+    }
     if findings > 0 {
         return Err(CliError::Failed(eyre::eyre!("the journal does not verify")));
     }
--- /dev/null
+++ b/src/tests/entry_metrics.rs
@@ -0,0 +1,41 @@
+//! docs/METRICS.md lists the metrics of an entry host, no more and no less.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use crate::entry::entry_metrics::EntryMetrics;
+
+const PAGE: &str = include_str!("../../docs/METRICS.md");
+const HEADING: &str = "## Entry hosts";
+const PREFIX: &str = "ragwortknot_entry_";
+
+/// Names in the first column of the table.
+fn listed() -> BTreeSet<String> {
+    let (_, section) = PAGE.split_once(HEADING).expect("a section for entry hosts");
+    let rows = section.lines().filter_map(|line| line.strip_prefix("| `"));
+    rows.filter_map(|row| row.split('`').next()).map(str::to_owned).collect()
+}
+
+#[test]
+fn metrics_page_lists_each_metric_of_an_entry_host() {
+    let metrics = EntryMetrics::new().expect("metrics");
+    let time = Duration::from_millis(1);
+    metrics.count_request("stream", "200".to_owned());
+    metrics.count_attempt("agent", "answered");
+    metrics.count_store_call("journal", true);
+    metrics.count_tokens(1);
+    metrics.record_config(1);
+    metrics.record_first_event(time);
+    metrics.record_history(1);
+    metrics.record_journal_write(time, 1);
+    metrics.record_queue(time);
+    metrics.record_request(time);
+
+    let text = metrics.text().expect("text");
+    let help = text.lines().filter_map(|line| line.strip_prefix("# HELP "));
+    let shown: BTreeSet<String> = help
+        .filter_map(|line| line.split(' ').next()?.strip_prefix(PREFIX))
+        .map(str::to_owned)
+        .collect();
+
+    assert_eq!(shown, listed());
+}
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -6,6 +6,7 @@
 mod entry_budget;
 mod entry_fakes;
 mod entry_journal;
+mod entry_metrics;
 mod entry_placement;
 mod entry_routes;
 mod entry_runner;
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -42,11 +42,43 @@
     Run::cli(&["bench"]).expect(2, "expected policy, overhead or slopes");
     Run::cli(&["config", "patch"]).expect(2, "--url");
     Run::cli(&["audit"]).expect(2, "expected log files");
+    Run::cli(&["audit", "README.md"]).expect(1, "no decision in README.md");
+    Run::cli(&["trace", "r1"]).expect(2, "expected an id and log files");
+    Run::cli(&["trace", "r1", "README.md"]).expect(1, "no line of README.md names r1");
+    Run::cli(&["bench", "policy", "--seed", "x"]).expect(2, "--seed is a whole number");
     Run::cli(&["check", "no/such.ini"]).expect(2, "no/such.ini: can't be read");
     Run::daemon(&[]).expect(2, "Required option 'config' missing");
     Run::daemon(&["--check", "-c", "no/such.ini"]).expect(2, "no/such.ini: can't be read");
 }
 
+#[test]
+fn trace_follows_an_id_over_hosts_in_the_order_of_time() {
+    let write = |name: &str, text: &str| {
+        let file = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+        std::fs::write(&file, text).expect("a file");
+        file.to_string_lossy().into_owned()
+    };
+    let first = write(
+        "trace-a.log",
+        concat!(
+            "{\"at_ms\":30,\"host\":\"a\",\"level\":\"INFO\",\"message\":\"answered\",\"request\":\"r7\",\"status\":200}\n",
+            "{\"at_ms\":31,\"host\":\"a\",\"level\":\"INFO\",\"message\":\"answered\",\"request\":\"r8\"}\n",
+            "r7 in a line that is no record\n",
+        ),
+    );
+    let second = write(
+        "trace-b.log",
+        "   0.4 b {\"at_ms\":20,\"host\":\"b\",\"level\":\"WARN\",\"message\":\"refused\",\"request\":\"r7\"}\n",
+    );
+
+    let said = Run::cli(&["trace", "r7", &first, &second]).expect(0, "status=200");
+    let lines: Vec<&str> = said.lines().collect();
+    assert_eq!(
+        lines,
+        ["20 b WARN refused | request=r7", "30 a INFO answered | request=r7 status=200"]
+    );
+}
+
 #[test]
 fn local_demo_prints_history_and_decisions() {
     let said = Run::cli(&["local", "--demo"]).expect(0, "\nHistory:\n");
