Lay src/ out in folders by the parts table of ARCHITECTURE.md

Moves, module declarations and paths of imports only, by a script; no other line is changed. 109 files stood flat in src/. The folders: platform_calls, state, programs, dispatch, upstreams, configuration, membership, interface, entry, process, basics, benches. The crate's root lists what is public as before.

--- /dev/null
+++ b/src/basics.rs
@@ -0,0 +1,5 @@
+//! Small types that all parts share.
+
+pub(crate) mod backoff_policy;
+pub(crate) mod name_types;
+pub(crate) mod unix_clock;
--- a/src/overhead_bench.rs
+++ b/src/benches/overhead_bench.rs
@@ -13,7 +13,7 @@
 use serde_json::{Value, json};
 use tokio::{sync::Mutex, task::JoinSet};
 
-use crate::{HttpClient, LocalCluster, LocalOptions, http_client::http_client};
+use crate::{HttpClient, LocalCluster, LocalOptions, platform_calls::http_client::http_client};
 
 /// Requests a second, and in all.
 const REQUEST_RATE: u32 = 200;
--- a/src/slope_bench/state_slopes.rs
+++ b/src/benches/slope_bench/state_slopes.rs
@@ -7,7 +7,7 @@
 use super::{process_usage::allocated_bytes, slope_row::SlopeRow};
 use crate::{
     ConfigDocument, LogRecord, ProgramId, ProgramTerms, ShardId, ShardState, TokenUsage,
-    TurnRecord, config_document::key_hash, decode_frame, encode_frame,
+    TurnRecord, configuration::config_document::key_hash, decode_frame, encode_frame,
 };
 
 /// Bytes of text that one turn adds to a history.
--- a/src/config_spreader.rs
+++ b/src/configuration/config_spreader.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     ClusterView, ConfigEntry, ConfigStore, HostName, PeerMessage, PeerTransport,
-    peer_transport::peer_call,
+    membership::peer_transport::peer_call,
 };
 
 /// Hosts that each host of the tree passes an entry on to. At 390 hosts the tree is three levels deep.
--- a/src/config_state.rs
+++ b/src/configuration/config_state.rs
@@ -4,7 +4,9 @@
 
 use serde_json::Value;
 
-use crate::{ConfigDocument, ConfigEntry, ConfigError, TeamName, config_document::key_hash};
+use crate::{
+    ConfigDocument, ConfigEntry, ConfigError, TeamName, configuration::config_document::key_hash,
+};
 
 /// A configuration with its number. It only ever moves to the next number.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
--- a/src/config_store.rs
+++ b/src/configuration/config_store.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     ConfigEntry, ConfigState, CreateOutcome, PlatformClient, PlatformError, Problem, ProblemKind,
-    SnapshotStore, WriterId, decode_frame, encode_frame, unix_clock::unix_millis,
+    SnapshotStore, WriterId, basics::unix_clock::unix_millis, decode_frame, encode_frame,
 };
 
 /// Keys of the configuration's log.
--- /dev/null
+++ b/src/dispatch.rs
@@ -0,0 +1,20 @@
+//! Order and placement of requests, as pure decisions, and their journal.
+
+pub(crate) mod cell_decision;
+pub(crate) mod cell_dispatcher;
+pub(crate) mod cell_event;
+pub(crate) mod cell_gateway;
+pub(crate) mod cell_id;
+pub(crate) mod cell_policy;
+pub(crate) mod cell_queue;
+pub(crate) mod cell_report;
+pub(crate) mod cell_request;
+pub(crate) mod decision_journal;
+pub(crate) mod dispatcher_table;
+pub(crate) mod journal_audit;
+pub(crate) mod peer_gateway;
+pub(crate) mod placement;
+pub(crate) mod prefix_model;
+pub(crate) mod queued_request;
+pub(crate) mod team_account;
+pub(crate) mod upstream_slot;
--- a/src/cell_dispatcher.rs
+++ b/src/dispatch/cell_dispatcher.rs
@@ -8,7 +8,7 @@
 use crate::{
     CellDecision, CellEvent, CellId, CellPolicy, CellQueue, CellRefusal, CellReport, CellRequest,
     CellResult, CrashNote, DecisionJournal, JournalItem, NodeMetrics, ProgramId, TicketNumber,
-    UpstreamName, UpstreamTerms, unix_clock::unix_millis,
+    UpstreamName, UpstreamTerms, basics::unix_clock::unix_millis,
 };
 
 /// What a dispatcher answers to a request.
--- a/src/cell_queue.rs
+++ b/src/dispatch/cell_queue.rs
@@ -9,7 +9,7 @@
     CellDecision, CellEvent, CellPolicy, CellReport, CellRequest, CellResult, CrashLedger,
     PrefixModel, QueuedRequest, RefusalReason, RequestAge, RequestGrant, SlotCrash, TeamAccount,
     TeamName, TeamStanding, TicketNumber, UpstreamName, UpstreamSlot,
-    placement::{Placement, PlacementChoice},
+    dispatch::placement::{Placement, PlacementChoice},
 };
 
 new_key_type! {
--- a/src/decision_journal.rs
+++ b/src/dispatch/decision_journal.rs
@@ -6,7 +6,10 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
-use crate::{CellDecision, CellEvent, CellId, CellPolicy, ProgramId, config_document::hex_text};
+use crate::{
+    CellDecision, CellEvent, CellId, CellPolicy, ProgramId,
+    configuration::config_document::hex_text,
+};
 
 /// Target of the log lines.
 pub(crate) const JOURNAL_TARGET: &str = "decision";
--- a/src/dispatcher_table.rs
+++ b/src/dispatch/dispatcher_table.rs
@@ -10,7 +10,8 @@
     CellDispatcher, CellEvent, CellId, CellStatus, ClusterView, ConfigStore, CrashLedger,
     CrashNote, CreateOutcome, EngineOrder, HostName, ModelKind, NodeMetrics, PeerMessage,
     PeerTransport, PlatformClient, ProgramId, UpstreamClient, UpstreamName, UpstreamTerms,
-    UpstreamWatcher, frame_codec::encode_frame, peer_transport::peer_call,
+    UpstreamWatcher,
+    membership::{frame_codec::encode_frame, peer_transport::peer_call},
 };
 
 /// Time between two looks at the queues for what only time has changed.
@@ -331,7 +332,9 @@
                 continue;
             };
 
-            let last = keys.last().and_then(|key| crate::snapshot_store::key_sequence(key));
+            let last = keys
+                .last()
+                .and_then(|key| crate::platform_calls::snapshot_store::key_sequence(key));
             let term = last.unwrap_or(0) + 1;
             let key = format!("{prefix}{term:012}");
             let created = self.platform.create(&key, encode_frame(&self.host)).await;
--- a/src/journal_audit.rs
+++ b/src/dispatch/journal_audit.rs
@@ -9,7 +9,7 @@
 use crate::{
     CellDecision, CellEvent, CellQueue, CellRequest, JournalItem, JournalLine, ProgramId,
     RefusalReason, TicketNumber, UpstreamName,
-    decision_journal::{JOURNAL_TARGET, line_hash},
+    dispatch::decision_journal::{JOURNAL_TARGET, line_hash},
 };
 
 /// What is wrong with a line of a journal.
--- a/src/peer_gateway.rs
+++ b/src/dispatch/peer_gateway.rs
@@ -167,7 +167,7 @@
                 Some(target) => {
                     let programs = programs.clone();
                     let message = PeerMessage::ProgramsEnded { cell: cell.clone(), programs };
-                    let call = crate::peer_transport::peer_call(
+                    let call = crate::membership::peer_transport::peer_call(
                         &*self.transport,
                         target.address,
                         &message,
--- a/src/entry/host_registry.rs
+++ b/src/entry/host_registry.rs
@@ -11,7 +11,7 @@
         ObjectChange, ObjectListener, ObjectStore, ReadFreshness, StoreError, StoredObject,
         peer_mesh::PeerMesh,
     },
-    key_files::KeyAuthority,
+    membership::key_files::KeyAuthority,
 };
 
 /// Kind of the hosts' entries.
--- a/src/entry/mesh_connector.rs
+++ b/src/entry/mesh_connector.rs
@@ -8,7 +8,7 @@
 };
 use parking_lot::Mutex;
 
-use crate::{PeerError, PeerMessage, PeerTransport, peer_transport::peer_call};
+use crate::{PeerError, PeerMessage, PeerTransport, membership::peer_transport::peer_call};
 
 /// An attempt to connect to a peer; gives whether there is a connection.
 type ConnectAttempt = Shared<BoxFuture<'static, bool>>;
--- a/src/entry/mesh_recorder.rs
+++ b/src/entry/mesh_recorder.rs
@@ -14,7 +14,7 @@
         turn_history::HistoryTurn,
         turn_journal::TurnRecorder,
     },
-    rendezvous::rendezvous_winner,
+    membership::rendezvous::rendezvous_winner,
 };
 
 /// Time for another host to record in the store. It gathers for 30 ms, and the store answers in 4.
--- a/src/answer_body.rs
+++ b/src/interface/answer_body.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     CallAnswer, Node, ProgramAnswer, ProgramEntry, ProgramHistory, ProgramStatus, RequestOutcome,
-    TurnAnswer, problem::OUTCOME_HEADER,
+    TurnAnswer, interface::problem::OUTCOME_HEADER,
 };
 
 /// Header that names the program of an answer, and by which a plain client names its program.
--- a/src/answer_stream.rs
+++ b/src/interface/answer_stream.rs
@@ -14,8 +14,10 @@
 use crate::{
     InFlightGuard, Node, Problem, ProblemKind, ProgramAnswer, ProgramEvent, RequestOutcome,
     TurnAnswer,
-    answer_body::{json_value, own_json, set_outcome, usage_json},
-    caller_api::no_answer,
+    interface::{
+        answer_body::{json_value, own_json, set_outcome, usage_json},
+        caller_api::no_answer,
+    },
 };
 
 /// Passes a stream on as it arrives. Its last chunk comes after the turn is safe, and states the outcome.
--- a/src/caller_api.rs
+++ b/src/interface/caller_api.rs
@@ -17,10 +17,12 @@
     CreateRequest, HostPhase, InFlightGuard, ModelKind, ModelName, Node, Problem, ProblemKind,
     ProgramAnswer, ProgramEvent, ProgramId, ProgramOperation, ProgramRequest, ShardId, TeamName,
     TurnRequest,
-    answer_body::{PROGRAM_HEADER, answer_response},
-    answer_stream::stream_response,
-    chat_body::{CreateBody, parse_call, parse_chat, parse_json},
-    unix_clock::unix_millis,
+    basics::unix_clock::unix_millis,
+    interface::{
+        answer_body::{PROGRAM_HEADER, answer_response},
+        answer_stream::stream_response,
+    },
+    programs::chat_body::{CreateBody, parse_call, parse_chat, parse_json},
 };
 
 /// Budget of a program that a plain chat completion makes for itself, in turns of the model's largest context.
--- a/src/operator_api.rs
+++ b/src/interface/operator_api.rs
@@ -16,10 +16,12 @@
 
 use crate::{
     Node, Problem, ProblemKind, ProgramId, RequestOutcome, ShardId, TeamName,
-    caller_api::{bearer, get_ready},
-    chat_body::parse_json,
-    config_document::key_hash,
-    problem::OUTCOME_HEADER,
+    configuration::config_document::key_hash,
+    interface::{
+        caller_api::{bearer, get_ready},
+        problem::OUTCOME_HEADER,
+    },
+    programs::chat_body::parse_json,
 };
 
 type SharedNode = State<Arc<Node>>;
--- a/src/operator_client.rs
+++ b/src/interface/operator_client.rs
@@ -7,7 +7,7 @@
 use hyper::{Method, Request, header};
 use serde_json::Value;
 
-use crate::http_client::http_client;
+use crate::platform_calls::http_client::http_client;
 
 /// Time to connect to a host.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
--- a/src/cluster_view.rs
+++ b/src/membership/cluster_view.rs
@@ -5,7 +5,8 @@
 use parking_lot::{Mutex, MutexGuard};
 
 use crate::{
-    CellId, HostName, MembershipTable, RegionName, ShardId, rendezvous::rendezvous_winner,
+    CellId, HostName, MembershipTable, RegionName, ShardId,
+    membership::rendezvous::rendezvous_winner,
 };
 
 /// A host to talk to.
--- a/src/membership_service.rs
+++ b/src/membership/membership_service.rs
@@ -8,8 +8,8 @@
 
 use crate::{
     ClusterView, ConfigSpreader, HostName, HostPhase, MemberChange, MemberRumor, PeerError,
-    PeerMessage, PeerTransport, PlatformClient, ShardId, peer_transport::peer_call,
-    unix_clock::unix_millis,
+    PeerMessage, PeerTransport, PlatformClient, ShardId, basics::unix_clock::unix_millis,
+    membership::peer_transport::peer_call,
 };
 
 /// Hosts that are asked about one that does not answer.
--- a/src/peer_service.rs
+++ b/src/membership/peer_service.rs
@@ -8,7 +8,7 @@
 use crate::{
     CellId, CellReport, CellRequest, CellResult, ConfigSpreader, DispatchVerdict, DispatcherTable,
     MembershipService, PeerError, PeerHandler, PeerMessage, PeerStream, ProgramId, ProgramRequest,
-    ProgramService, peer_gateway::is_doubtful, program_sweeper::ended_programs,
+    ProgramService, dispatch::peer_gateway::is_doubtful, state::program_sweeper::ended_programs,
 };
 
 /// Events of an answer that wait for a slow peer.
--- a/src/quic_transport.rs
+++ b/src/membership/quic_transport.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     KeyFiles, NodeMetrics, PeerError, PeerHandler, PeerMessage, PeerStream, PeerTransport,
-    decode_frame, encode_frame, key_files::PEER_SERVER_NAME,
+    decode_frame, encode_frame, membership::key_files::PEER_SERVER_NAME,
 };
 
 /// Name of our protocol in the TLS handshake.
--- a/src/http_platform.rs
+++ b/src/platform_calls/http_platform.rs
@@ -10,7 +10,8 @@
 use tokio::time::timeout;
 
 use crate::{
-    CreateOutcome, HostRecord, HttpClient, PlatformClient, PlatformError, http_client::http_client,
+    CreateOutcome, HostRecord, HttpClient, PlatformClient, PlatformError,
+    platform_calls::http_client::http_client,
 };
 
 /// Client of the platform's object API. Each call has one deadline, and none is tried again here.
--- a/src/local_cluster.rs
+++ b/src/process/local_cluster.rs
@@ -11,8 +11,8 @@
 
 use crate::{
     HostPhase, KeyFiles, Node, NodeSettings, Problem,
-    config_document::key_hash,
-    key_files::{KeyAuthority, random_key},
+    configuration::config_document::key_hash,
+    membership::key_files::{KeyAuthority, random_key},
 };
 
 /// Shards of a local cluster.
--- a/src/node.rs
+++ b/src/process/node.rs
@@ -25,7 +25,8 @@
     HostPhase, HttpUpstream, LifecycleEvent, MembershipService, NodeCore, NodeMetrics,
     NodeSettings, PeerGateway, PeerService, PeerTransport, PeerWitnesses, ProgramRouter,
     ProgramService, ProgramSweeper, QuicTransport, ReceiptSealer, RetryBudget, ShardKeeper,
-    ShardTable, UpstreamClient, caller_api::caller_routes, operator_api::operator_routes,
+    ShardTable, UpstreamClient,
+    interface::{caller_api::caller_routes, operator_api::operator_routes},
 };
 
 /// Pause between tries to reach the platform at the start.
--- a/src/node_core.rs
+++ b/src/process/node_core.rs
@@ -8,7 +8,7 @@
 use crate::{
     ClusterView, ConfigSpreader, ConfigStore, GuardedPlatform, HostRecord, HttpPlatform,
     MembershipService, MembershipTable, NodeMetrics, NodeSettings, PeerTransport, PlatformClient,
-    QuicTransport, WriterId, unix_clock::unix_millis,
+    QuicTransport, WriterId, basics::unix_clock::unix_millis,
 };
 
 /// Pause before a patch whose answer was lost is looked for again.
--- a/src/node_log.rs
+++ b/src/process/node_log.rs
@@ -16,8 +16,8 @@
 use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 
 use crate::{
-    log_limiter::{LineVerdict, LogLimiter},
-    unix_clock::unix_millis,
+    basics::unix_clock::unix_millis,
+    process::log_limiter::{LineVerdict, LogLimiter},
 };
 
 /// Lines that wait to be written at most; beyond them lines are dropped, so that nobody waits for a slow reader.
--- a/src/run_cli.rs
+++ b/src/process/run_cli.rs
@@ -2,7 +2,7 @@
 
 use std::process::ExitCode;
 
-use crate::{CliError, subcommand};
+use crate::{CliError, process::subcommand};
 
 /// Exit code of a wrong command line.
 const USAGE_EXIT: u8 = 2;
--- a/src/run_daemon.rs
+++ b/src/process/run_daemon.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     Node, NodeSettings,
-    node_log::{LogSink, start_log},
+    process::node_log::{LogSink, start_log},
 };
 
 /// Exit code of a wrong command line or settings file.
--- a/src/settings_reader.rs
+++ b/src/process/settings_reader.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     SettingsError,
-    setting_unit::{parse_duration, parse_rate, parse_size},
+    process::setting_unit::{parse_duration, parse_rate, parse_size},
 };
 
 /// A key that a settings file may hold. The list of all of them is in `node_settings.rs`.
--- a/src/subcommand/audit.rs
+++ b/src/process/subcommand/audit.rs
@@ -7,7 +7,7 @@
 
 use getopts::Options;
 
-use crate::{CliError, JournalAudit, ProgramId, journal_audit::AuditedRequest};
+use crate::{CliError, JournalAudit, ProgramId, dispatch::journal_audit::AuditedRequest};
 
 const BRIEF: &str = "Usage: ragwortknot audit FILE... [--why A,B]
 
--- a/src/subcommand/bench.rs
+++ b/src/process/subcommand/bench.rs
@@ -5,9 +5,11 @@
 
 use crate::{
     CliError,
-    overhead_bench::run_overhead,
-    policy_bench::{plot_svg, run_all},
-    slope_bench::run_slopes,
+    benches::{
+        overhead_bench::run_overhead,
+        policy_bench::{plot_svg, run_all},
+        slope_bench::run_slopes,
+    },
 };
 
 const BRIEF: &str = "Usage: ragwortknot bench NAME [--json] [--plot FILE] [--seed N]
--- a/src/subcommand/keys.rs
+++ b/src/process/subcommand/keys.rs
@@ -4,7 +4,7 @@
 
 use getopts::Options;
 
-use crate::{CliError, key_files::write_key_folder};
+use crate::{CliError, membership::key_files::write_key_folder};
 
 /// Hosts that keys are made for where none are named: those of `examples/`.
 const EXAMPLE_HOSTS: [&str; 6] = ["ub-1", "ub-2", "dk-1", "dk-2", "er-1", "er-2"];
--- a/src/subcommand/local.rs
+++ b/src/process/subcommand/local.rs
@@ -10,10 +10,12 @@
 
 use crate::{
     CliError, HttpClient, LocalCluster, LocalOptions,
-    decision_journal::JOURNAL_TARGET,
-    http_client::http_client,
-    local_cluster::LOCAL_ADDRESS,
-    node_log::{LogBuffer, LogSink, start_log},
+    dispatch::decision_journal::JOURNAL_TARGET,
+    platform_calls::http_client::http_client,
+    process::{
+        local_cluster::LOCAL_ADDRESS,
+        node_log::{LogBuffer, LogSink, start_log},
+    },
 };
 
 /// Budget of the demonstration's program, in tokens.
--- a/src/call_runner.rs
+++ b/src/programs/call_runner.rs
@@ -12,8 +12,8 @@
     CellResult, CommitOutcome, LogRecord, ModelKind, ModelName, OwnedProgram, Problem, ProblemKind,
     ProgramAnswer, ProgramEntry, ProgramId, ProgramService, SlotAdmission, TokenUsage,
     UpstreamError, UpstreamName, UpstreamReply,
-    program_service::{PLATFORM_RETRY_S, deposed},
-    unix_clock::unix_millis,
+    basics::unix_clock::unix_millis,
+    programs::program_service::{PLATFORM_RETRY_S, deposed},
 };
 
 /// Tries of a repeatable call, the first included.
--- a/src/prepared_turn.rs
+++ b/src/programs/prepared_turn.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     ModelName, ModelTerms, Problem, ProblemKind, Program, ProgramLimits, TurnRequest, TurnRunner,
-    program_service::PLATFORM_RETRY_S, unix_clock::unix_millis,
+    basics::unix_clock::unix_millis, programs::program_service::PLATFORM_RETRY_S,
 };
 
 /// Tokens that a message may take beyond its text.
--- a/src/program_service.rs
+++ b/src/programs/program_service.rs
@@ -10,7 +10,7 @@
     NodeMetrics, OwnerConfirmation, OwnerWitnesses, PlatformClient, Problem, ProblemKind, Program,
     ProgramAnswer, ProgramEvent, ProgramHistory, ProgramId, ProgramOperation, ProgramRequest,
     ProgramStatus, ProgramTerms, ReceiptSealer, RequestOutcome, RetryBudget, ShardOwner,
-    ShardState, ShardTable, TeamName, TurnRunner, UpstreamClient, unix_clock::unix_millis,
+    ShardState, ShardTable, TeamName, TurnRunner, UpstreamClient, basics::unix_clock::unix_millis,
 };
 
 /// Events of one answer. Their number is bounded, so a slow reader does not grow memory.
--- a/src/turn_runner.rs
+++ b/src/programs/turn_runner.rs
@@ -15,8 +15,8 @@
     FinishedAttempt, LogRecord, OwnedProgram, PreparedTurn, Problem, ProblemKind, ProgramAnswer,
     ProgramEntry, ProgramService, RefusalReason, SlotAdmission, TokenUsage, TurnAnswer,
     TurnReceipt, TurnRecord, TurnRequest, UpstreamError, UpstreamName,
-    program_service::{PLATFORM_RETRY_S, deposed},
-    unix_clock::unix_millis,
+    basics::unix_clock::unix_millis,
+    programs::program_service::{PLATFORM_RETRY_S, deposed},
 };
 
 /// Tries of one turn, the first included.
--- a/src/log_reader.rs
+++ b/src/state/log_reader.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     LogBatch, LogError, PlatformClient, ShardId, ShardState, SnapshotStore, decode_frame,
-    snapshot_store::key_sequence,
+    platform_calls::snapshot_store::key_sequence,
 };
 
 /// Objects that a replay reads at once.
--- a/src/owner_witnesses.rs
+++ b/src/state/owner_witnesses.rs
@@ -7,7 +7,8 @@
 use tokio::time::timeout;
 
 use crate::{
-    ClusterView, HostName, PeerMessage, PeerTransport, ShardId, peer_transport::peer_call,
+    ClusterView, HostName, PeerMessage, PeerTransport, ShardId,
+    membership::peer_transport::peer_call,
 };
 
 /// Time for a host's word.
--- a/src/program_sweeper.rs
+++ b/src/state/program_sweeper.rs
@@ -5,7 +5,7 @@
 use crate::{
     ClusterView, DispatcherTable, EndReason, HostTarget, LogRecord, OwnedProgram, PeerMessage,
     PeerTransport, Program, ProgramId, ProgramLimits, ProgramService, ShardOwner, UpstreamClient,
-    peer_transport::peer_call, unix_clock::unix_millis,
+    basics::unix_clock::unix_millis, membership::peer_transport::peer_call,
 };
 
 /// Time between two looks at the limits of programs.
--- a/src/shard_owner.rs
+++ b/src/state/shard_owner.rs
@@ -16,7 +16,7 @@
 use crate::{
     BackoffPolicy, CallBudget, LogError, LogReader, LogRecord, NodeMetrics, Problem, ProblemKind,
     ProgramId, ProgramSlot, ShardId, ShardLog, ShardState, WriterId, encode_frame,
-    snapshot_store::OBJECT_LIMIT_BYTES,
+    platform_calls::snapshot_store::OBJECT_LIMIT_BYTES,
 };
 
 /// Batches after which a snapshot is written, which bounds what the next owner replays.
--- a/src/tests/config_model.rs
+++ b/src/tests/config_model.rs
@@ -19,7 +19,7 @@
 };
 use crate::{
     ConfigEntry, ConfigStore, PlatformClient, ProblemKind, RequestOutcome, WriterId,
-    config_document::key_hash,
+    configuration::config_document::key_hash,
 };
 
 const SEEDS: u64 = 60;
--- a/src/tests/frame_codec.rs
+++ b/src/tests/frame_codec.rs
@@ -32,7 +32,7 @@
             (0..random.random_range(0..200)).map(|_| random.random()).collect();
 
         if let Some(first) = bytes.first_mut() {
-            *first = crate::frame_codec::FRAME_VERSION;
+            *first = crate::membership::frame_codec::FRAME_VERSION;
         }
 
         let _ = decode_frame::<PeerMessage>(&bytes);
--- a/src/tests/journal_audit.rs
+++ b/src/tests/journal_audit.rs
@@ -4,8 +4,8 @@
 
 use crate::{
     CellEvent, CellId, CellPolicy, CellQueue, CellReport, CellRequest, CellResult, JournalAudit,
-    JournalItem, JournalLine, ProgramId, ShardId, TokenUsage, decision_journal::line_hash,
-    journal_audit::AuditFinding,
+    JournalItem, JournalLine, ProgramId, ShardId, TokenUsage,
+    dispatch::{decision_journal::line_hash, journal_audit::AuditFinding},
 };
 
 /// Writes lines as the journal does.
--- a/src/tests/log_limiter.rs
+++ b/src/tests/log_limiter.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::log_limiter::{LineVerdict, LogLimiter};
+use crate::process::log_limiter::{LineVerdict, LogLimiter};
 
 #[test]
 fn log_limiter_leaves_out_and_says_how_much() {
--- a/src/tests/policy_bench.rs
+++ b/src/tests/policy_bench.rs
@@ -1,7 +1,7 @@
 //! Regression bounds of the policy, taken from its targets. The runs are in virtual time, so the verdict is always the
 //! same.
 
-use crate::policy_bench::{BenchPolicy, BenchScenario, ScenarioFigures, run_scenario};
+use crate::benches::policy_bench::{BenchPolicy, BenchScenario, ScenarioFigures, run_scenario};
 
 /// Seed of the figures in docs/BENCHMARKS.md.
 const SEED: u64 = 1;
--- a/src/tests/receipts.rs
+++ b/src/tests/receipts.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     ProgramId, ReceiptSealer, ShardId, TokenUsage, TurnReceipt, TurnRecord,
-    turn_receipt::ReceiptError,
+    state::turn_receipt::ReceiptError,
 };
 
 fn receipt() -> TurnReceipt {
--- a/src/tests/settings.rs
+++ b/src/tests/settings.rs
@@ -4,9 +4,11 @@
 
 use crate::{
     NodeSettings, SettingsReader,
-    key_files::KeyAuthority,
-    node_settings::SETTING_KEYS,
-    setting_unit::{parse_duration, parse_rate, parse_size},
+    membership::key_files::KeyAuthority,
+    process::{
+        node_settings::SETTING_KEYS,
+        setting_unit::{parse_duration, parse_rate, parse_size},
+    },
 };
 
 fn valid() -> String {
--- a/src/tests/small_parts.rs
+++ b/src/tests/small_parts.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     AnswerBuilder, BackoffPolicy, ChunkKind, CircuitBreaker, HostName, ProgramId, RetryBudget,
-    ShardId, rendezvous::rendezvous_winner,
+    ShardId, membership::rendezvous::rendezvous_winner,
 };
 
 #[test]
--- a/src/tests/transport.rs
+++ b/src/tests/transport.rs
@@ -7,7 +7,8 @@
 
 use crate::{
     NodeMetrics, PeerError, PeerHandler, PeerMessage, PeerStream, PeerTransport, QuicTransport,
-    encode_frame, key_files::KeyAuthority, peer_transport::peer_call,
+    encode_frame,
+    membership::{key_files::KeyAuthority, peer_transport::peer_call},
 };
 
 /// Answers every exchange.
--- a/src/http_upstream.rs
+++ b/src/upstreams/http_upstream.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     EngineOrder, HttpClient, StreamTimeouts, UpstreamClient, UpstreamError, UpstreamLoad,
-    UpstreamProbe, UpstreamReply, UpstreamStream, http_client::http_client,
+    UpstreamProbe, UpstreamReply, UpstreamStream, platform_calls::http_client::http_client,
 };
 
 /// Time to connect to an upstream.
