--- /dev/null
+++ b/src/entry/mesh_answers.rs
@@ -0,0 +1,87 @@
+//! What an entry host answers others.
+
+use std::sync::{Arc, atomic::Ordering};
+
+use async_trait::async_trait;
+use tokio::time::Duration;
+
+use crate::{
+    PeerHandler, PeerMessage, PeerStream,
+    entry::{
+        budget_ledger::WriterSpends,
+        peer_mesh::PeerMesh,
+        turn_history::{HistoryTurn, TurnChain},
+    },
+};
+
+impl PeerMesh {
+    fn answer(&self, message: PeerMessage) -> PeerMessage {
+        match message {
+            PeerMessage::SpendsNoted {
+                host,
+                address,
+                region,
+                writer,
+                sequence,
+                is_draining,
+                notes,
+            } => {
+                if !self.note_heard(&host, address, is_draining) {
+                    self.add_peer(host, address, region);
+                }
+                self.learn(&writer, sequence, &notes);
+                PeerMessage::Done
+            }
+            PeerMessage::SpendQuery { writer, sequence, note } => {
+                let program = Arc::clone(&note.program);
+                self.learn(&writer, sequence, &[note]);
+                PeerMessage::Spend {
+                    writer: Arc::clone(&self.identity.writer),
+                    sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
+                    note: self.ledger.lock().own_spend(&program),
+                }
+            }
+            PeerMessage::KnowledgeQuery if self.is_informed.load(Ordering::Relaxed) => {
+                let mut spends = self.ledger.lock().all_spends();
+                let notes = self.ledger.lock().all_notes();
+                spends.push(WriterSpends { writer: Arc::clone(&self.identity.writer), notes });
+                PeerMessage::Knowledge { spends, batches: self.index.lock().all() }
+            }
+            PeerMessage::KnowledgeQuery => PeerMessage::NoAck,
+            PeerMessage::RequestCrashesNoted { notes } => {
+                let mut crashes = self.crashes.lock();
+                notes.into_iter().for_each(|note| crashes.import(note));
+                PeerMessage::Done
+            }
+            PeerMessage::TurnQuery { turn } => {
+                let chain = self.history.lock().chain(&turn, Duration::ZERO);
+                let turns = match chain {
+                    TurnChain::Complete(chain) => {
+                        chain.iter().map(|turn| HistoryTurn::clone(turn)).collect()
+                    }
+                    TurnChain::Missing(_) => Vec::new(),
+                };
+                PeerMessage::Turns { turns }
+            }
+            _ => PeerMessage::Refused { reason: "not a message between entry hosts".into() },
+        }
+    }
+}
+
+#[async_trait]
+impl PeerHandler for PeerMesh {
+    async fn handle(self: Arc<Self>, first: PeerMessage, mut stream: Box<dyn PeerStream>) {
+        let answer = match first {
+            PeerMessage::Record { writer, turns, notes } => {
+                self.record_for(&writer, turns, notes).await
+            }
+            message => self.answer(message),
+        };
+
+        if let Err(error) = stream.send(&answer).await {
+            log::debug!("a peer has not taken its answer: {error}");
+        }
+
+        stream.finish();
+    }
+}
--- a/src/entry/peer_mesh.rs
+++ b/src/entry/peer_mesh.rs
@@ -9,20 +9,18 @@
     },
 };
 
-use async_trait::async_trait;
-use futures_util::future::join_all;
 use parking_lot::Mutex;
 use tokio::time::{Duration, Instant, sleep, timeout};
 
 use crate::{
-    CrashLedger, CrashNote, PeerHandler, PeerMessage, PeerStream, PeerTransport,
+    CrashLedger, CrashNote, PeerMessage, PeerTransport,
     entry::{
         BudgetLedger,
         batch_index::BatchIndex,
-        budget_ledger::{SpendNote, WriterSpends},
+        budget_ledger::SpendNote,
         mesh_connector::MeshConnector,
         mesh_peer::{MeshIdentity, MeshPeer},
-        turn_history::{HistoryTurn, TurnChain, TurnHistory},
+        turn_history::TurnHistory,
         turn_journal::TurnJournal,
     },
 };
@@ -32,10 +30,7 @@
 const TELL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Time for a peer to answer; a round trip between regions takes 16 ms.
-const PEER_TIMEOUT: Duration = Duration::from_millis(400);
-
-/// Time for a peer to say what a program has spent; a round trip between regions takes 16 ms.
-const COMPARE_TIMEOUT: Duration = Duration::from_millis(150);
+pub(super) const PEER_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Time for which a peer that did not answer is left alone.
 const SILENCE_PAUSE: Duration = Duration::from_millis(500);
@@ -50,30 +45,22 @@
 /// Time after which a silent peer's entry is removed. One that lives writes it again.
 const LOST_AFTER: Duration = Duration::from_secs(5);
 
-/// A peer whose spend is asked for.
-#[derive(Debug)]
-struct ComparedPeer {
-    host: Arc<str>,
-    address: SocketAddr,
-    is_failing: bool,
-}
-
 /// The other entry hosts.
 #[derive(Debug)]
 pub(crate) struct PeerMesh {
     pub(super) identity: MeshIdentity,
     pub(super) journal: OnceLock<Arc<TurnJournal>>,
     pub(super) connector: MeshConnector,
-    ledger: Arc<Mutex<BudgetLedger>>,
-    history: Arc<Mutex<TurnHistory>>,
-    crashes: Arc<Mutex<CrashLedger>>,
-    index: Arc<Mutex<BatchIndex>>,
+    pub(super) ledger: Arc<Mutex<BudgetLedger>>,
+    pub(super) history: Arc<Mutex<TurnHistory>>,
+    pub(super) crashes: Arc<Mutex<CrashLedger>>,
+    pub(super) index: Arc<Mutex<BatchIndex>>,
     /// Whether this host has read the records, and may tell others what is in them.
-    is_informed: AtomicBool,
+    pub(super) is_informed: AtomicBool,
     pub(super) peers: Mutex<HashMap<Arc<str>, MeshPeer>>,
     /// Highest sequence heard of each writer.
     heard: Mutex<HashMap<Arc<str>, u64>>,
-    sequence: AtomicU64,
+    pub(super) sequence: AtomicU64,
     /// Whether another host has removed this host's entry.
     is_unlisted: AtomicBool,
     /// Whether this host is about to stop, and whether peers are to be told of it yet.
@@ -135,7 +122,12 @@
     }
 
     /// Takes note that a peer has been heard. Gives false if it is not known under this address.
-    fn note_heard(&self, host: &Arc<str>, address: SocketAddr, is_draining: bool) -> bool {
+    pub(super) fn note_heard(
+        &self,
+        host: &Arc<str>,
+        address: SocketAddr,
+        is_draining: bool,
+    ) -> bool {
         let mut peers = self.peers.lock();
 
         match peers.get_mut(host) {
@@ -159,32 +151,6 @@
         self.is_informed.store(true, Ordering::Relaxed);
     }
 
-    /// Asks all peers for what is recorded, which spares reading all of it. Gives whether one has told.
-    pub(crate) async fn learn_records(&self) -> bool {
-        let peers: Vec<(Arc<str>, SocketAddr)> = {
-            let peers = self.peers.lock();
-            peers.iter().map(|(host, peer)| (Arc::clone(host), peer.address)).collect()
-        };
-
-        let asked = peers.into_iter().map(|(host, address)| async move {
-            let query = PeerMessage::KnowledgeQuery;
-            (host, timeout(PEER_TIMEOUT, self.connector.exchange(address, &query)).await)
-        });
-
-        for (host, answer) in join_all(asked).await {
-            if let Ok(Ok(PeerMessage::Knowledge { spends, batches })) = answer {
-                let mut ledger = self.ledger.lock();
-                spends.iter().for_each(|it| ledger.learn_live(&it.writer, &it.notes));
-                drop(ledger);
-                self.index.lock().learn(batches);
-                log::info!(peer:% = host; "learnt from a peer what is recorded");
-                return true;
-            }
-        }
-
-        false
-    }
-
     /// Tells, once, that this host's entry has been removed.
     pub(crate) fn take_unlisted(&self) -> bool {
         self.is_unlisted.swap(false, Ordering::Relaxed)
@@ -230,7 +196,7 @@
 
     /// Whether clients may come in through hosts of other regions: hosts are about to stop or silent, or have come, gone
     /// or been so of late.
-    fn is_disturbed(&self, peers: &HashMap<Arc<str>, MeshPeer>) -> bool {
+    pub(super) fn is_disturbed(&self, peers: &HashMap<Arc<str>, MeshPeer>) -> bool {
         let now = Instant::now();
         let is_recent = self.disturbed_at.lock().elapsed() < DISTURBANCE_TIME;
         is_recent
@@ -371,56 +337,7 @@
         self.connector.forget(address);
     }
 
-    /// Exchanges this host's spend of a program for that of each peer that may spend for it as well: those of this region,
-    /// where a program's requests come in, and those that have spent before; all of them after a disturbance, and where
-    /// the region has no other host. Gives those that did not answer.
-    pub(crate) async fn compare_spend(&self, program: &Arc<str>) -> Vec<Arc<str>> {
-        let peers: Vec<ComparedPeer> = {
-            let ledger = self.ledger.lock();
-            let peers = self.peers.lock();
-            let is_near = |peer: &MeshPeer| peer.region == self.identity.region;
-            let asks_all = self.is_disturbed(&peers) || !peers.values().any(is_near);
-
-            peers
-                .iter()
-                .filter(|(host, peer)| asks_all || is_near(peer) || ledger.has_spent(program, host))
-                .map(|(host, peer)| ComparedPeer {
-                    host: Arc::clone(host),
-                    address: peer.address,
-                    is_failing: peer.failures > 0,
-                })
-                .collect()
-        };
-
-        let query = PeerMessage::SpendQuery {
-            writer: Arc::clone(&self.identity.writer),
-            sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
-            note: self.ledger.lock().own_spend(program),
-        };
-
-        let asked = peers.into_iter().map(|peer| self.compare_with(peer, &query));
-        join_all(asked).await.into_iter().flatten().collect()
-    }
-
-    /// Gives the peer if it did not answer.
-    async fn compare_with(&self, peer: ComparedPeer, query: &PeerMessage) -> Option<Arc<str>> {
-        // It is asked again by the messages that are sent all the time.
-        if peer.is_failing {
-            return Some(peer.host);
-        }
-
-        let call = self.connector.exchange(peer.address, query);
-
-        match timeout(COMPARE_TIMEOUT, call).await {
-            Ok(Ok(PeerMessage::Spend { writer, sequence, note })) => {
-                self.learn(&writer, sequence, &[note]);
-                None
-            }
-            _ => Some(peer.host),
-        }
-    }
-
-    fn learn(&self, writer: &Arc<str>, sequence: u64, notes: &[SpendNote]) {
+    pub(super) fn learn(&self, writer: &Arc<str>, sequence: u64, notes: &[SpendNote]) {
         let is_newer = {
             let mut heard = self.heard.lock();
             let last = heard.entry(Arc::clone(writer)).or_insert(0);
@@ -433,101 +350,4 @@
             self.ledger.lock().learn_live(writer, notes);
         }
     }
-
-    /// Asks all peers for a turn, and gives it with those before it from the first that knows it.
-    pub(crate) async fn find_turns(&self, turn: &Arc<str>) -> Vec<HistoryTurn> {
-        let now = Instant::now();
-        let addresses: Vec<SocketAddr> = self
-            .peers
-            .lock()
-            .values()
-            .filter(|peer| peer.paused_until.is_none_or(|until| until <= now))
-            .map(|peer| peer.address)
-            .collect();
-
-        let query = PeerMessage::TurnQuery { turn: Arc::clone(turn) };
-        let asked = addresses
-            .into_iter()
-            .map(|address| timeout(PEER_TIMEOUT, self.connector.exchange(address, &query)));
-
-        for answer in join_all(asked).await {
-            if let Ok(Ok(PeerMessage::Turns { turns })) = answer
-                && !turns.is_empty()
-            {
-                return turns;
-            }
-        }
-
-        Vec::new()
-    }
-
-    fn answer(&self, message: PeerMessage) -> PeerMessage {
-        match message {
-            PeerMessage::SpendsNoted {
-                host,
-                address,
-                region,
-                writer,
-                sequence,
-                is_draining,
-                notes,
-            } => {
-                if !self.note_heard(&host, address, is_draining) {
-                    self.add_peer(host, address, region);
-                }
-                self.learn(&writer, sequence, &notes);
-                PeerMessage::Done
-            }
-            PeerMessage::SpendQuery { writer, sequence, note } => {
-                let program = Arc::clone(&note.program);
-                self.learn(&writer, sequence, &[note]);
-                PeerMessage::Spend {
-                    writer: Arc::clone(&self.identity.writer),
-                    sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
-                    note: self.ledger.lock().own_spend(&program),
-                }
-            }
-            PeerMessage::KnowledgeQuery if self.is_informed.load(Ordering::Relaxed) => {
-                let mut spends = self.ledger.lock().all_spends();
-                let notes = self.ledger.lock().all_notes();
-                spends.push(WriterSpends { writer: Arc::clone(&self.identity.writer), notes });
-                PeerMessage::Knowledge { spends, batches: self.index.lock().all() }
-            }
-            PeerMessage::KnowledgeQuery => PeerMessage::NoAck,
-            PeerMessage::RequestCrashesNoted { notes } => {
-                let mut crashes = self.crashes.lock();
-                notes.into_iter().for_each(|note| crashes.import(note));
-                PeerMessage::Done
-            }
-            PeerMessage::TurnQuery { turn } => {
-                let chain = self.history.lock().chain(&turn, Duration::ZERO);
-                let turns = match chain {
-                    TurnChain::Complete(chain) => {
-                        chain.iter().map(|turn| HistoryTurn::clone(turn)).collect()
-                    }
-                    TurnChain::Missing(_) => Vec::new(),
-                };
-                PeerMessage::Turns { turns }
-            }
-            _ => PeerMessage::Refused { reason: "not a message between entry hosts".into() },
-        }
-    }
-}
-
-#[async_trait]
-impl PeerHandler for PeerMesh {
-    async fn handle(self: Arc<Self>, first: PeerMessage, mut stream: Box<dyn PeerStream>) {
-        let answer = match first {
-            PeerMessage::Record { writer, turns, notes } => {
-                self.record_for(&writer, turns, notes).await
-            }
-            message => self.answer(message),
-        };
-
-        if let Err(error) = stream.send(&answer).await {
-            log::debug!("a peer has not taken its answer: {error}");
-        }
-
-        stream.finish();
-    }
 }
