A host that begins to serve a program asks all others for its spend once

Now the first question for a program goes to all hosts, which learn by it who serves the program and ask that host from then on.

--- a/src/entry/budget_ledger.rs
+++ b/src/entry/budget_ledger.rs
@@ -103,6 +103,8 @@
     recorded: u64,
     /// Whether the program's turns are recorded as they end.
     has_history: bool,
+    /// Whether all other hosts have been told that this one serves the program.
+    is_announced: bool,
     last_use: Instant,
 }
 
@@ -116,6 +118,7 @@
             handed_out: 0,
             recorded: 0,
             has_history: false,
+            is_announced: false,
             last_use: now,
         }
     }
@@ -200,6 +203,11 @@
         self.total(program) <= budget
     }
 
+    /// Says that all other hosts are told that this one serves a program. Gives whether they had been told before.
+    pub(crate) fn announce(&mut self, program: &Arc<str>) -> bool {
+        std::mem::replace(&mut self.account(program).is_announced, true)
+    }
+
     /// Whether a writer of a host has spent for a program. Names of writers begin with their host.
     pub(crate) fn has_spent(&self, program: &Arc<str>, host: &str) -> bool {
         let is_of_host =
--- a/src/entry/mesh_queries.rs
+++ b/src/entry/mesh_queries.rs
@@ -56,14 +56,17 @@
     }
 
     /// Exchanges this host's spend of a program for that of each peer that may spend for it as well: those of this region,
-    /// where a program's requests come in, and those that have spent before; all of them after a disturbance, and where
-    /// the region has no other host. Gives those that did not answer.
+    /// where a program's requests come in, and those that have spent before. All are asked the first time, by which they
+    /// learn that this host serves the program and ask it from then on: clients keep connections to hosts of other regions
+    /// long after their own is back. All are asked as well while hosts are disturbed, and where the region has no other
+    /// host. Gives those that did not answer.
     pub(crate) async fn compare_spend(&self, program: &Arc<str>) -> Vec<Arc<str>> {
         let peers: Vec<ComparedPeer> = {
-            let ledger = self.ledger.lock();
+            let mut ledger = self.ledger.lock();
             let peers = self.peers.lock();
             let is_near = |peer: &MeshPeer| peer.region == self.identity.region;
-            let asks_all = self.is_disturbed(&peers) || !peers.values().any(is_near);
+            let is_first = !ledger.announce(program);
+            let asks_all = is_first || self.is_disturbed(&peers) || !peers.values().any(is_near);
 
             peers
                 .iter()
--- a/src/tests/peer_mesh.rs
+++ b/src/tests/peer_mesh.rs
@@ -139,6 +139,19 @@
     let transport = Arc::new(AskedTransport::default());
     let mesh = mesh_of_two_regions(&transport);
     sleep(CALM_TIME).await;
+    asked(&mesh, &transport).await;
+    assert_eq!(asked(&mesh, &transport).await, [2]);
     mesh.drain();
     assert_eq!(asked(&mesh, &transport).await, [2, 3]);
 }
+
+#[tokio::test(start_paused = true)]
+async fn peer_mesh_asks_all_when_it_begins_to_serve_a_program() {
+    let transport = Arc::new(AskedTransport::default());
+    let mesh = mesh_of_two_regions(&transport);
+    sleep(CALM_TIME).await;
+
+    // The client may have kept a connection to a host of the other region, which serves the program as well.
+    assert_eq!(asked(&mesh, &transport).await, [2, 3]);
+    assert_eq!(asked(&mesh, &transport).await, [2], "the far host knows whom to ask");
+}
