One copy of what the entry host wrote again: page walks, decoding, state that is derived

- PageReader walks a listing; KindFollower, HostRegistry::list (gone, the follower lists) and TurnLocator each did.
- EntryHost holds each part once; whether it drains is the mesh's state alone.
It loads the routes once for each request.
- MetricsRegistry serves the metrics of both front doors.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -19,6 +19,7 @@
 mod mesh_queries;
 mod mesh_recorder;
 mod object_store;
+mod page_reader;
 pub(crate) mod peer_mesh;
 pub(crate) mod placement_pool;
 pub(crate) mod placement_request;
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -12,11 +12,11 @@
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 use crate::{
-    BackoffPolicy, CrashLedger, NodeMetrics, PeerTransport, QuicTransport,
+    BackoffPolicy, CrashLedger, NodeMetrics, PeerHandler, PeerTransport, QuicTransport,
     entry::{
         BudgetLedger, EntryAnswer, EntryPorts, EntryRefusal, EntryRequest, EntryTerms,
-        KindFollower, ObjectStore, PlacementPool, RouteTable, ServiceRoute, ServiceTerms,
-        StoreError,
+        KindFollower, ObjectListener, PlacementPool, RelayedBody, RouteTable, ServiceRoute,
+        ServiceTerms, StoreError,
         batch_index::BatchIndex,
         entry_metrics::EntryMetrics,
         host_registry::{HostRegistry, REGISTRY_KIND},
@@ -67,20 +67,14 @@
 #[derive(Debug)]
 pub struct EntryHost {
     terms: EntryTerms,
-    store: Arc<dyn ObjectStore>,
-    /// Upstreams of all services.
-    pub pool: Arc<PlacementPool>,
     routes: ArcSwap<RouteTable>,
-    ledger: Arc<Mutex<BudgetLedger>>,
-    journal: Arc<TurnJournal>,
-    locator: Arc<TurnLocator>,
+    /// Follows the entries of the other hosts.
+    peers: KindFollower,
     budgets: BudgetParts,
     registry: HostRegistry,
     parts: Arc<RunnerParts>,
-    metrics: Arc<EntryMetrics>,
     /// Whether turns and budgets of earlier runs have been read.
     is_restored: watch::Sender<bool>,
-    is_draining: watch::Sender<bool>,
 }
 
 impl EntryHost {
@@ -143,50 +137,40 @@
             index,
         ));
 
-        let budgets = BudgetParts {
-            ledger: Arc::clone(&ledger),
-            journal: Arc::clone(&journal),
-            mesh: Arc::clone(&mesh),
-            locator: Arc::clone(&locator),
-        };
+        let budgets =
+            BudgetParts { ledger, journal: Arc::clone(&journal), mesh: Arc::clone(&mesh), locator };
 
         let runner_parts = Arc::new(RunnerParts {
-            pool: Arc::clone(&pool),
+            pool,
             channel: ports.channel,
             journal: Arc::clone(&journal),
             history,
             crashes,
-            metrics: Arc::clone(&metrics),
+            metrics,
         });
 
-        let host = Arc::new(Self {
+        let peers = KindFollower {
             store: ports.store,
-            pool,
+            kind: REGISTRY_KIND,
+            listener: Arc::clone(&mesh) as Arc<dyn ObjectListener>,
+        };
+
+        let host = Arc::new(Self {
+            peers,
             routes: ArcSwap::default(),
-            ledger,
-            journal,
-            locator,
             budgets,
             registry,
             parts: runner_parts,
-            metrics,
             is_restored: watch::Sender::new(false),
-            is_draining: watch::Sender::new(false),
             terms,
         });
 
-        tokio::spawn(quic.serve(Arc::clone(&mesh) as Arc<dyn crate::PeerHandler>));
+        tokio::spawn(quic.serve(Arc::clone(&mesh) as Arc<dyn PeerHandler>));
         tokio::spawn(Arc::clone(&mesh).run());
-        let recorder = Arc::clone(&mesh) as Arc<dyn TurnRecorder>;
-        tokio::spawn(Arc::clone(&host.journal).run(recorder, DEFAULT_RETENTION));
+        tokio::spawn(journal.run(mesh as Arc<dyn TurnRecorder>, DEFAULT_RETENTION));
         tokio::spawn(Arc::clone(&host).upkeep());
         tokio::spawn(Arc::clone(&host).restore());
-        let follower = KindFollower {
-            store: Arc::clone(&host.store),
-            kind: REGISTRY_KIND,
-            listener: mesh as Arc<dyn crate::entry::ObjectListener>,
-        };
-        tokio::spawn(follower.run());
+        tokio::spawn(host.peers.clone().run());
         Ok(host)
     }
 
@@ -209,10 +193,10 @@
 
     async fn read_records(&self) -> Result<(), StoreError> {
         let mesh = &self.budgets.mesh;
-        self.registry.list(&**mesh).await?;
+        self.peers.list_all().await?;
 
         if !mesh.learn_records().await {
-            self.locator.list_batches(Instant::now()).await?;
+            self.budgets.locator.list_batches(Instant::now()).await?;
         }
 
         mesh.set_informed();
@@ -222,7 +206,7 @@
     async fn upkeep(self: Arc<Self>) {
         loop {
             sleep(UPKEEP_INTERVAL).await;
-            self.pool.expire();
+            self.parts.pool.expire();
             self.parts.channel.close_expired();
 
             if self.budgets.mesh.take_unlisted() && !self.is_draining() {
@@ -235,8 +219,8 @@
                 self.registry.remove(&host).await;
             }
 
-            self.ledger.lock().prune(Instant::now());
-            self.metrics.record_history(self.parts.history.lock().held_bytes());
+            self.budgets.ledger.lock().prune(Instant::now());
+            self.parts.metrics.record_history(self.parts.history.lock().held_bytes());
         }
     }
 
@@ -251,8 +235,8 @@
 
         let sizes: HashMap<Arc<str>, u64> =
             table.services().map(|it| (Arc::clone(&it.name), it.cache_tokens)).collect();
-        self.pool.set_cache_tokens(sizes);
-        self.metrics.record_config(table.version);
+        self.parts.pool.set_cache_tokens(sizes);
+        self.parts.metrics.record_config(table.version);
         log::info!(version = table.version; "configuration in force");
         self.routes.store(Arc::new(table));
     }
@@ -262,23 +246,23 @@
         self.routes.load_full()
     }
 
-    /// Whether new clients should be sent here.
-    pub fn is_ready(&self) -> bool {
-        self.can_decide() && !*self.is_draining.borrow()
+    /// Upstreams of all services.
+    pub fn pool(&self) -> &Arc<PlacementPool> {
+        &self.parts.pool
     }
 
-    fn can_decide(&self) -> bool {
-        self.routes.load().version > 0 && *self.is_restored.borrow()
+    /// Whether new clients should be sent here.
+    pub fn is_ready(&self) -> bool {
+        self.routes.load().version > 0 && *self.is_restored.borrow() && !self.is_draining()
     }
 
     /// Whether the host has been asked to stop.
     pub fn is_draining(&self) -> bool {
-        *self.is_draining.borrow()
+        self.budgets.mesh.is_draining()
     }
 
     /// Makes the host unready. It goes on to answer what comes.
     pub fn drain(&self) {
-        self.is_draining.send_replace(true);
         self.budgets.mesh.drain();
         log::info!("draining");
     }
@@ -290,13 +274,13 @@
 
     /// Waits until nothing is left to record, for `patience` at most.
     pub async fn flush(&self, patience: Duration) {
-        let flushed = timeout(patience, self.journal.flush_spends()).await.is_ok();
+        let flushed = timeout(patience, self.parts.journal.flush_spends()).await.is_ok();
         log::info!(flushed; "the journal is flushed");
     }
 
     /// Metrics in the Prometheus text format.
     pub fn metrics_text(&self) -> Result<String> {
-        self.metrics.text()
+        self.parts.metrics.text()
     }
 
     /// Answers a request. Dropping the future cancels it.
@@ -306,8 +290,8 @@
 
         match &answer {
             EntryAnswer::Relayed(relayed) => {
-                let is_stream = matches!(relayed.body, crate::entry::RelayedBody::Events(_));
-                self.metrics.count_request(
+                let is_stream = matches!(relayed.body, RelayedBody::Events(_));
+                self.parts.metrics.count_request(
                     if is_stream { "stream" } else { "whole" },
                     relayed.status.as_str().into(),
                 );
@@ -317,7 +301,7 @@
                 );
             }
             EntryAnswer::Refused { refusal, reason } => {
-                self.metrics.count_request("refused", refusal.to_string());
+                self.parts.metrics.count_request("refused", refusal.to_string());
                 log::info!(
                     request:% = id, refusal:% = refusal, took_ms = received.elapsed().as_millis() as u64;
                     "refused: {reason}"
@@ -329,12 +313,12 @@
     }
 
     async fn decide(&self, request: EntryRequest) -> EntryAnswer {
-        if self.routes.load().version == 0 {
+        let table = self.routes.load_full();
+
+        if table.version == 0 {
             return EntryAnswer::not_run(UNDECIDED_RETRY_AFTER, "there is no configuration yet");
         }
 
-        let table = self.routes.load_full();
-
         let Some(route) = table.find(&request.host, &request.path).cloned() else {
             let reason = format!("configuration {} has no such route", table.version);
             return EntryAnswer::refused(EntryRefusal::NoRoute, reason);
@@ -426,12 +410,12 @@
         };
 
         let patience = SEARCH_PATIENCE.min(limit.saturating_duration_since(Instant::now()));
-        let search = timeout(patience, self.locator.find(previous, retention)).await;
+        let search = timeout(patience, self.budgets.locator.find(previous, retention)).await;
 
         match search.unwrap_or(TurnSearch::Unknown) {
             TurnSearch::Found(chain) => {
                 let aged = self.parts.history.lock().take_aged(&chain, retention / REFRESH_DIVISOR);
-                aged.into_iter().for_each(|turn| drop(self.journal.append(turn)));
+                aged.into_iter().for_each(|turn| drop(self.parts.journal.append(turn)));
                 Ok(chain)
             }
             TurnSearch::Absent => {
@@ -462,7 +446,7 @@
                 .await;
 
         reserved.map(Some).map_err(|refusal| {
-            let spent = self.ledger.lock().total(&program.program);
+            let spent = self.budgets.ledger.lock().total(&program.program);
             let reason = format!(
                 "program {} has spent or reserved {spent} of {budget} tokens and asks for {}",
                 program.program, request.answer_tokens
--- a/src/entry/entry_metrics.rs
+++ b/src/entry/entry_metrics.rs
@@ -5,10 +5,10 @@
 use eyre::Result;
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Gauge, Histogram, MeterProvider},
+    metrics::{Counter, Gauge, Histogram},
 };
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
+
+use crate::process::metrics_registry::MetricsRegistry;
 
 /// Bounds of the latency histograms, in seconds.
 const LATENCY_BOUNDS_S: [f64; 12] =
@@ -17,8 +17,7 @@
 /// Metrics of one entry host.
 #[derive(Debug)]
 pub(crate) struct EntryMetrics {
-    registry: Registry,
-    _provider: SdkMeterProvider,
+    registry: MetricsRegistry,
     requests: Counter<u64>,
     attempts: Counter<u64>,
     store_calls: Counter<u64>,
@@ -34,11 +33,8 @@
 
 impl EntryMetrics {
     pub(crate) fn new() -> Result<Self> {
-        let registry = Registry::new();
-        let exporter =
-            opentelemetry_prometheus::exporter().with_registry(registry.clone()).build()?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("ragwortknot");
+        let registry = MetricsRegistry::new()?;
+        let meter = registry.meter();
 
         let counter = |name: &'static str, help: &'static str| {
             meter.u64_counter(name).with_description(help).build()
@@ -96,7 +92,6 @@
                 .with_description("Bytes of turns in memory.")
                 .build(),
             registry,
-            _provider: provider,
         })
     }
 
@@ -147,8 +142,6 @@
 
     /// Writes all metrics in the Prometheus text format.
     pub(crate) fn text(&self) -> Result<String> {
-        let mut text = Vec::new();
-        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
-        Ok(String::from_utf8(text)?)
+        self.registry.text()
     }
 }
--- a/src/entry/entry_terms.rs
+++ b/src/entry/entry_terms.rs
@@ -19,7 +19,7 @@
 
 impl EntryTerms {
     /// Region of the host.
-    pub(crate) fn region(&self) -> Arc<str> {
+    pub fn region(&self) -> Arc<str> {
         self.regions.get(&self.data_centre).unwrap_or(&self.data_centre).clone()
     }
 }
--- a/src/entry/host_registry.rs
+++ b/src/entry/host_registry.rs
@@ -8,8 +8,7 @@
 use crate::{
     BackoffPolicy, KeyFiles,
     entry::{
-        ObjectChange, ObjectListener, ObjectStore, ReadFreshness, StoreError, StoredObject,
-        peer_mesh::PeerMesh,
+        ObjectChange, ObjectListener, ObjectStore, StoreError, StoredObject, peer_mesh::PeerMesh,
     },
     membership::key_files::KeyAuthority,
 };
@@ -70,7 +69,7 @@
 
     async fn read_or_make_keys(&self) -> Result<Option<SharedKeys>, StoreError> {
         if let Some(object) = self.store.get(KEY_KIND, KEY_NAME).await? {
-            return Ok(decode(&object));
+            return Ok(object.decode());
         }
 
         let made = KeyAuthority::generate().and_then(|authority| authority.issue("entry host"));
@@ -90,7 +89,7 @@
 
         // Another host may have been first, so what the store has is what counts.
         let object = self.store.get(KEY_KIND, KEY_NAME).await?;
-        Ok(object.as_ref().and_then(decode))
+        Ok(object.as_ref().and_then(StoredObject::decode))
     }
 
     /// Writes this host's entry, and tries until the store has it.
@@ -110,25 +109,6 @@
         }
     }
 
-    /// Gives the entries of all hosts to a listener.
-    pub(crate) async fn list(&self, listener: &dyn ObjectListener) -> Result<(), StoreError> {
-        let mut after: Option<Arc<str>> = None;
-
-        loop {
-            let page = self
-                .store
-                .list(REGISTRY_KIND, after.as_deref(), ReadFreshness::Linearizable)
-                .await?;
-            let last = page.items.last().map(|object| Arc::clone(&object.name));
-            listener.reset(page.items);
-
-            match last {
-                Some(last) if page.has_more => after = Some(last),
-                _ => return Ok(()),
-            }
-        }
-    }
-
     /// Removes a host's entry. A host that lives finds out and writes it again.
     pub(crate) async fn remove(&self, host: &Arc<str>) {
         let removed = match self.store.get(REGISTRY_KIND, host).await {
@@ -159,10 +139,6 @@
     }
 }
 
-fn decode<T: serde::de::DeserializeOwned>(object: &StoredObject) -> Option<T> {
-    serde_json::from_str(object.content.as_ref()?.get()).ok()
-}
-
 impl ObjectListener for PeerMesh {
     fn reset(&self, objects: Vec<StoredObject>) {
         for object in objects {
@@ -179,7 +155,7 @@
             return;
         }
 
-        match decode::<HostEntry>(&change.object) {
+        match change.object.decode::<HostEntry>() {
             Some(entry) => self.add_peer(name, entry.address, entry.region),
             None => log::warn!(peer:% = name; "the entry of a host can't be read"),
         }
--- a/src/entry/kind_follower.rs
+++ b/src/entry/kind_follower.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     BackoffPolicy,
-    entry::{ObjectChange, ObjectStore, ReadFreshness, StoreError, StoredObject},
+    entry::{ObjectChange, ObjectStore, StoreError, StoredObject, page_reader::PageReader},
 };
 
 /// Longest time that one watch call waits. Each call is priced, so it is long; a silent connection is found by
@@ -29,7 +29,7 @@
 }
 
 /// Lists a kind, then watches it, and lists again whenever the store has dropped the history in between.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct KindFollower {
     /// The store.
     pub store: Arc<dyn ObjectStore>,
@@ -79,26 +79,22 @@
         }
     }
 
-    async fn list_all(&self) -> Result<u64, StoreError> {
-        let mut objects: Vec<StoredObject> = Vec::new();
+    /// Lists the kind for the listener. Gives the revision from which to watch.
+    pub(crate) async fn list_all(&self) -> Result<u64, StoreError> {
+        let mut pages = PageReader::new(&*self.store, self.kind, None);
+        let mut objects = Vec::new();
         let mut first_revision = None;
 
-        loop {
-            let after = objects.last().map(|it| Arc::clone(&it.name));
-            let page =
-                self.store.list(self.kind, after.as_deref(), ReadFreshness::Linearizable).await?;
-
+        while let Some(page) = pages.next().await? {
             // Later pages may miss changes to earlier ones, so the watch starts where the first page was read.
-            let revision = *first_revision.get_or_insert(page.store_revision);
-            let is_last = !page.has_more || page.items.is_empty();
+            first_revision.get_or_insert(page.store_revision);
             objects.extend(page.items);
-
-            if is_last {
-                log::info!(kind = self.kind, objects = objects.len(), revision; "listed a kind of the store");
-                self.listener.reset(objects);
-                return Ok(revision);
-            }
         }
+
+        let revision = first_revision.unwrap_or(0);
+        log::info!(kind = self.kind, objects = objects.len(), revision; "listed a kind of the store");
+        self.listener.reset(objects);
+        Ok(revision)
     }
 
     async fn watch_from(&self, revision: u64) -> Result<u64, StoreError> {
--- a/src/entry/mesh_peer.rs
+++ b/src/entry/mesh_peer.rs
@@ -46,6 +46,13 @@
         self.is_draining || self.failures > 0 || is_slow
     }
 
+    /// Takes note that the peer has been heard.
+    pub(crate) fn set_heard(&mut self) {
+        self.failures = 0;
+        self.silent_since = None;
+        self.paused_until = None;
+    }
+
     /// Whether the peer may be asked to record.
     pub(crate) fn can_record(&self, now: Instant) -> bool {
         let pauses = [self.paused_until, self.record_paused_until];
--- a/src/entry/object_store.rs
+++ b/src/entry/object_store.rs
@@ -4,6 +4,7 @@
 
 use async_trait::async_trait;
 use derive_more::{Display, Error};
+use serde::de::DeserializeOwned;
 use serde_json::value::RawValue;
 
 /// One object of the store. `content` is what its writer decides, `status` what the system reports about it.
@@ -19,6 +20,18 @@
     pub status: Option<Arc<RawValue>>,
 }
 
+impl StoredObject {
+    /// Content as JSON text; empty where there is none, which decodes to an error.
+    pub fn content_text(&self) -> &str {
+        self.content.as_ref().map_or("", |it| it.get())
+    }
+
+    /// Decodes the content, if it is what the caller expects.
+    pub(crate) fn decode<T: DeserializeOwned>(&self) -> Option<T> {
+        serde_json::from_str(self.content_text()).ok()
+    }
+}
+
 /// A part of a listing, in the order of names.
 #[derive(Clone, Debug)]
 pub struct ObjectPage {
--- /dev/null
+++ b/src/entry/page_reader.rs
@@ -0,0 +1,34 @@
+//! Reads a listing page by page.
+
+use std::sync::Arc;
+
+use crate::entry::{ObjectPage, ObjectStore, ReadFreshness, StoreError};
+
+/// A listing of one kind, in the order of names.
+#[derive(Debug)]
+pub(crate) struct PageReader<'a> {
+    store: &'a dyn ObjectStore,
+    kind: &'a str,
+    after: Option<Arc<str>>,
+    is_done: bool,
+}
+
+impl<'a> PageReader<'a> {
+    /// Begins with the names that come after `after`.
+    pub(crate) fn new(store: &'a dyn ObjectStore, kind: &'a str, after: Option<Arc<str>>) -> Self {
+        Self { store, kind, after, is_done: false }
+    }
+
+    /// Reads the next page, or gives nothing after the last one.
+    pub(crate) async fn next(&mut self) -> Result<Option<ObjectPage>, StoreError> {
+        if self.is_done {
+            return Ok(None);
+        }
+
+        let after = self.after.as_deref();
+        let page = self.store.list(self.kind, after, ReadFreshness::Linearizable).await?;
+        self.after = page.items.last().map(|object| Arc::clone(&object.name));
+        self.is_done = !page.has_more || page.items.is_empty();
+        Ok(Some(page))
+    }
+}
--- a/src/entry/peer_mesh.rs
+++ b/src/entry/peer_mesh.rs
@@ -137,9 +137,7 @@
                     self.note_disturbance();
                 }
                 peer.is_draining = is_draining;
-                peer.failures = 0;
-                peer.silent_since = None;
-                peer.paused_until = None;
+                peer.set_heard();
                 true
             }
             _ => false,
@@ -199,9 +197,7 @@
     pub(super) fn is_disturbed(&self, peers: &HashMap<Arc<str>, MeshPeer>) -> bool {
         let now = Instant::now();
         let is_recent = self.disturbed_at.lock().elapsed() < DISTURBANCE_TIME;
-        is_recent
-            || self.is_draining.load(Ordering::Relaxed)
-            || peers.values().any(|peer| peer.is_unsteady(now))
+        is_recent || self.is_draining() || peers.values().any(|peer| peer.is_unsteady(now))
     }
 
     /// Tells peers that this host is about to stop.
@@ -210,6 +206,11 @@
         self.is_drain_untold.store(true, Ordering::Relaxed);
     }
 
+    /// Whether this host is about to stop.
+    pub(crate) fn is_draining(&self) -> bool {
+        self.is_draining.load(Ordering::Relaxed)
+    }
+
     fn note_disturbance(&self) {
         *self.disturbed_at.lock() = Instant::now();
     }
@@ -287,7 +288,7 @@
             region: Arc::clone(&self.identity.region),
             writer: Arc::clone(&self.identity.writer),
             sequence,
-            is_draining: self.is_draining.load(Ordering::Relaxed),
+            is_draining: self.is_draining(),
             notes,
         }];
 
@@ -316,9 +317,7 @@
             if peer.failures > 0 {
                 log::info!(peer:% = host; "a peer answers again");
             }
-            peer.failures = 0;
-            peer.silent_since = None;
-            peer.paused_until = None;
+            peer.set_heard();
             return;
         }
 
--- a/src/entry/request_runner.rs
+++ b/src/entry/request_runner.rs
@@ -13,8 +13,9 @@
 use crate::{
     CrashLedger,
     entry::{
-        EntryAnswer, EntryRefusal, EntryRequest, PlacementPool, RelayedAnswer, RelayedBody,
-        RequestKind, ServiceRoute, ServiceTerms, UpstreamAnswer, UpstreamChannel, UpstreamRequest,
+        ChannelError, EntryAnswer, EntryRefusal, EntryRequest, PlacementPool, RelayedAnswer,
+        RelayedBody, RequestKind, ServiceRoute, ServiceTerms, UpstreamAnswer, UpstreamChannel,
+        UpstreamRequest,
         entry_answer::STREAM_DEPTH,
         entry_metrics::EntryMetrics,
         event_framer::EventFramer,
@@ -22,6 +23,7 @@
         pooled_upstream::UpstreamVerdict,
         stream_relay::{StreamRelay, StreamSource},
         turn_budget::TurnBudget,
+        turn_history::TurnHistory,
         turn_journal::TurnJournal,
         upstream_lease::UpstreamLease,
     },
@@ -45,7 +47,7 @@
     pub(crate) pool: Arc<PlacementPool>,
     pub(crate) channel: Arc<dyn UpstreamChannel>,
     pub(crate) journal: Arc<TurnJournal>,
-    pub(crate) history: Arc<Mutex<crate::entry::turn_history::TurnHistory>>,
+    pub(crate) history: Arc<Mutex<TurnHistory>>,
     pub(crate) crashes: Arc<Mutex<CrashLedger>>,
     pub(crate) metrics: Arc<EntryMetrics>,
 }
@@ -232,13 +234,13 @@
 
         let answer = match sent {
             Ok(Ok(answer)) => answer,
-            Ok(Err(crate::entry::ChannelError::NotSent { reason })) => {
+            Ok(Err(ChannelError::NotSent { reason })) => {
                 self.parts.metrics.count_attempt(service, "not_sent");
                 log::info!(request:% = self.runnable.request.id, upstream:% = lease.record.id; "not sent: {reason}");
                 lease.finish(UpstreamVerdict::Unreachable);
                 return AttemptResult::NotRun { reason: "the upstream can't be reached" };
             }
-            Ok(Err(crate::entry::ChannelError::Broken { reason })) => {
+            Ok(Err(ChannelError::Broken { reason })) => {
                 return self.lost(lease, reason);
             }
             Err(_) => return self.silent(lease, patience),
--- a/src/entry/stream_relay.rs
+++ b/src/entry/stream_relay.rs
@@ -10,7 +10,7 @@
 };
 
 use crate::entry::{
-    UpstreamBody,
+    ChannelError, UpstreamBody,
     entry_answer::StreamItem,
     event_framer::{EventFramer, StreamEvent},
     pooled_upstream::UpstreamVerdict,
@@ -248,7 +248,7 @@
 
         let mut answer = match sent {
             Ok(Ok(answer)) => answer,
-            Ok(Err(crate::entry::ChannelError::NotSent { .. })) => {
+            Ok(Err(ChannelError::NotSent { .. })) => {
                 lease.finish(UpstreamVerdict::Unreachable);
                 return None;
             }
--- a/src/entry/turn_locator.rs
+++ b/src/entry/turn_locator.rs
@@ -3,16 +3,17 @@
 use std::{collections::HashMap, sync::Arc};
 
 use parking_lot::Mutex;
-use serde::{Deserialize, de::DeserializeOwned};
+use serde::Deserialize;
 use tokio::{
     sync::Semaphore,
     time::{Duration, Instant},
 };
 
 use crate::entry::{
-    BudgetLedger, ObjectStore, ReadFreshness, StoreError, StoredObject,
+    BudgetLedger, ObjectStore, StoreError, StoredObject,
     batch_index::BatchIndex,
     budget_ledger::SpendRecord,
+    page_reader::PageReader,
     peer_mesh::PeerMesh,
     turn_history::{HistoryTurn, TurnChain, TurnHistory},
     turn_journal::{JOURNAL_KIND, JournalBatch},
@@ -149,7 +150,7 @@
         }
 
         let object = self.store.get(JOURNAL_KIND, name).await?;
-        let batch = object.as_ref().and_then(decode::<JournalBatch>);
+        let batch = object.as_ref().and_then(StoredObject::decode::<JournalBatch>);
         let turns = batch.map(|batch| batch.turns).unwrap_or_default();
         let is_there = turns.iter().any(|it| it.id == *turn);
 
@@ -185,29 +186,25 @@
     /// Reads the batches whose names come after `after` and not after `end`. Gives how many pages that took.
     async fn list_range(
         &self,
-        mut after: Option<Arc<str>>,
+        after: Option<Arc<str>>,
         end: Option<Arc<str>>,
         is_silent: bool,
     ) -> Result<usize, StoreError> {
-        let is_inside = |name: &Arc<str>| end.as_ref().is_none_or(|end| name <= end);
-        let mut pages = 0;
-
-        loop {
-            let page = self
-                .store
-                .list(JOURNAL_KIND, after.as_deref(), ReadFreshness::Linearizable)
-                .await?;
-            pages += 1;
-            let inside = page.items.iter().take_while(|object| is_inside(&object.name));
+        let is_inside = |object: &StoredObject| end.as_ref().is_none_or(|end| object.name <= *end);
+        let mut pages = PageReader::new(&*self.store, JOURNAL_KIND, after);
+        let mut count = 0;
+
+        while let Some(page) = pages.next().await? {
+            count += 1;
+            let inside = page.items.iter().take_while(|object| is_inside(object));
             inside.for_each(|object| self.learn_batch(object, is_silent));
 
-            match page.items.last() {
-                Some(last) if page.has_more && is_inside(&last.name) => {
-                    after = Some(Arc::clone(&last.name));
-                }
-                _ => return Ok(pages),
+            if !page.items.last().is_some_and(is_inside) {
+                break;
             }
         }
+
+        Ok(count)
     }
 
     /// Reads the batches of some hosts, unless that was begun after `since`. Gives whether all could be read.
@@ -246,7 +243,7 @@
             return;
         }
 
-        let Some(batch) = decode::<BatchSummary>(object) else {
+        let Some(batch) = object.decode::<BatchSummary>() else {
             log::warn!(batch:% = object.name; "a recorded batch can't be read");
             return;
         };
@@ -260,7 +257,3 @@
         self.ledger.lock().learn_recorded(&batch.writer, &batch.spends, is_silent);
     }
 }
-
-fn decode<T: DeserializeOwned>(object: &StoredObject) -> Option<T> {
-    serde_json::from_str(object.content.as_ref()?.get()).ok()
-}
--- a/src/process.rs
+++ b/src/process.rs
@@ -4,6 +4,7 @@
 pub(crate) mod host_lifecycle;
 pub(crate) mod local_cluster;
 pub(crate) mod log_limiter;
+pub(crate) mod metrics_registry;
 pub(crate) mod node;
 pub(crate) mod node_core;
 pub(crate) mod node_log;
--- a/src/process/node_metrics.rs
+++ b/src/process/node_metrics.rs
@@ -5,12 +5,10 @@
 use eyre::Result;
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Gauge, Histogram, Meter, MeterProvider},
+    metrics::{Counter, Gauge, Histogram, Meter},
 };
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
 
-use crate::{CellId, RequestOutcome};
+use crate::{CellId, RequestOutcome, process::metrics_registry::MetricsRegistry};
 
 /// Bounds of the latency histograms, in seconds.
 const LATENCY_BOUNDS_S: [f64; 14] =
@@ -199,8 +197,7 @@
 /// Counters, gauges and histograms of one host. Each host of a process has its own.
 #[derive(Debug)]
 pub(crate) struct NodeMetrics {
-    registry: Registry,
-    _provider: SdkMeterProvider,
+    registry: MetricsRegistry,
     counters: TrafficCounters,
     histograms: LatencyHistograms,
     gauges: StateGauges,
@@ -208,18 +205,14 @@
 
 impl NodeMetrics {
     pub(crate) fn new() -> Result<Self> {
-        let registry = Registry::new();
-        let exporter =
-            opentelemetry_prometheus::exporter().with_registry(registry.clone()).build()?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("ragwortknot");
+        let registry = MetricsRegistry::new()?;
+        let meter = registry.meter();
 
         Ok(Self {
             counters: TrafficCounters::new(&meter),
             histograms: LatencyHistograms::new(&meter),
             gauges: StateGauges::new(&meter),
             registry,
-            _provider: provider,
         })
     }
 
@@ -290,8 +283,6 @@
 
     /// Writes all metrics in the Prometheus text format.
     pub(crate) fn text(&self) -> Result<String> {
-        let mut text = Vec::new();
-        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
-        Ok(String::from_utf8(text)?)
+        self.registry.text()
     }
 }
--- a/src/tests/entry_fakes.rs
+++ b/src/tests/entry_fakes.rs
@@ -12,10 +12,13 @@
 use serde_json::value::RawValue;
 use tokio::time::{Duration, sleep};
 
-use crate::entry::{
-    ChannelError, ObjectPage, ObjectStore, ReadFreshness, StoreError, StoredObject, UpstreamAnswer,
-    UpstreamBody, UpstreamChannel, UpstreamPhase, UpstreamRecord, UpstreamRequest, WatchBatch,
-    WriteOutcome,
+use crate::{
+    PeerError, PeerMessage, PeerStream,
+    entry::{
+        ChannelError, ObjectPage, ObjectStore, ReadFreshness, StoreError, StoredObject,
+        UpstreamAnswer, UpstreamBody, UpstreamChannel, UpstreamPhase, UpstreamRecord,
+        UpstreamRequest, WatchBatch, WriteOutcome,
+    },
 };
 
 /// Objects of one page.
@@ -315,3 +318,22 @@
         phase: UpstreamPhase::Serving,
     }
 }
+
+/// An exchange with a peer that gives one answer.
+#[derive(Debug)]
+pub(super) struct AnswerStream {
+    pub(super) answer: Option<PeerMessage>,
+}
+
+#[async_trait]
+impl PeerStream for AnswerStream {
+    async fn receive(&mut self) -> Result<Option<PeerMessage>, PeerError> {
+        Ok(self.answer.take())
+    }
+
+    async fn send(&mut self, _message: &PeerMessage) -> Result<(), PeerError> {
+        Ok(())
+    }
+
+    fn finish(&mut self) {}
+}
--- a/src/tests/mesh_connector.rs
+++ b/src/tests/mesh_connector.rs
@@ -12,6 +12,7 @@
 use futures_util::future::join_all;
 use tokio::time::{Duration, sleep, timeout};
 
+use super::entry_fakes::AnswerStream;
 use crate::{
     PeerError, PeerMessage, PeerStream, PeerTransport, entry::mesh_connector::MeshConnector,
 };
@@ -27,22 +28,6 @@
     is_connected: AtomicBool,
 }
 
-#[derive(Debug)]
-struct DoneStream;
-
-#[async_trait]
-impl PeerStream for DoneStream {
-    async fn receive(&mut self) -> Result<Option<PeerMessage>, PeerError> {
-        Ok(Some(PeerMessage::Done))
-    }
-
-    async fn send(&mut self, _message: &PeerMessage) -> Result<(), PeerError> {
-        Ok(())
-    }
-
-    fn finish(&mut self) {}
-}
-
 #[async_trait]
 impl PeerTransport for SlowTransport {
     fn forget(&self, _peer: SocketAddr) {
@@ -68,7 +53,7 @@
         if !self.is_connected(peer) {
             self.connect(peer).await?;
         }
-        Ok(Box::new(DoneStream))
+        Ok(Box::new(AnswerStream { answer: Some(PeerMessage::Done) }))
     }
 }
 
--- a/src/tests/peer_mesh.rs
+++ b/src/tests/peer_mesh.rs
@@ -6,6 +6,7 @@
 use parking_lot::Mutex;
 use tokio::time::{Duration, sleep};
 
+use super::entry_fakes::AnswerStream;
 use crate::{
     PeerError, PeerHandler, PeerMessage, PeerStream, PeerTransport,
     entry::{mesh_peer::MeshIdentity, peer_mesh::PeerMesh},
@@ -20,24 +21,6 @@
     asked: Mutex<BTreeSet<SocketAddr>>,
 }
 
-#[derive(Debug)]
-struct ScriptedStream {
-    answer: Option<PeerMessage>,
-}
-
-#[async_trait]
-impl PeerStream for ScriptedStream {
-    async fn receive(&mut self) -> Result<Option<PeerMessage>, PeerError> {
-        Ok(self.answer.take())
-    }
-
-    async fn send(&mut self, _message: &PeerMessage) -> Result<(), PeerError> {
-        Ok(())
-    }
-
-    fn finish(&mut self) {}
-}
-
 #[async_trait]
 impl PeerTransport for AskedTransport {
     fn forget(&self, _peer: SocketAddr) {}
@@ -63,7 +46,7 @@
             PeerMessage::Done
         };
 
-        Ok(Box::new(ScriptedStream { answer: Some(answer) }))
+        Ok(Box::new(AnswerStream { answer: Some(answer) }))
     }
 }
 
@@ -122,13 +105,13 @@
     sleep(CALM_TIME).await;
     assert_eq!(asked(&mesh, &transport).await, [2], "clients come in through their own region");
 
-    let stream = Box::new(ScriptedStream { answer: None });
+    let stream = Box::new(AnswerStream { answer: None });
     Arc::clone(&mesh).handle(told_by_far_host(1, true), stream).await;
     sleep(CALM_TIME).await;
     assert_eq!(asked(&mesh, &transport).await, [2, 3], "clients of the south come here");
     assert_eq!(mesh.serving_hosts(), 3);
 
-    let stream = Box::new(ScriptedStream { answer: None });
+    let stream = Box::new(AnswerStream { answer: None });
     Arc::clone(&mesh).handle(told_by_far_host(2, false), stream).await;
     sleep(CALM_TIME).await;
     assert_eq!(asked(&mesh, &transport).await, [2]);
