Let the stream limit of a peer connection grow with its use

Cause of the memory that the number of hosts takes: quinn allocates two table entries for each stream that a peer may open, when the connection is made. Buffers of the socket and the spawned tasks are ruled out, as the limit alone explains it to 3 %.

The limit now begins at 128 and doubles while half of it is in use, up to the old one.

--- a/src/membership/quic_transport.rs
+++ b/src/membership/quic_transport.rs
@@ -25,8 +25,12 @@
 /// Largest message that is received, in bytes. The longest kind is the history of a program.
 const MAX_MESSAGE_BYTES: u32 = 64 << 20;
 
-/// Number of exchanges that a peer may have open at once.
-const STREAM_LIMIT: u32 = 16_384;
+/// Number of exchanges that a peer may have open at once on a new connection. quinn allocates two table entries for
+/// each of them when a connection is made: 128 take 17 kB at each end, [`MAX_STREAM_LIMIT`] more than 1 MB.
+const INITIAL_STREAM_LIMIT: u32 = 128;
+
+/// Number to which the limit of a connection may grow. It doubles whenever half of it is in use.
+const MAX_STREAM_LIMIT: u32 = 16_384;
 
 /// Time after which an idle connection is closed. Opening one costs several kilobytes, more than a host's budget for
 /// control traffic, so it has to stay open from one membership probe of the peer to the next.
@@ -123,11 +127,27 @@
             }
         };
 
+        // Each exchange holds a clone, so the count of strong references tells how many are open.
+        let open_guard = Arc::new(());
+        let mut stream_limit = INITIAL_STREAM_LIMIT;
+
         while let Ok((send, receive)) = connection.accept_bi().await {
             let metrics = Arc::clone(&self.metrics);
             let handler = Arc::clone(&handler);
             let stream = QuicStream { send, receive, metrics };
-            tokio::spawn(serve_stream(peer, stream, handler));
+            let stream_guard = Arc::clone(&open_guard);
+            tokio::spawn(async move {
+                serve_stream(peer, stream, handler).await;
+                drop(stream_guard);
+            });
+
+            let is_limit_near = Arc::strong_count(&open_guard) > stream_limit as usize / 2;
+
+            if is_limit_near && stream_limit < MAX_STREAM_LIMIT {
+                stream_limit = (stream_limit * 2).min(MAX_STREAM_LIMIT);
+                connection.set_max_concurrent_bi_streams(stream_limit.into());
+                log::info!(peer:% = peer, stream_limit; "raised the number of exchanges that a peer may have open");
+            }
         }
     }
 
@@ -175,7 +195,8 @@
 
 fn transport_config() -> TransportConfig {
     let mut config = TransportConfig::default();
-    config.max_concurrent_bidi_streams(STREAM_LIMIT.into());
+    config.max_concurrent_bidi_streams(INITIAL_STREAM_LIMIT.into());
+    config.max_concurrent_uni_streams(VarInt::from_u32(0));
     config.max_idle_timeout(Some(
         IDLE_TIMEOUT.try_into().expect("the idle timeout fits into a QUIC integer"),
     ));
--- a/src/tests/transport.rs
+++ b/src/tests/transport.rs
@@ -96,3 +96,82 @@
     let response = peer_call(&*client, address, &REQUEST).await;
     assert!(matches!(response, Ok(PeerMessage::Done)), "{response:?}");
 }
+
+/// Hosts that connect to one host in the test of a connection's memory.
+const CONNECTED_HOSTS: usize = 64;
+
+/// Most memory that one connection may take, both ends together, with the endpoint that only it uses, in KiB. An entry
+/// host has 88 MB and must be able to reach some dozens of others beside its work.
+const MAX_CONNECTION_KIB: u64 = 512;
+
+/// Set in the child process that measures its own memory.
+const MEMORY_PROBE_VARIABLE: &str = "RAGWORTKNOT_MEMORY_PROBE";
+
+/// Resident memory of this process, in KiB.
+fn resident_kib() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").expect("the status of this process");
+    let line = status.lines().find_map(|it| it.strip_prefix("VmRSS:")).expect("a resident size");
+    line.trim().trim_end_matches("kB").trim().parse().expect("a number")
+}
+
+#[tokio::test]
+async fn connect_many_peers_in_bounded_memory() {
+    // Other tests of this process allocate at the same time, so a process of its own runs the measurement.
+    if std::env::var_os(MEMORY_PROBE_VARIABLE).is_none() {
+        let program = std::env::current_exe().expect("the path of the test program");
+        let output = std::process::Command::new(program)
+            .args(["--exact", "tests::transport::connect_many_peers_in_bounded_memory"])
+            .env(MEMORY_PROBE_VARIABLE, "1")
+            .output()
+            .expect("the test program starts");
+        assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stdout));
+        return;
+    }
+
+    let authority = CertificateAuthority::generate().expect("failed to generate an authority");
+    let server = transport(&authority, "one");
+    let address = serve(&server);
+    let clients: Vec<Arc<QuicTransport>> =
+        (0..CONNECTED_HOSTS).map(|_| transport(&authority, "two")).collect();
+    let before = resident_kib();
+
+    for client in &clients {
+        client.connect(address).await.expect("failed to connect");
+    }
+
+    let grown = resident_kib().saturating_sub(before) / CONNECTED_HOSTS as u64;
+    assert!(grown <= MAX_CONNECTION_KIB, "{grown} KiB for each connection");
+}
+
+/// Responds to an exchange once a second message has arrived.
+#[derive(Debug)]
+struct WaitingHandler;
+
+#[async_trait]
+impl PeerHandler for WaitingHandler {
+    async fn handle(self: Arc<Self>, _first: PeerMessage, mut stream: Box<dyn PeerStream>) {
+        let _ = stream.receive().await;
+        let _ = stream.send(&PeerMessage::Done).await;
+        stream.finish();
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn open_more_exchanges_than_the_initial_limit() {
+    const EXCHANGES: usize = 400;
+    let authority = CertificateAuthority::generate().expect("failed to generate an authority");
+    let server = transport(&authority, "one");
+    tokio::spawn(Arc::clone(&server).serve(Arc::new(WaitingHandler)));
+    let address = server.address().expect("the endpoint is bound");
+    let client = transport(&authority, "two");
+    let mut streams = Vec::new();
+
+    for _ in 0..EXCHANGES {
+        streams.push(client.open(address, &REQUEST).await.expect("failed to open a stream"));
+    }
+    for mut stream in streams {
+        stream.send(&REQUEST).await.expect("failed to send a message");
+        let response = stream.receive().await;
+        assert!(matches!(response, Ok(Some(PeerMessage::Done))), "{response:?}");
+    }
+}
