--- a/src/entry.rs
+++ b/src/entry.rs
@@ -8,10 +8,10 @@
 mod entry_host;
 pub(crate) mod entry_metrics;
 mod entry_request;
-mod entry_response;
+pub(crate) mod entry_response;
 mod entry_settings;
 pub(crate) mod event_framer;
-mod host_registry;
+pub(crate) mod host_registry;
 mod kind_follower;
 mod mesh_answers;
 pub(crate) mod mesh_connector;
@@ -38,6 +38,7 @@
 mod upstream_record;
 mod written_batches;
 
+pub(crate) use self::host_registry::HostRegistry;
 pub use self::{
     budget_ledger::BudgetLedger,
     entry_host::EntryHost,
--- a/src/entry/budget_ledger.rs
+++ b/src/entry/budget_ledger.rs
@@ -162,6 +162,10 @@
     }
 }
 
+fn is_writer_of(host: &str, writer: &str) -> bool {
+    writer.strip_prefix(host).is_some_and(|rest| rest.starts_with('.'))
+}
+
 /// Accounts of all programs that this host has served or heard of.
 #[derive(Debug, Default)]
 pub struct BudgetLedger {
@@ -216,18 +220,30 @@
         self.total(program) <= budget
     }
 
-    /// Marks a program as announced to all other hosts. Returns whether it already was.
-    pub(crate) fn mark_announced(&mut self, program: &Arc<str>) -> bool {
-        std::mem::replace(&mut self.account(program).is_announced, true)
+    /// Marks a program as announced to all other hosts.
+    pub(crate) fn mark_announced(&mut self, program: &Arc<str>) {
+        self.account(program).is_announced = true;
+    }
+
+    /// Whether all other hosts have been notified that this host serves the program.
+    pub(crate) fn is_announced(&self, program: &Arc<str>) -> bool {
+        self.accounts.get(program).is_some_and(|it| it.is_announced)
+    }
+
+    /// Whether any run of `host` is known to have spent or reserved tokens of a program.
+    pub(crate) fn has_tokens(&self, program: &Arc<str>, host: &str) -> bool {
+        let Some(account) = self.accounts.get(program) else {
+            return false;
+        };
+        let mut writers = account.other_writers.iter();
+        writers.any(|(writer, total)| total.tokens() > 0 && is_writer_of(host, writer))
     }
 
     /// Whether the ledger has a total of any run of `host` for a program. A writer's name begins with its host and a
     /// dot.
     pub(crate) fn has_spent(&self, program: &Arc<str>, host: &str) -> bool {
-        let is_of_host =
-            |writer: &Arc<str>| writer.strip_prefix(host).is_some_and(|rest| rest.starts_with('.'));
         let account = self.accounts.get(program);
-        account.is_some_and(|it| it.other_writers.keys().any(is_of_host))
+        account.is_some_and(|it| it.other_writers.keys().any(|writer| is_writer_of(host, writer)))
     }
 
     /// Returns this writer's total for a program.
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -12,7 +12,7 @@
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 use crate::{
-    BackoffPolicy, CrashTracker, NodeMetrics, PeerHandler, PeerTransport, QuicTransport,
+    BackoffPolicy, CrashTracker, PeerTransport,
     entry::{
         BudgetLedger, EntryBackends, EntryRefusal, EntryRequest, EntryResponse, EntrySettings,
         KindFollower, ObjectListener, PlacementPool, RelayedBody, RouteTable, ServiceConfig,
@@ -28,6 +28,7 @@
         turn_journal::{TurnJournal, TurnRecorder},
         turn_locator::{TurnLocator, TurnSearch},
     },
+    gateway::{ForwardedRequests, HostNetwork, SchedulerEntry},
     hex_text,
 };
 
@@ -75,33 +76,24 @@
     budgets: BudgetContext,
     registry: HostRegistry,
     context: Arc<RunnerContext>,
+    forwarded_requests: ForwardedRequests,
     /// Whether the turns and budgets of earlier runs have been loaded.
     is_restored: watch::Sender<bool>,
 }
 
 impl EntryHost {
-    /// Starts an entry host that joins the others. Returns once the store has answered. From then on, the host serves
-    /// the requests for which it has all it needs; see [`EntryHost::is_ready`].
-    pub async fn start(settings: EntrySettings, backends: EntryBackends) -> Result<Arc<Self>> {
+    /// Starts a scheduler that joins the others. From then on, it serves the requests for which it has all it needs;
+    /// see [`EntryHost::is_ready`].
+    pub(crate) fn start(
+        settings: &EntrySettings,
+        backends: &EntryBackends,
+        network: &HostNetwork,
+    ) -> Result<Arc<Self>> {
+        let settings = settings.clone();
         let run = hex_text(&rand::random::<[u8; 6]>());
         let writer: Arc<str> = format!("{}.{run}", settings.host).into();
         let region = settings.region();
-        let registry = HostRegistry {
-            store: Arc::clone(&backends.store),
-            host: Arc::clone(&settings.host),
-            region: Arc::clone(&region),
-        };
-        let keys = registry.load_or_create_keys().await;
-
-        let quic = Arc::new(QuicTransport::bind(
-            settings.peers_address,
-            &keys,
-            &keys.private_key,
-            Arc::new(NodeMetrics::new()?),
-        )?);
-        // With port 0, the system has chosen a free port.
-        let settings = EntrySettings { peers_address: quic.address()?, ..settings };
-        let transport: Arc<dyn PeerTransport> = Arc::clone(&quic) as Arc<dyn PeerTransport>;
+        let transport = Arc::clone(&network.transport) as Arc<dyn PeerTransport>;
         let metrics = Arc::new(EntryMetrics::new()?);
         let ledger = Arc::new(Mutex::new(BudgetLedger::default()));
         let history = Arc::new(Mutex::new(TurnHistory::default()));
@@ -150,7 +142,7 @@
 
         let runner_context = Arc::new(RunnerContext {
             pool,
-            channel: backends.channel,
+            channel: Arc::clone(&backends.channel),
             journal: Arc::clone(&journal),
             history,
             crashes,
@@ -158,7 +150,7 @@
         });
 
         let peers = KindFollower {
-            store: backends.store,
+            store: Arc::clone(&backends.store),
             kind: REGISTRY_KIND,
             listener: Arc::clone(&mesh) as Arc<dyn ObjectListener>,
         };
@@ -167,13 +159,13 @@
             peers,
             routes: ArcSwap::default(),
             budgets,
-            registry,
+            registry: network.registry.clone(),
             context: runner_context,
+            forwarded_requests: ForwardedRequests::default(),
             is_restored: watch::Sender::new(false),
             settings,
         });
 
-        tokio::spawn(quic.serve(Arc::clone(&mesh) as Arc<dyn PeerHandler>));
         tokio::spawn(Arc::clone(&mesh).run());
         tokio::spawn(journal.run(mesh as Arc<dyn TurnRecorder>, BATCH_RETENTION));
         tokio::spawn(Arc::clone(&host).run_maintenance());
@@ -253,6 +245,27 @@
         self.routes.store(Arc::new(table));
     }
 
+    /// The other schedulers.
+    pub(crate) fn mesh(&self) -> &Arc<PeerMesh> {
+        &self.budgets.mesh
+    }
+
+    /// The requests that other hosts have forwarded to this one.
+    pub(crate) fn forwarded_requests(&self) -> &ForwardedRequests {
+        &self.forwarded_requests
+    }
+
+    /// All known schedulers with this one.
+    pub(crate) fn schedulers(&self) -> Vec<SchedulerEntry> {
+        self.budgets.mesh.schedulers()
+    }
+
+    /// Whether a request may run again elsewhere if this host is lost while it runs.
+    pub(crate) fn is_retryable(&self, request: &EntryRequest) -> bool {
+        let route = self.routes.load().find(&request.host, &request.path).cloned();
+        route.is_some_and(|it| it.kind.is_retryable())
+    }
+
     /// The configuration in force.
     pub fn routes(&self) -> Arc<RouteTable> {
         self.routes.load_full()
--- a/src/entry/entry_response.rs
+++ b/src/entry/entry_response.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use derive_more::{Debug, Display};
 use hyper::{HeaderMap, StatusCode};
+use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
 
 /// Largest number of items of a stream that are buffered for a client. While the buffer is full, nothing is read from
@@ -41,7 +42,7 @@
 }
 
 /// Kind of a refusal, which the entry host sends instead of an upstream's response.
-#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Display, Eq, PartialEq, Serialize)]
 pub enum EntryRefusal {
     /// The request's framing or one of its headers is invalid.
     #[display("malformed")]
--- a/src/entry/entry_settings.rs
+++ b/src/entry/entry_settings.rs
@@ -15,6 +15,8 @@
     pub regions: BTreeMap<Arc<str>, Arc<str>>,
     /// Address on which other entry hosts reach this one. With port 0 the system chooses the port.
     pub peers_address: SocketAddr,
+    /// Part of a core that the host may use, by which larger hosts are preferred as schedulers.
+    pub processor_share: f64,
 }
 
 impl EntrySettings {
--- a/src/entry/host_registry.rs
+++ b/src/entry/host_registry.rs
@@ -8,8 +8,10 @@
 use crate::{
     BackoffPolicy, KeyFiles,
     entry::{
-        ObjectChange, ObjectListener, ObjectStore, StoreError, StoredObject, peer_mesh::PeerMesh,
+        ObjectChange, ObjectListener, ObjectStore, ReadFreshness, StoreError, StoredObject,
+        peer_mesh::PeerMesh,
     },
+    gateway::SchedulerEntry,
     membership::key_files::CertificateAuthority,
 };
 
@@ -117,6 +119,25 @@
         }
     }
 
+    /// Lists the registered hosts.
+    pub(crate) async fn list(
+        &self,
+        freshness: ReadFreshness,
+    ) -> Result<Vec<SchedulerEntry>, StoreError> {
+        let mut schedulers = Vec::new();
+        let mut after: Option<Arc<str>> = None;
+
+        loop {
+            let page = self.store.list(REGISTRY_KIND, after.as_deref(), freshness).await?;
+            after = page.items.last().map(|it| Arc::clone(&it.name));
+            schedulers.extend(page.items.iter().filter_map(decode_scheduler));
+
+            if !page.has_more || after.is_none() {
+                return Ok(schedulers);
+            }
+        }
+    }
+
     /// Removes a host's registry entry. A host that is still alive notices this and registers again.
     pub(crate) async fn remove(&self, host: &Arc<str>) {
         let result = match self.store.get(REGISTRY_KIND, host).await {
@@ -147,6 +168,15 @@
     }
 }
 
+fn decode_scheduler(object: &StoredObject) -> Option<SchedulerEntry> {
+    let Some(HostEntry { address, region }) = object.decode() else {
+        log::warn!(peer:% = object.name; "failed to decode the registry entry of a host");
+        return None;
+    };
+
+    Some(SchedulerEntry { host: Arc::clone(&object.name), address, region, is_draining: false })
+}
+
 impl ObjectListener for PeerMesh {
     fn reset(&self, objects: Vec<StoredObject>) {
         for object in objects {
--- a/src/entry/mesh_connector.rs
+++ b/src/entry/mesh_connector.rs
@@ -8,7 +8,9 @@
 };
 use parking_lot::Mutex;
 
-use crate::{PeerError, PeerMessage, PeerTransport, membership::peer_transport::peer_call};
+use crate::{
+    PeerError, PeerMessage, PeerStream, PeerTransport, membership::peer_transport::peer_call,
+};
 
 /// Attempt to connect to a peer. It resolves to whether there is a connection.
 type ConnectAttempt = Shared<BoxFuture<'static, bool>>;
@@ -44,6 +46,19 @@
         peer_call(&*self.transport, address, message).await
     }
 
+    /// Starts an exchange by sending its first message, after connecting if there is no connection. Has no timeout.
+    pub(crate) async fn open(
+        &self,
+        address: SocketAddr,
+        first: &PeerMessage,
+    ) -> Result<Box<dyn PeerStream>, PeerError> {
+        if !self.transport.is_connected(address) && !self.join_or_start_attempt(address).await {
+            return Err(PeerError::Lost { reason: "failed to connect to the peer".into() });
+        }
+
+        self.transport.open(address, first).await
+    }
+
     /// Drops the connection to a peer.
     pub(crate) fn disconnect(&self, address: SocketAddr) {
         self.transport.disconnect(address);
--- a/src/entry/mesh_queries.rs
+++ b/src/entry/mesh_queries.rs
@@ -60,21 +60,28 @@
     /// of this region, where the program's requests arrive, and those that have spent before. The first exchange goes
     /// to all peers, so that each of them includes this host in its own exchanges from then on: clients keep
     /// connections to hosts of other regions long after their own region is back. All peers are queried as well while
-    /// clients may fail over, and if the region has no other host. Returns the peers that did not respond.
+    /// clients may fail over, and if the region has no other host. Where programs have owners, only peers that have spent
+    /// tokens and those that do not respond are queried after the first exchange: any other one would announce itself
+    /// with its own first exchange. Returns the peers that did not respond.
     pub(crate) async fn exchange_spend(&self, program: &Arc<str>) -> Vec<Arc<str>> {
         let peers: Vec<QueriedPeer> = {
-            let mut ledger = self.ledger.lock();
+            let ledger = self.ledger.lock();
             let peers = self.peers.lock();
             let is_same_region = |peer: &MeshPeer| peer.region == self.identity.region;
-            let is_first = !ledger.mark_announced(program);
+            let is_first = !ledger.is_announced(program);
+            let has_owners = self.has_owners_among(&peers);
             let queries_all = is_first
-                || self.is_failover_possible(&peers)
-                || !peers.values().any(is_same_region);
+                || (!has_owners
+                    && (self.is_failover_possible(&peers) || !peers.values().any(is_same_region)));
 
             peers
                 .iter()
                 .filter(|(host, peer)| {
-                    queries_all || is_same_region(peer) || ledger.has_spent(program, host)
+                    if has_owners {
+                        queries_all || peer.failures > 0 || ledger.has_tokens(program, host)
+                    } else {
+                        queries_all || is_same_region(peer) || ledger.has_spent(program, host)
+                    }
                 })
                 .map(|(host, peer)| QueriedPeer {
                     host: Arc::clone(host),
@@ -91,7 +98,9 @@
         };
 
         let queries = peers.into_iter().map(|peer| self.query_spend(peer, &query));
-        join_all(queries).await.into_iter().flatten().collect()
+        let unresponsive = join_all(queries).await.into_iter().flatten().collect();
+        self.ledger.lock().mark_announced(program);
+        unresponsive
     }
 
     /// Sends a peer a spend query and merges its response. Returns the peer's name if it did not respond.
--- a/src/entry/peer_mesh.rs
+++ b/src/entry/peer_mesh.rs
@@ -23,12 +23,19 @@
         turn_history::TurnHistory,
         turn_journal::TurnJournal,
     },
+    gateway::{SchedulerEntry, role_policy::has_owners},
 };
 
 /// Time between two updates to each peer. Spends that a peer has not received yet are covered by the one turn that the
 /// rules allow a program beyond its budget.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Number of peers to which a host sends updates at the shortest interval.
+const PEERS_PER_UPDATE_INTERVAL: usize = 4;
+
+/// Largest multiple of the shortest interval between updates.
+const MAX_INTERVAL_FACTOR: u32 = 8;
+
 /// Time for a peer to respond. A round trip between regions takes 16 ms.
 pub(super) const PEER_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -195,9 +202,7 @@
     pub(crate) fn serving_host_count(&self) -> u64 {
         let peers = self.peers.lock();
         let min_hosts = if self.is_failover_possible(&peers) { 3 } else { 2 };
-        let region_peers =
-            peers.values().filter(|peer| peer.region == self.identity.region).count();
-        (1 + region_peers as u64).max(min_hosts)
+        (1 + self.region_peer_count(&peers) as u64).max(min_hosts)
     }
 
     /// Whether clients may fail over to hosts of other regions, because a host is draining, unresponsive or slow,
@@ -208,6 +213,46 @@
         is_recent || self.is_draining() || peers.values().any(|peer| peer.is_degraded(now))
     }
 
+    /// All known schedulers with this host.
+    pub(crate) fn schedulers(&self) -> Vec<SchedulerEntry> {
+        let peers = self.peers.lock();
+        let mut schedulers: Vec<SchedulerEntry> = peers
+            .iter()
+            .map(|(host, peer)| SchedulerEntry {
+                host: Arc::clone(host),
+                address: peer.address,
+                region: Arc::clone(&peer.region),
+                is_draining: peer.is_draining,
+            })
+            .collect();
+        schedulers.push(SchedulerEntry {
+            host: Arc::clone(&self.identity.host),
+            address: self.identity.address,
+            region: Arc::clone(&self.identity.region),
+            is_draining: self.is_draining(),
+        });
+        schedulers
+    }
+
+    /// Whether each program has one owner among the schedulers of this region, to which its turns are forwarded.
+    pub(crate) fn has_owners(&self) -> bool {
+        self.has_owners_among(&self.peers.lock())
+    }
+
+    pub(super) fn has_owners_among(&self, peers: &HashMap<Arc<str>, MeshPeer>) -> bool {
+        has_owners(1 + self.region_peer_count(peers))
+    }
+
+    /// Number of hosts among which a program's budget is shared out, so that each of them may reserve its share without
+    /// asking the others. `None` where programs have owners: an owner asks first and then has the whole budget.
+    pub(crate) fn sharing_host_count(&self) -> Option<u64> {
+        (!self.has_owners()).then(|| self.serving_host_count())
+    }
+
+    fn region_peer_count(&self, peers: &HashMap<Arc<str>, MeshPeer>) -> usize {
+        peers.values().filter(|peer| peer.region == self.identity.region).count()
+    }
+
     /// Marks this host as about to stop, and announces it to the peers with the next update.
     pub(crate) fn drain(&self) {
         self.is_draining.store(true, Ordering::Relaxed);
@@ -238,11 +283,19 @@
     /// Sends updates to the peers until the task is dropped.
     pub(crate) async fn run(self: Arc<Self>) {
         loop {
-            sleep(UPDATE_INTERVAL).await;
+            sleep(self.update_interval()).await;
             self.send_updates();
         }
     }
 
+    /// Time until the next update. It grows with the number of peers, so that a host sends about as many updates in a
+    /// large fleet as in a small one. Where programs have owners, little depends on how soon other hosts hear of a spend.
+    fn update_interval(&self) -> Duration {
+        let peers = self.peers.lock();
+        let factor = peers.len() / PEERS_PER_UPDATE_INTERVAL;
+        UPDATE_INTERVAL * u32::try_from(factor).unwrap_or(u32::MAX).clamp(1, MAX_INTERVAL_FACTOR)
+    }
+
     fn send_updates(self: &Arc<Self>) {
         let notes = self.ledger.lock().take_unreported();
         let crashes = self.crashes.lock().take_pending_notes();
--- a/src/entry/route_table.rs
+++ b/src/entry/route_table.rs
@@ -2,6 +2,8 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
+use serde::{Deserialize, Serialize};
+
 /// How a request may be retried, and how it is answered.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RequestKind {
@@ -91,7 +93,7 @@
 }
 
 /// Limits on what a client may send.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RouteLimits {
     /// Largest request head, in bytes.
     pub max_header_bytes: usize,
--- a/src/entry/turn_budget.rs
+++ b/src/entry/turn_budget.rs
@@ -118,7 +118,7 @@
         budget: u64,
         tokens: u64,
     ) -> Result<Self, BudgetRefusal> {
-        let host_count = context.mesh.serving_host_count();
+        let host_count = context.mesh.sharing_host_count().unwrap_or(u64::MAX);
 
         for attempt in 0..MAX_RESERVE_ATTEMPTS {
             if attempt > 0 {
--- /dev/null
+++ b/src/gateway/entry_node.rs
@@ -0,0 +1,332 @@
+//! An entry host in its role: it serves clients as a scheduler or as a gateway, and changes from gateway to scheduler
+//! if its region needs one.
+
+use std::{
+    fmt::Debug,
+    sync::{
+        Arc, OnceLock,
+        atomic::{AtomicBool, Ordering},
+    },
+};
+
+use async_trait::async_trait;
+use eyre::Result;
+use tokio::time::{Duration, sleep, timeout};
+
+use crate::{
+    BackoffPolicy, PeerHandler, PeerMessage, PeerStream, PeerTransport,
+    entry::{
+        EntryBackends, EntryHost, EntryRequest, EntryResponse, EntrySettings, ReadFreshness,
+        RouteLimits, mesh_connector::MeshConnector,
+    },
+    gateway::{
+        DeclineReason, HostNetwork, RequestForwarder, SchedulerDirectory, SchedulerEntry,
+        forward_server::{decline, serve_offer},
+        role_policy::{candidate_delay, is_region_short, should_schedule},
+    },
+};
+
+/// Time between two questions of a gateway to a scheduler for the list of schedulers.
+const FOLLOW_INTERVAL: Duration = Duration::from_millis(700);
+
+/// Time for a scheduler to respond to such a question.
+const FOLLOW_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Questions in a row without a response, or with a list that is too short, after which a gateway reads the registry.
+const MAX_FAILED_QUESTIONS: u32 = 3;
+
+/// Delays between attempts to read the registry while the store does not answer.
+const REGISTRY_BACKOFF: BackoffPolicy =
+    BackoffPolicy { first: Duration::from_millis(100), limit: Duration::from_secs(1) };
+
+/// Time after which a client is asked to retry when no scheduler takes its request.
+const NO_SCHEDULER_RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// Connects a host that has become a scheduler to what only schedulers follow: the configuration and the upstreams.
+pub trait SchedulerStarter: Debug + Send + Sync {
+    /// Called once, when the host has become a scheduler.
+    fn start(&self, host: &Arc<EntryHost>);
+}
+
+/// An entry host with its role.
+#[derive(Debug)]
+pub struct EntryNode {
+    settings: EntrySettings,
+    backends: EntryBackends,
+    network: HostNetwork,
+    starter: Arc<dyn SchedulerStarter>,
+    forwarder: RequestForwarder,
+    /// The scheduler, once this host has become one.
+    host: OnceLock<Arc<EntryHost>>,
+    is_draining: AtomicBool,
+}
+
+impl EntryNode {
+    /// Starts an entry host. Returns once the store has answered; the role is taken afterwards.
+    pub async fn start(
+        settings: EntrySettings,
+        backends: EntryBackends,
+        starter: Arc<dyn SchedulerStarter>,
+    ) -> Result<Arc<Self>> {
+        let network = HostNetwork::join(&settings, &backends.store).await?;
+        // With port 0, the system has chosen a free port.
+        let settings = EntrySettings { peers_address: network.transport.address()?, ..settings };
+        let transport = Arc::clone(&network.transport) as Arc<dyn PeerTransport>;
+        let forwarder = RequestForwarder {
+            connector: Arc::new(MeshConnector::new(transport)),
+            directory: Arc::new(SchedulerDirectory::new(settings.region())),
+        };
+
+        let node = Arc::new(Self {
+            settings,
+            backends,
+            network,
+            starter,
+            forwarder,
+            host: OnceLock::new(),
+            is_draining: AtomicBool::new(false),
+        });
+
+        let handler = Arc::clone(&node) as Arc<dyn PeerHandler>;
+        tokio::spawn(Arc::clone(&node.network.transport).serve(handler));
+        tokio::spawn(Arc::clone(&node).run_role());
+        Ok(node)
+    }
+
+    /// Takes a role, and keeps a gateway's list of schedulers up to date until the gateway becomes a scheduler.
+    async fn run_role(self: Arc<Self>) {
+        loop {
+            sleep(candidate_delay(self.settings.processor_share, rand::random())).await;
+            let schedulers = self.read_registry().await;
+            let region = self.settings.region();
+
+            if should_schedule(&self.settings.host, &region, &schedulers) {
+                match self.become_scheduler() {
+                    Ok(()) => return,
+                    Err(error) => log::error!("failed to become a scheduler: {error:#}"),
+                }
+            }
+
+            log::info!(schedulers = schedulers.len(); "serving as a gateway");
+            self.forwarder.directory.set_schedulers(schedulers);
+            self.follow_schedulers(&region).await;
+        }
+    }
+
+    /// Reads the list of schedulers from the store, until it answers.
+    async fn read_registry(&self) -> Vec<SchedulerEntry> {
+        let mut attempt = 0;
+
+        loop {
+            match self.network.registry.list(ReadFreshness::Linearizable).await {
+                Ok(schedulers) => return schedulers,
+                Err(error) => log::warn!("the list of schedulers can't be read, retrying: {error}"),
+            }
+
+            REGISTRY_BACKOFF.sleep(attempt).await;
+            attempt += 1;
+        }
+    }
+
+    fn become_scheduler(self: &Arc<Self>) -> Result<()> {
+        log::info!(processor_share = self.settings.processor_share; "becoming a scheduler");
+        let host = EntryHost::start(&self.settings, &self.backends, &self.network)?;
+        self.starter.start(&host);
+
+        if self.is_draining.load(Ordering::Relaxed) {
+            host.drain();
+        }
+
+        let _ = self.host.set(host);
+        Ok(())
+    }
+
+    /// Asks schedulers for the list of schedulers, until there is reason to read the registry.
+    async fn follow_schedulers(&self, region: &str) {
+        let mut failures = 0;
+
+        while failures < MAX_FAILED_QUESTIONS {
+            let directory = &self.forwarder.directory;
+
+            for address in directory.suspects() {
+                if let Some(schedulers) = self.query_schedulers(address).await {
+                    directory.mark_responsive(address);
+                    directory.set_schedulers(schedulers);
+                }
+            }
+
+            // A random key spreads the questions over the schedulers of the region.
+            let key = rand::random::<u64>().to_string();
+            let candidate = directory.candidates(&key).into_iter().next();
+
+            let schedulers = match &candidate {
+                Some(scheduler) => self.query_schedulers(scheduler.address).await,
+                None => None,
+            };
+
+            if let Some(schedulers) = schedulers {
+                let is_short = is_region_short(region, &schedulers);
+                failures = if is_short { failures + 1 } else { 0 };
+                directory.set_schedulers(schedulers);
+            } else {
+                failures += 1;
+                if let Some(scheduler) = candidate
+                    && directory.mark_suspect(scheduler.address)
+                {
+                    log::warn!(scheduler:% = scheduler.host; "a scheduler has not sent the list of schedulers");
+                }
+            }
+
+            sleep(FOLLOW_INTERVAL).await;
+        }
+    }
+
+    /// Asks one scheduler for the list; `None` if it is not ready or does not respond in time.
+    async fn query_schedulers(&self, address: std::net::SocketAddr) -> Option<Vec<SchedulerEntry>> {
+        let exchange = self.forwarder.connector.exchange(address, &PeerMessage::SchedulersQuery);
+
+        match timeout(FOLLOW_TIMEOUT, exchange).await {
+            Ok(Ok(PeerMessage::Schedulers { schedulers, config_version, limits })) => {
+                self.forwarder.directory.record_contact(config_version, limits);
+                Some(schedulers)
+            }
+            _ => None,
+        }
+    }
+
+    /// Handles a request of a client. Dropping the future cancels the request.
+    pub async fn handle(&self, request: EntryRequest) -> EntryResponse {
+        let Some(host) = self.host.get() else {
+            let candidates = self.forwarder.directory.candidates(routing_key(&request));
+            let response = self.forwarder.forward(&request, &candidates).await;
+            return response.unwrap_or_else(|| {
+                log::info!(request:% = request.id, schedulers = candidates.len(); "refused: no scheduler takes the request");
+                EntryResponse::not_run(NO_SCHEDULER_RETRY_AFTER, "no scheduler takes the request")
+            });
+        };
+
+        let owners = self.owners_before_this_host(host, &request);
+
+        match self.forwarder.forward(&request, &owners).await {
+            Some(response) => response,
+            None => host.handle(request).await,
+        }
+    }
+
+    /// Schedulers that come before this one in the order of a program's owners, so that a turn should run there; none
+    /// for other requests.
+    fn owners_before_this_host(
+        &self,
+        host: &Arc<EntryHost>,
+        request: &EntryRequest,
+    ) -> Vec<SchedulerEntry> {
+        let is_turn = request.program.as_ref().is_some_and(|it| it.token_budget.is_some());
+
+        if !is_turn || !host.mesh().has_owners() {
+            return Vec::new();
+        }
+
+        self.forwarder.directory.set_schedulers(host.schedulers());
+        let candidates = self.forwarder.directory.candidates(routing_key(request));
+        candidates.into_iter().take_while(|it| it.host != self.settings.host).collect()
+    }
+
+    /// Limits on clients.
+    pub fn limits(&self) -> RouteLimits {
+        self.host.get().map_or_else(|| self.forwarder.directory.limits(), |it| it.routes().limits)
+    }
+
+    /// Whether new clients should be sent here.
+    pub fn is_ready(&self) -> bool {
+        let is_serving = match self.host.get() {
+            Some(host) => host.is_ready(),
+            None => self.forwarder.directory.is_in_contact(),
+        };
+        is_serving && !self.is_draining()
+    }
+
+    /// Whether the host has been asked to drain.
+    pub fn is_draining(&self) -> bool {
+        self.is_draining.load(Ordering::Relaxed)
+    }
+
+    /// Makes the host unready, so that clients move to other hosts. It still serves the requests that arrive.
+    pub fn drain(&self) {
+        self.is_draining.store(true, Ordering::Relaxed);
+
+        if let Some(host) = self.host.get() {
+            host.drain();
+        }
+    }
+
+    /// Waits until no request runs here that another host has forwarded.
+    pub async fn wait_until_idle(&self) {
+        if let Some(host) = self.host.get() {
+            host.forwarded_requests().wait_until_none().await;
+        }
+    }
+
+    /// Records what is not recorded, and removes this host from the registry. Each step takes at most `max_wait`.
+    pub async fn finish(&self, max_wait: Duration) {
+        let Some(host) = self.host.get() else {
+            return;
+        };
+
+        host.flush(max_wait).await;
+        let _ = timeout(max_wait, host.deregister()).await;
+    }
+
+    /// Metrics in the Prometheus text format; a gateway has none of its own yet.
+    pub fn metrics_text(&self) -> Result<String> {
+        self.host.get().map_or_else(|| Ok(String::new()), |it| it.metrics_text())
+    }
+}
+
+/// Key by which a request is assigned to a scheduler: the program for turns, whose budget and history its owner keeps,
+/// and the request itself for all others.
+fn routing_key(request: &EntryRequest) -> &str {
+    match &request.program {
+        Some(program) if program.token_budget.is_some() => &program.id,
+        _ => &request.id,
+    }
+}
+
+#[async_trait]
+impl PeerHandler for EntryNode {
+    async fn handle(self: Arc<Self>, first: PeerMessage, mut stream: Box<dyn PeerStream>) {
+        let result = match (first, self.host.get()) {
+            (PeerMessage::ForwardOffer { min_config_version, request }, Some(host)) => {
+                serve_offer(host, min_config_version, *request, stream.as_mut()).await
+            }
+            (PeerMessage::ForwardOffer { .. }, None) => {
+                decline(stream.as_mut(), DeclineReason::NotScheduler).await
+            }
+            (PeerMessage::SchedulersQuery, Some(host)) if host.is_ready() => {
+                let table = host.routes();
+                let response = PeerMessage::Schedulers {
+                    schedulers: host.schedulers(),
+                    config_version: table.version,
+                    limits: table.limits,
+                };
+                stream.send(&response).await
+            }
+            (PeerMessage::SchedulersQuery, _) => {
+                let reason = "not a scheduler that is ready".into();
+                stream.send(&PeerMessage::Refused { reason }).await
+            }
+            (message, Some(host)) => {
+                return Arc::clone(host.mesh()).handle(message, stream).await;
+            }
+            (_, None) => {
+                let reason = "not a scheduler".into();
+                stream.send(&PeerMessage::Refused { reason }).await
+            }
+        };
+
+        if let Err(error) = result {
+            log::debug!("an exchange with a peer failed: {error}");
+        }
+
+        stream.finish();
+    }
+}
--- /dev/null
+++ b/src/gateway/forward_server.rs
@@ -0,0 +1,118 @@
+//! Serves the requests that other hosts forward to a scheduler.
+
+use std::sync::Arc;
+
+use tokio::time::{Duration, Instant, timeout};
+
+use crate::{
+    PeerError, PeerMessage, PeerStream,
+    entry::{EntryHost, EntryResponse, RelayedBody, StreamItem},
+    gateway::{DeclineReason, ForwardedHead, ForwardedRequest, forwarded_request::encode_headers},
+};
+
+/// Time for the offering host to confirm that the request is to run here. It gives up sooner if it has not received
+/// the acceptance.
+const CONFIRM_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Serves an offer: accepts or declines it, and runs the request once that is confirmed. The offering host ends its
+/// side of the stream when its client has left, which cancels the request.
+pub(crate) async fn serve_offer(
+    host: &Arc<EntryHost>,
+    min_config_version: u64,
+    request: ForwardedRequest,
+    stream: &mut dyn PeerStream,
+) -> Result<(), PeerError> {
+    let Some(request) = request.decode(Instant::now()) else {
+        return decline(stream, DeclineReason::Malformed).await;
+    };
+
+    if let Some(reason) = decline_reason(host, min_config_version) {
+        return decline(stream, reason).await;
+    }
+
+    let _guard = host.forwarded_requests().begin();
+    let accepted = PeerMessage::ForwardAccepted {
+        is_retryable: host.is_retryable(&request),
+        config_version: host.routes().version,
+    };
+    stream.send(&accepted).await?;
+
+    let confirmation = timeout(CONFIRM_TIMEOUT, stream.receive()).await;
+
+    if !matches!(confirmation, Ok(Ok(Some(PeerMessage::ForwardConfirmed)))) {
+        log::info!(request:% = request.id; "an accepted request was not confirmed, so it is not run");
+        return Ok(());
+    }
+
+    let id = Arc::clone(&request.id);
+
+    let response = tokio::select! {
+        response = host.handle(request) => response,
+        _ = stream.receive() => {
+            log::info!(request:% = id; "the forwarding host has cancelled a request");
+            return Ok(());
+        }
+    };
+
+    send_response(response, stream).await
+}
+
+/// Why this host can't take a request now, if so.
+fn decline_reason(host: &EntryHost, min_config_version: u64) -> Option<DeclineReason> {
+    if host.is_draining() {
+        Some(DeclineReason::Draining)
+    } else if !host.is_ready() {
+        Some(DeclineReason::NotReady)
+    } else if host.routes().version < min_config_version {
+        Some(DeclineReason::StaleConfig)
+    } else {
+        None
+    }
+}
+
+pub(crate) async fn decline(
+    stream: &mut dyn PeerStream,
+    reason: DeclineReason,
+) -> Result<(), PeerError> {
+    stream.send(&PeerMessage::ForwardDeclined { reason }).await
+}
+
+async fn send_response(
+    response: EntryResponse,
+    stream: &mut dyn PeerStream,
+) -> Result<(), PeerError> {
+    let relayed = match response {
+        EntryResponse::Relayed(relayed) => relayed,
+        EntryResponse::Refused { refusal, reason } => {
+            return stream.send(&PeerMessage::ForwardRefused { refusal, reason }).await;
+        }
+    };
+
+    let (body, mut events) = match relayed.body {
+        RelayedBody::Whole(body) => (Some(body), None),
+        RelayedBody::Events(events) => (None, Some(events)),
+    };
+    let head = ForwardedHead {
+        status: relayed.status.as_u16(),
+        headers: encode_headers(&relayed.headers),
+        body,
+    };
+    stream.send(&PeerMessage::ForwardHead(head)).await?;
+
+    while let Some(events) = &mut events {
+        let item = tokio::select! {
+            item = events.recv() => item,
+            _ = stream.receive() => return Ok(()),
+        };
+
+        match item {
+            Some(StreamItem::Bytes(bytes)) => {
+                stream.send(&PeerMessage::ForwardBytes { bytes }).await?;
+            }
+            Some(StreamItem::End) => return stream.send(&PeerMessage::ForwardEnd).await,
+            None => return Ok(()),
+        }
+    }
+
+    Ok(())
+}
--- /dev/null
+++ b/src/gateway/forwarded_request.rs
@@ -0,0 +1,127 @@
+//! A client's request as one host forwards it to another.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use hyper::{HeaderMap, Method, header::HeaderName, header::HeaderValue};
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+use crate::entry::{EntryRequest, ProgramContext, PromptPart};
+
+/// Names and values of headers.
+pub(crate) type HeaderList = Vec<(Arc<str>, Bytes)>;
+
+/// Time by which the deadline that a scheduler gets precedes the client's, for the way back through the gateway.
+const FORWARD_MARGIN: Duration = Duration::from_millis(6);
+
+/// A request of a client. Times are sent as spans, since hosts have no common clock.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct ForwardedRequest {
+    id: Arc<str>,
+    method: Arc<str>,
+    host: Arc<str>,
+    target: Arc<str>,
+    headers: HeaderList,
+    body: Bytes,
+    /// Time since the gateway had read the whole request.
+    age: Duration,
+    /// Time until the client stops waiting.
+    time_left: Option<Duration>,
+    program: Option<ForwardedProgram>,
+    prompt_tokens: u64,
+    max_completion_tokens: u64,
+    /// Id and length in tokens of each part of the prompt.
+    prompt_parts: Vec<(u64, u64)>,
+    last_event_id: Option<Arc<str>>,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+struct ForwardedProgram {
+    id: Arc<str>,
+    session: Option<Arc<str>>,
+    /// Time until the program should have finished.
+    finish_in: Option<Duration>,
+    token_budget: Option<u64>,
+    previous_turn: Option<Arc<str>>,
+}
+
+impl ForwardedRequest {
+    /// Encodes a request at the time `now`.
+    pub(crate) fn encode(request: &EntryRequest, now: Instant) -> Self {
+        let until = |time: Instant| time.saturating_duration_since(now);
+
+        Self {
+            id: Arc::clone(&request.id),
+            method: request.method.as_str().into(),
+            host: Arc::clone(&request.host),
+            target: Arc::clone(&request.target),
+            headers: encode_headers(&request.headers),
+            body: request.body.clone(),
+            age: now.saturating_duration_since(request.received),
+            time_left: request.deadline.map(|it| until(it).saturating_sub(FORWARD_MARGIN)),
+            program: request.program.as_ref().map(|program| ForwardedProgram {
+                id: Arc::clone(&program.id),
+                session: program.session.clone(),
+                finish_in: program.finish_by.map(until),
+                token_budget: program.token_budget,
+                previous_turn: program.previous_turn.clone(),
+            }),
+            prompt_tokens: request.prompt_tokens,
+            max_completion_tokens: request.max_completion_tokens,
+            prompt_parts: request.prompt_parts.iter().map(|it| (it.id, it.tokens)).collect(),
+            last_event_id: request.last_event_id.clone(),
+        }
+    }
+
+    /// Decodes a request that arrived at the time `now`. Returns `None` if its method or a header is not valid in HTTP.
+    pub(crate) fn decode(self, now: Instant) -> Option<EntryRequest> {
+        let path = self.target.split('?').next().unwrap_or_default();
+
+        Some(EntryRequest {
+            id: self.id,
+            method: Method::from_bytes(self.method.as_bytes()).ok()?,
+            host: self.host,
+            path: path.into(),
+            headers: decode_headers(&self.headers)?,
+            body: self.body,
+            received: now.checked_sub(self.age).unwrap_or(now),
+            deadline: self.time_left.and_then(|it| now.checked_add(it)),
+            program: self.program.map(|program| ProgramContext {
+                id: program.id,
+                session: program.session,
+                finish_by: program.finish_in.and_then(|it| now.checked_add(it)),
+                token_budget: program.token_budget,
+                previous_turn: program.previous_turn,
+            }),
+            prompt_tokens: self.prompt_tokens,
+            max_completion_tokens: self.max_completion_tokens,
+            prompt_parts: self
+                .prompt_parts
+                .into_iter()
+                .map(|(id, tokens)| PromptPart { id, tokens })
+                .collect(),
+            last_event_id: self.last_event_id,
+            target: self.target,
+        })
+    }
+}
+
+pub(crate) fn encode_headers(headers: &HeaderMap) -> HeaderList {
+    headers
+        .iter()
+        .map(|(name, value)| (name.as_str().into(), Bytes::copy_from_slice(value.as_bytes())))
+        .collect()
+}
+
+/// Decodes headers; returns `None` if one of them is not valid in HTTP.
+pub(crate) fn decode_headers(headers: &HeaderList) -> Option<HeaderMap> {
+    let mut decoded = HeaderMap::with_capacity(headers.len());
+
+    for (name, value) in headers {
+        let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
+        decoded.append(name, HeaderValue::from_bytes(value).ok()?);
+    }
+
+    Some(decoded)
+}
--- /dev/null
+++ b/src/gateway/request_forwarder.rs
@@ -0,0 +1,248 @@
+//! Forwards clients' requests to schedulers.
+//!
+//! A request is offered first, and runs only once the offer was accepted and the acceptance confirmed. So a scheduler
+//! that does not answer in time can be passed over without the risk that the request runs twice. See
+//! docs/design/fleet.md, "Forwarding".
+
+use std::{net::SocketAddr, sync::Arc};
+
+use hyper::StatusCode;
+use tokio::{
+    sync::mpsc,
+    time::{Duration, Instant, sleep_until, timeout, timeout_at},
+};
+
+use crate::{
+    PeerError, PeerMessage, PeerStream,
+    entry::{
+        EntryRefusal, EntryRequest, EntryResponse, RelayedBody, RelayedResponse, StreamItem,
+        entry_response::MAX_BUFFERED_ITEMS, mesh_connector::MeshConnector,
+    },
+    gateway::{
+        DeclineReason, ForwardedHead, ForwardedRequest, SchedulerDirectory, SchedulerEntry,
+        forwarded_request::decode_headers,
+    },
+};
+
+/// Time for a scheduler to accept an offer, with the time to connect. A round trip between regions takes 16 ms, and a
+/// host that has used up its share of a core stands still for up to 100 ms.
+const OFFER_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Most schedulers to which one request is offered.
+const MAX_OFFERS: usize = 6;
+
+/// Time for which the gateway waits for a scheduler beyond the client's deadline, so that the scheduler's own answer
+/// comes first.
+const DEADLINE_SLACK: Duration = Duration::from_millis(50);
+
+/// Longest wait for the response to a request without a deadline.
+const DEFAULT_TIMEOUT: Duration = Duration::from_mins(1);
+
+/// Response of a scheduler to an offer.
+enum OfferOutcome {
+    Accepted { stream: Box<dyn PeerStream>, is_retryable: bool },
+    Declined(DeclineReason),
+    Silent(PeerError),
+}
+
+/// What became of a request that a scheduler has accepted.
+enum ForwardOutcome {
+    Response(EntryResponse),
+    /// The scheduler was lost before its response began; the request may have run.
+    Lost(PeerError),
+}
+
+/// Forwards requests of this host's clients.
+#[derive(Clone, Debug)]
+pub(crate) struct RequestForwarder {
+    pub(crate) connector: Arc<MeshConnector>,
+    pub(crate) directory: Arc<SchedulerDirectory>,
+}
+
+impl RequestForwarder {
+    /// Forwards a request to the first of the candidates that accepts it, and returns its response, or `None` if none
+    /// of them does, so that the request has not run. Dropping the future cancels the request.
+    pub(crate) async fn forward(
+        &self,
+        request: &EntryRequest,
+        candidates: &[SchedulerEntry],
+    ) -> Option<EntryResponse> {
+        let deadline = request.deadline.unwrap_or(request.received + DEFAULT_TIMEOUT);
+        let mut may_have_run = false;
+        let mut offers = 0;
+
+        for scheduler in candidates.iter().take(MAX_OFFERS) {
+            if Instant::now() >= deadline {
+                break;
+            }
+
+            offers += 1;
+            let offered_at = Instant::now();
+
+            let (stream, is_retryable) = match self.offer(request, scheduler.address).await {
+                OfferOutcome::Accepted { stream, is_retryable } => (stream, is_retryable),
+                OfferOutcome::Declined(reason) => {
+                    log::info!(request:% = request.id, scheduler:% = scheduler.host; "a scheduler has declined a request: {reason}");
+                    continue;
+                }
+                OfferOutcome::Silent(error) => {
+                    log::warn!(
+                        request:% = request.id, scheduler:% = scheduler.host,
+                        waited_ms = offered_at.elapsed().as_millis() as u64;
+                        "a scheduler has not responded to an offer: {error}"
+                    );
+                    self.directory.mark_suspect(scheduler.address);
+                    continue;
+                }
+            };
+
+            log::info!(
+                request:% = request.id, scheduler:% = scheduler.host, offers,
+                waited_ms = offered_at.elapsed().as_millis() as u64;
+                "forwarded"
+            );
+
+            match self.run(stream, deadline + DEADLINE_SLACK).await {
+                ForwardOutcome::Response(response) => return Some(response),
+                ForwardOutcome::Lost(error) => {
+                    log::warn!(request:% = request.id, scheduler:% = scheduler.host, is_retryable; "a scheduler was lost while it ran a request: {error}");
+                    self.directory.mark_suspect(scheduler.address);
+                    may_have_run = true;
+
+                    if !is_retryable {
+                        break;
+                    }
+                }
+            }
+        }
+
+        may_have_run
+            .then(|| EntryResponse::refused(EntryRefusal::ResponseLost, "the scheduler was lost"))
+    }
+
+    async fn offer(&self, request: &EntryRequest, address: SocketAddr) -> OfferOutcome {
+        let offer = PeerMessage::ForwardOffer {
+            min_config_version: self.directory.config_version(),
+            request: Box::new(ForwardedRequest::encode(request, Instant::now())),
+        };
+
+        let exchange = async {
+            let mut stream = self.connector.open(address, &offer).await?;
+            let response = stream.receive().await?;
+            Ok::<_, PeerError>((stream, response))
+        };
+
+        match timeout(OFFER_TIMEOUT, exchange).await {
+            Ok(Ok((
+                stream,
+                Some(PeerMessage::ForwardAccepted { is_retryable, config_version }),
+            ))) => {
+                self.directory.record_config_version(config_version);
+                OfferOutcome::Accepted { stream, is_retryable }
+            }
+            Ok(Ok((_, Some(PeerMessage::ForwardDeclined { reason })))) => {
+                OfferOutcome::Declined(reason)
+            }
+            Ok(Ok((_, other))) => OfferOutcome::Silent(unexpected(other)),
+            Ok(Err(error)) => OfferOutcome::Silent(error),
+            Err(_) => OfferOutcome::Silent(PeerError::Overdue),
+        }
+    }
+
+    /// Confirms an accepted request and reads its response.
+    async fn run(&self, mut stream: Box<dyn PeerStream>, deadline: Instant) -> ForwardOutcome {
+        if let Err(error) = stream.send(&PeerMessage::ForwardConfirmed).await {
+            return ForwardOutcome::Lost(error);
+        }
+
+        let response = match timeout_at(deadline, stream.receive()).await {
+            Ok(Ok(response)) => response,
+            Ok(Err(error)) => return ForwardOutcome::Lost(error),
+            Err(_) => {
+                return ForwardOutcome::Response(EntryResponse::refused(
+                    EntryRefusal::DeadlineExceeded,
+                    "the time has run out",
+                ));
+            }
+        };
+
+        match response {
+            Some(PeerMessage::ForwardRefused { refusal, reason }) => {
+                ForwardOutcome::Response(EntryResponse::refused(refusal, reason))
+            }
+            Some(PeerMessage::ForwardHead(head)) => match decode_head(head, stream, deadline) {
+                Some(relayed) => ForwardOutcome::Response(EntryResponse::Relayed(relayed)),
+                None => ForwardOutcome::Lost(PeerError::Refused {
+                    reason: "the head of the response is not valid in HTTP".into(),
+                }),
+            },
+            other => ForwardOutcome::Lost(unexpected(other)),
+        }
+    }
+}
+
+fn unexpected(message: Option<PeerMessage>) -> PeerError {
+    let reason = match message {
+        Some(PeerMessage::Refused { reason }) => reason.to_string(),
+        Some(_) => "the message does not fit the exchange".into(),
+        None => "the peer has ended the exchange".into(),
+    };
+    PeerError::Lost { reason }
+}
+
+/// Decodes the head of a response. A streamed body is relayed by a task that ends with the client or the deadline.
+fn decode_head(
+    head: ForwardedHead,
+    stream: Box<dyn PeerStream>,
+    deadline: Instant,
+) -> Option<RelayedResponse> {
+    let status = StatusCode::from_u16(head.status).ok()?;
+    let headers = decode_headers(&head.headers)?;
+
+    let body = if let Some(body) = head.body {
+        RelayedBody::Whole(body)
+    } else {
+        let (sender, receiver) = mpsc::channel(MAX_BUFFERED_ITEMS);
+        tokio::spawn(relay_body(stream, sender, deadline));
+        RelayedBody::Events(receiver)
+    };
+
+    Some(RelayedResponse { status, headers, body })
+}
+
+/// Relays a streamed body. If the stream ends early, the sender is dropped without [`StreamItem::End`].
+async fn relay_body(
+    mut stream: Box<dyn PeerStream>,
+    sender: mpsc::Sender<StreamItem>,
+    deadline: Instant,
+) {
+    loop {
+        let received = tokio::select! {
+            received = stream.receive() => received,
+            () = sender.closed() => return,
+            () = sleep_until(deadline) => {
+                log::info!("a forwarded stream was broken off: the deadline has passed");
+                return;
+            }
+        };
+
+        let item = match received {
+            Ok(Some(PeerMessage::ForwardBytes { bytes })) => StreamItem::Bytes(bytes),
+            Ok(Some(PeerMessage::ForwardEnd)) => StreamItem::End,
+            Ok(other) => {
+                log::info!("a forwarded stream has broken off: {}", unexpected(other));
+                return;
+            }
+            Err(error) => {
+                log::warn!("a forwarded stream has broken off: {error}");
+                return;
+            }
+        };
+
+        let is_end = matches!(item, StreamItem::End);
+
+        if sender.send(item).await.is_err() || is_end {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/scheduler_entry.rs
@@ -0,0 +1,16 @@
+//! A scheduler as other hosts see it.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+
+/// A scheduler, as schedulers describe each other to gateways.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct SchedulerEntry {
+    pub(crate) host: Arc<str>,
+    /// Address at which other hosts reach it.
+    pub(crate) address: SocketAddr,
+    pub(crate) region: Arc<str>,
+    /// Whether it is about to stop and takes no further requests.
+    pub(crate) is_draining: bool,
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 mod configuration;
 mod dispatch;
 pub mod entry;
+pub mod gateway;
 mod interface;
 mod membership;
 mod platform_calls;
@@ -73,7 +74,7 @@
         peer_message::{CellRefusal, PeerMessage},
         peer_service::PeerService,
         peer_transport::{PeerHandler, PeerStream, PeerTransport},
-        quic_transport::QuicTransport,
+        quic_transport::{IdlePolicy, QuicTransport},
     },
     platform_calls::{
         call_limiter::CallLimiter,
--- a/src/membership/peer_message.rs
+++ b/src/membership/peer_message.rs
@@ -2,16 +2,19 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 use crate::{
     CellId, CellReport, CellRequest, ConfigEntry, CrashNote, HostName, MemberRumor, ProgramEvent,
     ProgramId, ProgramRequest, ShardId, UpstreamName,
     entry::{
+        EntryRefusal, RouteLimits,
         batch_index::IndexedBatch,
         budget_ledger::{SpendNote, WriterSpends},
         turn_history::HistoryTurn,
     },
+    gateway::{DeclineReason, ForwardedHead, ForwardedRequest, SchedulerEntry},
 };
 
 /// One message. The first of a stream determines the kind of the exchange. The order of the variants is the wire
@@ -178,6 +181,47 @@
         reason: Arc<str>,
     },
     Done,
+
+    /// Forwarding: a client's request that the receiver is asked to run. The response is `ForwardAccepted` or
+    /// `ForwardDeclined`; nothing runs before the sender has confirmed the acceptance.
+    ForwardOffer {
+        /// The receiver must not use an older configuration than this.
+        min_config_version: u64,
+        request: Box<ForwardedRequest>,
+    },
+    /// Forwarding: the sender runs the request once it has received `ForwardConfirmed`.
+    ForwardAccepted {
+        /// Whether the request may run again elsewhere if the sender is lost.
+        is_retryable: bool,
+        config_version: u64,
+    },
+    /// Forwarding: the sender does not run the request.
+    ForwardDeclined {
+        reason: DeclineReason,
+    },
+    /// Forwarding: the accepted request is to run.
+    ForwardConfirmed,
+    /// Forwarding: an upstream's response, or its head, followed by `ForwardBytes` and, if it is complete, `ForwardEnd`.
+    ForwardHead(ForwardedHead),
+    /// Forwarding: the request has ended with a refusal by the sender.
+    ForwardRefused {
+        refusal: EntryRefusal,
+        reason: Arc<str>,
+    },
+    /// Forwarding: bytes of whole events.
+    ForwardBytes {
+        bytes: Bytes,
+    },
+    /// Forwarding: the streamed response is complete.
+    ForwardEnd,
+    /// Roles: request of a gateway for the list of schedulers. The response is `Schedulers`.
+    SchedulersQuery,
+    /// Roles: the schedulers that the sender knows, with itself, and its configuration's version and limits.
+    Schedulers {
+        schedulers: Vec<SchedulerEntry>,
+        config_version: u64,
+        limits: RouteLimits,
+    },
 }
 
 impl PeerMessage {
@@ -199,6 +243,14 @@
                 | Self::Knowledge { .. }
                 | Self::TurnQuery { .. }
                 | Self::Turns { .. }
+                | Self::ForwardOffer { .. }
+                | Self::ForwardAccepted { .. }
+                | Self::ForwardDeclined { .. }
+                | Self::ForwardConfirmed
+                | Self::ForwardHead(_)
+                | Self::ForwardRefused { .. }
+                | Self::ForwardBytes { .. }
+                | Self::ForwardEnd
         )
     }
 }
--- a/src/membership/quic_transport.rs
+++ b/src/membership/quic_transport.rs
@@ -32,9 +32,34 @@
 /// Number to which the limit of a connection may grow. It doubles whenever half of it is in use.
 const MAX_STREAM_LIMIT: u32 = 16_384;
 
-/// Time after which an idle connection is closed. Opening one costs several kilobytes, more than a host's budget for
-/// control traffic, so it has to stay open from one membership probe of the peer to the next.
-const IDLE_TIMEOUT: Duration = Duration::from_mins(10);
+/// How a transport finds out that a peer is gone which sends nothing.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum IdlePolicy {
+    /// Connections stay open from one membership probe of the peer to the next, which find silent peers. Opening one
+    /// costs several kilobytes, more than a host's budget for control traffic.
+    Probed,
+    /// Connections are kept alive, and closed when the peer is silent, so that an exchange which waits for a response
+    /// fails soon.
+    KeptAlive,
+}
+
+impl IdlePolicy {
+    /// Time after which a connection is closed on which nothing arrives.
+    fn timeout(self) -> Duration {
+        match self {
+            Self::Probed => Duration::from_mins(10),
+            Self::KeptAlive => Duration::from_secs(2),
+        }
+    }
+
+    /// Time without traffic after which a probe is sent. Three probes may be lost before the timeout.
+    fn keep_alive_interval(self) -> Option<Duration> {
+        match self {
+            Self::Probed => None,
+            Self::KeptAlive => Some(Duration::from_millis(500)),
+        }
+    }
+}
 
 /// Time to connect to a peer, to open a stream, or to close all connections.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -57,6 +82,7 @@
         address: SocketAddr,
         keys: &KeyFiles,
         reset_secret: &str,
+        idle_policy: IdlePolicy,
         metrics: Arc<NodeMetrics>,
     ) -> Result<Self> {
         let provider = Arc::new(rustls::crypto::ring::default_provider());
@@ -79,7 +105,7 @@
             .with_client_auth_cert(keys.certificate_chain()?, keys.private_key()?)?;
         client.alpn_protocols = vec![ALPN_PROTOCOL.into()];
 
-        let transport = Arc::new(transport_config());
+        let transport = Arc::new(transport_config(idle_policy));
         let mut server = ServerConfig::with_crypto(Arc::new(QuicServerConfig::try_from(server)?));
         server.transport_config(Arc::clone(&transport));
         let mut client = ClientConfig::new(Arc::new(QuicClientConfig::try_from(client)?));
@@ -193,13 +219,14 @@
     }
 }
 
-fn transport_config() -> TransportConfig {
+fn transport_config(idle_policy: IdlePolicy) -> TransportConfig {
     let mut config = TransportConfig::default();
     config.max_concurrent_bidi_streams(INITIAL_STREAM_LIMIT.into());
     config.max_concurrent_uni_streams(VarInt::from_u32(0));
     config.max_idle_timeout(Some(
-        IDLE_TIMEOUT.try_into().expect("the idle timeout fits into a QUIC integer"),
+        idle_policy.timeout().try_into().expect("the idle timeout fits into a QUIC integer"),
     ));
+    config.keep_alive_interval(idle_policy.keep_alive_interval());
     config.initial_rtt(Duration::from_millis(50));
     config
 }
--- a/src/process/node_core.rs
+++ b/src/process/node_core.rs
@@ -7,8 +7,8 @@
 
 use crate::{
     ClusterView, ConfigSpreader, ConfigStore, GuardedPlatform, HostRecord, HttpPlatform,
-    MembershipService, MembershipTable, NodeMetrics, NodeSettings, PeerTransport, PlatformClient,
-    QuicTransport, WriterId, basics::unix_clock::unix_millis,
+    IdlePolicy, MembershipService, MembershipTable, NodeMetrics, NodeSettings, PeerTransport,
+    PlatformClient, QuicTransport, WriterId, basics::unix_clock::unix_millis,
 };
 
 /// Delay before the store is read to find out whether a configuration patch without a response was written.
@@ -42,6 +42,7 @@
             settings.peers_address,
             &settings.keys,
             &settings.receipt_key,
+            IdlePolicy::Probed,
             Arc::clone(metrics),
         )?);
 
--- /dev/null
+++ b/src/tests/gateway_forwarding.rs
@@ -0,0 +1,238 @@
+//! Forwarding of requests to schedulers that decline, do not respond, or are lost.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    net::SocketAddr,
+    sync::Arc,
+};
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use hyper::{HeaderMap, Method};
+use parking_lot::Mutex;
+use tokio::time::{Duration, Instant};
+
+use crate::{
+    PeerError, PeerMessage, PeerStream, PeerTransport,
+    entry::{
+        EntryRefusal, EntryRequest, EntryResponse, ProgramContext, PromptPart, RelayedBody,
+        StreamItem, mesh_connector::MeshConnector,
+    },
+    gateway::{
+        DeclineReason, ForwardedHead, ForwardedRequest, RequestForwarder, SchedulerDirectory,
+        SchedulerEntry,
+    },
+};
+
+/// What a scheduler sends, in order. Once nothing is left, the exchange breaks.
+type Script = VecDeque<PeerMessage>;
+
+/// Transport to schedulers with scripts; one without a script never responds. It records the messages sent to each.
+#[derive(Debug, Default)]
+struct ScriptedTransport {
+    scripts: Mutex<HashMap<SocketAddr, Script>>,
+    sent: Arc<Mutex<Vec<(SocketAddr, &'static str)>>>,
+}
+
+#[derive(Debug)]
+struct ScriptedStream {
+    peer: SocketAddr,
+    script: Option<Script>,
+    sent: Arc<Mutex<Vec<(SocketAddr, &'static str)>>>,
+}
+
+#[async_trait]
+impl PeerStream for ScriptedStream {
+    async fn receive(&mut self) -> Result<Option<PeerMessage>, PeerError> {
+        match &mut self.script {
+            Some(script) => match script.pop_front() {
+                Some(message) => Ok(Some(message)),
+                None => Err(PeerError::Lost { reason: "reset".into() }),
+            },
+            None => std::future::pending().await,
+        }
+    }
+
+    async fn send(&mut self, message: &PeerMessage) -> Result<(), PeerError> {
+        if matches!(message, PeerMessage::ForwardConfirmed) {
+            self.sent.lock().push((self.peer, "confirmed"));
+        }
+        Ok(())
+    }
+
+    fn finish(&mut self) {}
+}
+
+#[async_trait]
+impl PeerTransport for ScriptedTransport {
+    fn disconnect(&self, _peer: SocketAddr) {}
+
+    fn is_connected(&self, _peer: SocketAddr) -> bool {
+        true
+    }
+
+    async fn connect(&self, _peer: SocketAddr) -> Result<(), PeerError> {
+        Ok(())
+    }
+
+    async fn open(
+        &self,
+        peer: SocketAddr,
+        _first: &PeerMessage,
+    ) -> Result<Box<dyn PeerStream>, PeerError> {
+        self.sent.lock().push((peer, "offered"));
+        let script = self.scripts.lock().remove(&peer);
+        Ok(Box::new(ScriptedStream { peer, script, sent: Arc::clone(&self.sent) }))
+    }
+}
+
+fn address(number: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], number))
+}
+
+fn request() -> EntryRequest {
+    let now = Instant::now();
+    let mut headers = HeaderMap::new();
+    headers.append("x-custom", "one".parse().expect("a header value"));
+    headers.append("x-custom", "two".parse().expect("a header value"));
+
+    EntryRequest {
+        id: "r1".into(),
+        method: Method::POST,
+        host: "a.example".into(),
+        path: "/chat/1".into(),
+        target: "/chat/1?q=2".into(),
+        headers,
+        body: Bytes::from_static(b"input"),
+        received: now,
+        deadline: Some(now + Duration::from_secs(3)),
+        program: Some(ProgramContext {
+            id: "p1".into(),
+            session: Some("s1".into()),
+            finish_by: Some(now + Duration::from_secs(9)),
+            token_budget: Some(400),
+            previous_turn: Some("r0".into()),
+        }),
+        prompt_tokens: 10,
+        max_completion_tokens: 92,
+        prompt_parts: vec![PromptPart { id: 7, tokens: 10 }],
+        last_event_id: Some("3".into()),
+    }
+}
+
+fn accepted(is_retryable: bool) -> PeerMessage {
+    PeerMessage::ForwardAccepted { is_retryable, config_version: 1 }
+}
+
+fn whole_response(body: &'static [u8]) -> PeerMessage {
+    let body = Some(Bytes::from_static(body));
+    PeerMessage::ForwardHead(ForwardedHead { status: 200, headers: Vec::new(), body })
+}
+
+/// Forwards a request to two schedulers with these scripts, and returns the response and what was sent to whom.
+async fn forward(
+    scripts: [Option<Vec<PeerMessage>>; 2],
+) -> (Option<EntryResponse>, Vec<(u16, &'static str)>) {
+    let transport = Arc::new(ScriptedTransport::default());
+    for (number, script) in (1..).zip(scripts) {
+        if let Some(script) = script {
+            transport.scripts.lock().insert(address(number), script.into());
+        }
+    }
+
+    let candidates: Vec<SchedulerEntry> = (1..=2)
+        .map(|number| SchedulerEntry {
+            host: format!("host-{number}").into(),
+            address: address(number),
+            region: "north".into(),
+            is_draining: false,
+        })
+        .collect();
+    let forwarder = RequestForwarder {
+        connector: Arc::new(MeshConnector::new(Arc::clone(&transport) as Arc<dyn PeerTransport>)),
+        directory: Arc::new(SchedulerDirectory::new("north".into())),
+    };
+    let response = forwarder.forward(&request(), &candidates).await;
+    let sent = transport.sent.lock().iter().map(|(peer, what)| (peer.port(), *what)).collect();
+    (response, sent)
+}
+
+fn whole_body(response: Option<EntryResponse>) -> Bytes {
+    match response {
+        Some(EntryResponse::Relayed(relayed)) => match relayed.body {
+            RelayedBody::Whole(body) => body,
+            RelayedBody::Events(_) => panic!("a stream"),
+        },
+        other => panic!("expected a response, received {other:?}"),
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn forward_passes_over_schedulers_that_take_no_offer() {
+    let declined = vec![PeerMessage::ForwardDeclined { reason: DeclineReason::Draining }];
+    let running = vec![accepted(false), whole_response(b"done")];
+
+    for first in [None, Some(Vec::new()), Some(declined.clone())] {
+        let (response, sent) = forward([first, Some(running.clone())]).await;
+        assert_eq!(whole_body(response), "done");
+        // The first one was never told to run the request.
+        assert_eq!(sent, [(1, "offered"), (2, "offered"), (2, "confirmed")]);
+    }
+
+    let (response, _) = forward([None, Some(declined)]).await;
+    assert!(response.is_none(), "{response:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn forward_runs_request_again_only_if_it_is_retryable() {
+    let running = vec![accepted(true), whole_response(b"done")];
+    let (response, sent) = forward([Some(vec![accepted(false)]), Some(running.clone())]).await;
+    let is_lost = matches!(
+        response,
+        Some(EntryResponse::Refused { refusal: EntryRefusal::ResponseLost, .. })
+    );
+    assert!(is_lost, "{response:?}");
+    assert_eq!(sent, [(1, "offered"), (1, "confirmed")]);
+
+    let (response, _) = forward([Some(vec![accepted(true)]), Some(running)]).await;
+    assert_eq!(whole_body(response), "done");
+}
+
+#[tokio::test(start_paused = true)]
+async fn forward_never_ends_a_broken_stream_as_complete() {
+    let head =
+        PeerMessage::ForwardHead(ForwardedHead { status: 200, headers: Vec::new(), body: None });
+    let event = PeerMessage::ForwardBytes { bytes: Bytes::from_static(b"data: 1\n\n") };
+    let complete = vec![accepted(false), head, event, PeerMessage::ForwardEnd];
+
+    for length in 2..=complete.len() {
+        let (response, _) = forward([Some(complete[..length].to_vec()), None]).await;
+        let Some(EntryResponse::Relayed(relayed)) = response else {
+            panic!("expected a response, received {response:?}");
+        };
+        let RelayedBody::Events(mut events) = relayed.body else {
+            panic!("expected a stream");
+        };
+        let mut is_complete = false;
+        while let Some(item) = events.recv().await {
+            is_complete = matches!(item, StreamItem::End);
+        }
+        assert_eq!(is_complete, length == complete.len());
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn forwarded_request_keeps_what_the_client_sent() {
+    let original = request();
+    let encoded = ForwardedRequest::encode(&original, Instant::now());
+    let decoded = encoded.decode(Instant::now()).expect("a valid request");
+    assert_eq!((&decoded.id, &decoded.method), (&original.id, &original.method));
+    assert_eq!((&decoded.path, &decoded.target), (&original.path, &original.target));
+    assert_eq!((&decoded.headers, &decoded.body), (&original.headers, &original.body));
+    assert_eq!(decoded.prompt_parts, original.prompt_parts);
+    assert_eq!(decoded.last_event_id, original.last_event_id);
+    let (program, sent) = (decoded.program.expect("a program"), original.program.expect("one"));
+    assert_eq!((program.id, program.previous_turn), (sent.id, sent.previous_turn));
+    assert_eq!((program.token_budget, program.finish_by), (sent.token_budget, sent.finish_by));
+    assert!(decoded.deadline < original.deadline, "the way back takes time");
+}
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -12,6 +12,8 @@
 mod entry_runner;
 mod entry_streams;
 mod frame_codec;
+mod gateway_forwarding;
+mod gateway_roles;
 mod journal_audit;
 mod log_limiter;
 mod membership;
--- a/src/tests/transport.rs
+++ b/src/tests/transport.rs
@@ -4,10 +4,11 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use async_trait::async_trait;
+use tokio::time::{Duration, timeout};
 
 use crate::{
-    NodeMetrics, PeerError, PeerHandler, PeerMessage, PeerStream, PeerTransport, QuicTransport,
-    encode_frame,
+    IdlePolicy, NodeMetrics, PeerError, PeerHandler, PeerMessage, PeerStream, PeerTransport,
+    QuicTransport, encode_frame,
     membership::{key_files::CertificateAuthority, peer_transport::peer_call},
 };
 
@@ -28,7 +29,9 @@
     let keys = authority.issue(host).expect("keys");
     let metrics = Arc::new(NodeMetrics::new().expect("metrics"));
     let address: SocketAddr = ([127, 0, 0, 1], 0).into();
-    Arc::new(QuicTransport::bind(address, &keys, "secret", metrics).expect("failed to bind a port"))
+    let idle_policy = IdlePolicy::KeptAlive;
+    let transport = QuicTransport::bind(address, &keys, "secret", idle_policy, metrics);
+    Arc::new(transport.expect("failed to bind a port"))
 }
 
 /// Serves exchanges in the background, and returns the address.
@@ -175,3 +178,29 @@
         assert!(matches!(response, Ok(Some(PeerMessage::Done))), "{response:?}");
     }
 }
+
+#[test]
+fn exchange_with_killed_peer_fails_soon() {
+    let runtime = || {
+        let mut builder = tokio::runtime::Builder::new_multi_thread();
+        builder.worker_threads(1).enable_all().build().expect("the runtime starts")
+    };
+    let (server_runtime, client_runtime) = (runtime(), runtime());
+    let authority = CertificateAuthority::generate().expect("failed to generate an authority");
+    let address = server_runtime.block_on(async {
+        let server = transport(&authority, "one");
+        tokio::spawn(Arc::clone(&server).serve(Arc::new(WaitingHandler)));
+        server.address().expect("the endpoint is bound")
+    });
+
+    client_runtime.block_on(async {
+        let client = transport(&authority, "two");
+        let mut stream = client.open(address, &REQUEST).await.expect("failed to open a stream");
+        // An exchange that waits for longer than a silent peer is borne is not cut while the peer lives.
+        let early = timeout(Duration::from_secs(3), stream.receive()).await;
+        assert!(early.is_err(), "{early:?}");
+        server_runtime.shutdown_background();
+        let received = timeout(Duration::from_secs(4), stream.receive()).await;
+        assert!(matches!(received, Ok(Err(PeerError::Lost { .. }))), "{received:?}");
+    });
+}
