Upstreams that state in a response that they leave get no new request

New on the wire: Server-Leaving in any response. The instance (id and start) is remembered apart from its entry in the store, so that an entry that still says ready, or is removed and comes back, does not bring it back; a new start does. All schedulers hear of it with the next update. A resumed stream now records load and leaving as a first attempt does.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -13,6 +13,7 @@
 pub(crate) mod event_framer;
 pub(crate) mod host_registry;
 mod kind_follower;
+pub(crate) mod leaving_upstreams;
 mod mesh_answers;
 pub(crate) mod mesh_connector;
 pub(crate) mod mesh_peer;
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -117,6 +117,7 @@
             Arc::clone(&history),
             Arc::clone(&crashes),
             Arc::clone(&index),
+            Arc::clone(pool.leaving()),
         ));
         let journal = Arc::new(TurnJournal::new(
             Arc::clone(&backends.store),
--- a/src/entry/mesh_answers.rs
+++ b/src/entry/mesh_answers.rs
@@ -53,6 +53,16 @@
                 notes.into_iter().for_each(|note| crashes.merge(note));
                 PeerMessage::Done
             }
+            PeerMessage::UpstreamsLeaving { instances } => {
+                let mut leaving = self.leaving.lock();
+                for instance in instances {
+                    let id = Arc::clone(&instance.id);
+                    if leaving.merge(instance) {
+                        log::info!(upstream:% = id; "a peer reports that an upstream is leaving");
+                    }
+                }
+                PeerMessage::Done
+            }
             PeerMessage::TurnQuery { turn } => {
                 // The query of a peer does not extend the time for which this host caches the turns.
                 let chain = self.history.lock().chain(&turn, Duration::ZERO);
--- a/src/entry/peer_mesh.rs
+++ b/src/entry/peer_mesh.rs
@@ -18,6 +18,7 @@
         BudgetLedger,
         batch_index::BatchIndex,
         budget_ledger::SpendNote,
+        leaving_upstreams::{LeavingUpstreams, UpstreamInstance},
         mesh_connector::MeshConnector,
         mesh_peer::{MeshIdentity, MeshPeer},
         turn_history::TurnHistory,
@@ -53,6 +54,20 @@
 /// registers again.
 const DEAD_PEER_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// What the other hosts have to be told.
+#[derive(Clone, Debug)]
+struct MeshChanges {
+    notes: Vec<SpendNote>,
+    crashes: Vec<CrashNote>,
+    leaving: Vec<UpstreamInstance>,
+}
+
+impl MeshChanges {
+    fn is_empty(&self) -> bool {
+        self.notes.is_empty() && self.crashes.is_empty() && self.leaving.is_empty()
+    }
+}
+
 /// The full mesh of entry hosts: sends updates to all others and keeps their state.
 #[derive(Debug)]
 pub(crate) struct PeerMesh {
@@ -63,6 +78,7 @@
     pub(super) history: Arc<Mutex<TurnHistory>>,
     pub(super) crashes: Arc<Mutex<CrashTracker>>,
     pub(super) index: Arc<Mutex<BatchIndex>>,
+    pub(super) leaving: Arc<Mutex<LeavingUpstreams>>,
     /// Whether this host has loaded the recorded spends and turns, so that it may respond to other hosts' queries for
     /// them.
     pub(super) has_loaded_records: AtomicBool,
@@ -90,6 +106,7 @@
         history: Arc<Mutex<TurnHistory>>,
         crashes: Arc<Mutex<CrashTracker>>,
         index: Arc<Mutex<BatchIndex>>,
+        leaving: Arc<Mutex<LeavingUpstreams>>,
     ) -> Self {
         Self {
             identity,
@@ -99,6 +116,7 @@
             history,
             crashes,
             index,
+            leaving,
             has_loaded_records: AtomicBool::new(false),
             peers: Mutex::default(),
             last_sequences: Mutex::default(),
@@ -299,8 +317,10 @@
     fn send_updates(self: &Arc<Self>) {
         let notes = self.ledger.lock().take_unreported();
         let crashes = self.crashes.lock().take_pending_notes();
+        let leaving = self.leaving.lock().take_unreported();
         let is_drain_unannounced = self.is_drain_unannounced.swap(false, Ordering::Relaxed);
-        let has_changes = is_drain_unannounced || !notes.is_empty() || !crashes.is_empty();
+        let changes = MeshChanges { notes, crashes, leaving };
+        let has_changes = is_drain_unannounced || !changes.is_empty();
         let now = Instant::now();
         let mut targets = Vec::new();
 
@@ -320,9 +340,9 @@
 
         for (host, address, is_synced) in targets {
             let mesh = Arc::clone(self);
-            let (notes, crashes) = (notes.clone(), crashes.clone());
+            let changes = changes.clone();
             tokio::spawn(async move {
-                mesh.send_update(host, address, is_synced, notes, crashes).await;
+                mesh.send_update(host, address, is_synced, changes).await;
             });
         }
     }
@@ -333,18 +353,21 @@
         host: Arc<str>,
         address: SocketAddr,
         is_synced: bool,
-        new_notes: Vec<SpendNote>,
-        new_crashes: Vec<CrashNote>,
+        new_changes: MeshChanges,
     ) {
         // Set before the update is sent, since changes that are made in the meantime clear it again.
         if let Some(peer) = self.peers.lock().get_mut(&host) {
             peer.is_synced = true;
         }
 
-        let (notes, crashes) = if is_synced {
-            (new_notes, new_crashes)
+        let MeshChanges { notes, crashes, leaving } = if is_synced {
+            new_changes
         } else {
-            (self.ledger.lock().local_notes(), self.crashes.lock().notes())
+            MeshChanges {
+                notes: self.ledger.lock().local_notes(),
+                crashes: self.crashes.lock().notes(),
+                leaving: self.leaving.lock().all(),
+            }
         };
 
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
@@ -362,6 +385,10 @@
             messages.push(PeerMessage::RequestCrashesNoted { notes: crashes });
         }
 
+        if !leaving.is_empty() {
+            messages.push(PeerMessage::UpstreamsLeaving { instances: leaving });
+        }
+
         let mut is_acknowledged = true;
         for message in &messages {
             let response = timeout(PEER_TIMEOUT, self.connector.exchange(address, message)).await;
--- a/src/entry/placement_pool.rs
+++ b/src/entry/placement_pool.rs
@@ -17,6 +17,7 @@
 
 use crate::entry::{
     UpstreamRecord,
+    leaving_upstreams::{LeavingUpstreams, UpstreamInstance},
     placement_request::{PlacementRefusal, PlacementRequest},
     pooled_upstream::{LeaseOutcome, PooledUpstream},
     upstream_channel::ReportedLoad,
@@ -116,12 +117,29 @@
     data_centre: Arc<str>,
     regions: BTreeMap<Arc<str>, Arc<str>>,
     state: Mutex<PoolState>,
+    /// Upstreams that leave, shared with the mesh. Lock order: after `state`.
+    leaving: Arc<Mutex<LeavingUpstreams>>,
 }
 
 impl PlacementPool {
     /// Creates an empty pool for a host in `data_centre`. `regions` maps each data centre to its region.
     pub fn new(data_centre: Arc<str>, regions: BTreeMap<Arc<str>, Arc<str>>) -> Self {
-        Self { data_centre, regions, state: Mutex::default() }
+        Self { data_centre, regions, state: Mutex::default(), leaving: Arc::default() }
+    }
+
+    /// Upstreams that have stated that they leave.
+    pub(crate) fn leaving(&self) -> &Arc<Mutex<LeavingUpstreams>> {
+        &self.leaving
+    }
+
+    /// Records that an upstream has stated in a response that it leaves.
+    pub(super) fn record_leaving(&self, record: &UpstreamRecord) {
+        let instance =
+            UpstreamInstance { id: Arc::clone(&record.id), started_at_ms: record.started_at_ms };
+
+        if self.leaving.lock().add(instance) {
+            log::info!(upstream:% = record.id, born_ms = record.started_at_ms; "an upstream has stated that it is leaving, so it gets no new requests");
+        }
     }
 
     /// Sets the cache capacity of each upstream by its service, in tokens. Services that are not listed get 0.
@@ -255,7 +273,7 @@
                 return Ok(self.lease(slot, now));
             }
 
-            state.check_expected_wait(now, &request)?;
+            state.check_expected_wait(now, &request, &self.leaving.lock())?;
             state.last_sequence += 1;
             let position = QueuePosition {
                 priority: request.priority,
@@ -301,9 +319,11 @@
     ) -> Option<GrantedSlot> {
         let keys = &state.services.get(&request.service)?.keys;
 
+        let leaving = self.leaving.lock();
         let eligible = |key: &&UpstreamKey| {
             let upstream = &state.upstreams[**key];
             upstream.is_serving()
+                && !leaving.contains(&upstream.record.id, upstream.record.started_at_ms)
                 && upstream.has_room(now)
                 && !request.excluded.contains(&upstream.record.id)
         };
@@ -319,6 +339,7 @@
 
         // An upstream in backoff is better than none.
         let (_, key) = cheapest_upstream(false).or_else(|| cheapest_upstream(true))?;
+        drop(leaving);
         let upstream = &mut state.upstreams[key];
         let cached_tokens = upstream.cached_tokens(&request.prompt_parts);
         upstream.in_flight += 1;
@@ -434,6 +455,7 @@
         &self,
         now: Instant,
         request: &PlacementRequest,
+        leaving: &LeavingUpstreams,
     ) -> Result<(), PlacementRefusal> {
         let Some(pool) = self.services.get(&request.service) else {
             let retry_after = Duration::from_millis(500);
@@ -445,6 +467,7 @@
             .iter()
             .map(|key| &self.upstreams[*key])
             .filter(|upstream| upstream.is_serving() && !upstream.is_in_backoff(now))
+            .filter(|it| !leaving.contains(&it.record.id, it.record.started_at_ms))
             .map(|upstream| upstream.record.slots)
             .sum();
 
--- a/src/entry/request_runner.rs
+++ b/src/entry/request_runner.rs
@@ -252,15 +252,19 @@
                 lease.finish(LeaseOutcome::Unreachable);
                 return AttemptResult::NotRun { reason: "the upstream can't be reached" };
             }
+            Ok(Err(error @ ChannelError::Mismatched { is_leaving })) => {
+                if is_leaving {
+                    lease.record_leaving();
+                }
+                return self.finish_broken(lease, error.to_string().into());
+            }
             Ok(Err(ChannelError::Broken { reason })) => {
                 return self.finish_broken(lease, reason);
             }
             Err(_) => return self.finish_timed_out(lease, attempt_deadline),
         };
 
-        if let Some(load) = response.load {
-            lease.record_load(load);
-        }
+        lease.record_response(&response);
 
         if response.has_not_run || response.status == StatusCode::MISDIRECTED_REQUEST {
             self.context.metrics.count_attempt(service, "not_run");
--- a/src/entry/stream_relay.rs
+++ b/src/entry/stream_relay.rs
@@ -270,13 +270,18 @@
                 lease.finish(LeaseOutcome::Unreachable);
                 return None;
             }
-            _ => {
+            result => {
+                if let Ok(Err(ChannelError::Mismatched { is_leaving: true })) = result {
+                    lease.record_leaving();
+                }
                 self.attempts += 1;
                 lease.finish(LeaseOutcome::Failed);
                 return None;
             }
         };
 
+        lease.record_response(&response);
+
         if response.has_not_run || response.status == StatusCode::MISDIRECTED_REQUEST {
             lease.finish(LeaseOutcome::Full);
             return None;
--- a/src/entry/upstream_channel.rs
+++ b/src/entry/upstream_channel.rs
@@ -54,6 +54,8 @@
     pub has_not_run: bool,
     /// Whether the response carries the upstream's signature.
     pub is_signed: bool,
+    /// Whether the upstream states that it is leaving, so that it must get no new request.
+    pub is_leaving: bool,
     /// Load of the upstream at the time of the response.
     pub load: Option<ReportedLoad>,
     /// Body.
@@ -76,7 +78,13 @@
         /// What went wrong.
         reason: Arc<str>,
     },
-    /// The connection broke, or the response belongs to another request. The request may have run.
+    /// The response belongs to another request. The request may have run.
+    #[display("the answer belongs to another request")]
+    Mismatched {
+        /// Whether the response states that the upstream is leaving.
+        is_leaving: bool,
+    },
+    /// The connection broke. The request may have run.
     #[display("broken: {reason}")]
     Broken {
         /// What went wrong.
--- a/src/entry/upstream_lease.rs
+++ b/src/entry/upstream_lease.rs
@@ -2,11 +2,12 @@
 
 use std::sync::Arc;
 
+use hyper::StatusCode;
 use tokio::time::Instant;
 
 use crate::entry::{
     PlacementPool, UpstreamRecord, placement_pool::UpstreamKey, pooled_upstream::LeaseOutcome,
-    upstream_channel::ReportedLoad,
+    upstream_channel::UpstreamResponse,
 };
 
 /// A lease of one slot on an upstream. Dropping it returns the slot.
@@ -27,8 +28,21 @@
         self.outcome = outcome;
     }
 
-    pub(crate) fn record_load(&self, load: ReportedLoad) {
-        self.pool.record_load(self.key, load);
+    /// Records what a response tells about the upstream: its load, and whether it is leaving.
+    pub(crate) fn record_response(&self, response: &UpstreamResponse) {
+        if let Some(load) = response.load {
+            self.pool.record_load(self.key, load);
+        }
+
+        // A misdirected request has reached another upstream at the same address.
+        if response.is_leaving && response.status != StatusCode::MISDIRECTED_REQUEST {
+            self.record_leaving();
+        }
+    }
+
+    /// Records that the upstream is leaving, so that it gets no new request.
+    pub(crate) fn record_leaving(&self) {
+        self.pool.record_leaving(&self.record);
     }
 }
 
--- a/src/membership/peer_message.rs
+++ b/src/membership/peer_message.rs
@@ -12,6 +12,7 @@
         EntryRefusal, RouteLimits,
         batch_index::IndexedBatch,
         budget_ledger::{SpendNote, WriterSpends},
+        leaving_upstreams::UpstreamInstance,
         turn_history::HistoryTurn,
     },
     gateway::{DeclineReason, ForwardedHead, ForwardedRequest, SchedulerEntry},
@@ -222,6 +223,10 @@
         config_version: u64,
         limits: RouteLimits,
     },
+    /// Entry: upstreams that have stated that they leave. The response is `Done`.
+    UpstreamsLeaving {
+        instances: Vec<UpstreamInstance>,
+    },
 }
 
 impl PeerMessage {
--- a/src/tests/entry_fakes.rs
+++ b/src/tests/entry_fakes.rs
@@ -278,6 +278,7 @@
             headers: HeaderMap::new(),
             has_not_run,
             is_signed,
+            is_leaving: false,
             load: None,
             body: Box::new(body),
         })
--- a/src/tests/entry_journal.rs
+++ b/src/tests/entry_journal.rs
@@ -115,6 +115,7 @@
             Arc::clone(&history),
             Arc::new(Mutex::new(CrashTracker::default())),
             Arc::clone(&index),
+            Arc::default(),
         ));
         let locator = TurnLocator::new(store, Arc::clone(&history), ledger, mesh, index);
         tokio::spawn(Arc::clone(&journal).run(Arc::clone(recorder) as Arc<_>, RETENTION));
--- a/src/tests/gateway_forwarding.rs
+++ b/src/tests/gateway_forwarding.rs
@@ -203,7 +203,7 @@
     let head =
         PeerMessage::ForwardHead(ForwardedHead { status: 200, headers: Vec::new(), body: None });
     let event = PeerMessage::ForwardBytes { bytes: Bytes::from_static(b"data: 1\n\n") };
-    let complete = vec![accepted(false), head, event, PeerMessage::ForwardEnd];
+    let complete = [accepted(false), head, event, PeerMessage::ForwardEnd];
 
     for length in 2..=complete.len() {
         let (response, _) = forward([Some(complete[..length].to_vec()), None]).await;
--- a/src/tests/gateway_roles.rs
+++ b/src/tests/gateway_roles.rs
@@ -33,8 +33,9 @@
 fn candidate_delay_lets_larger_hosts_go_first() {
     let delays = [0.5, 0.25, 0.12].map(|share| candidate_delay(share, 0.0));
     assert!(delays.is_sorted() && delays[0] < delays[2], "{delays:?}");
-    let spread = candidate_delay(0.12, 1.0) - candidate_delay(0.12, 0.0);
-    assert!(spread >= Duration::from_millis(300), "hosts start within 0.3 s of each other");
+    let earliest = candidate_delay(0.12, 0.0);
+    let latest = candidate_delay(0.12, 1.0);
+    assert!(latest >= earliest + Duration::from_millis(300), "hosts start within 0.3 s");
 }
 
 #[test]
--- a/src/tests/peer_mesh.rs
+++ b/src/tests/peer_mesh.rs
@@ -69,6 +69,7 @@
         Arc::new(Mutex::new(crate::entry::turn_history::TurnHistory::default())),
         Arc::default(),
         Arc::default(),
+        Arc::default(),
     ));
 
     mesh.add_peer("host-b".into(), address(2), "north".into());
--- a/standins/src/routed_server.rs
+++ b/standins/src/routed_server.rs
@@ -7,7 +7,7 @@
         Router,
         body::{Body, Bytes},
         extract::{Request, State},
-        http::{HeaderMap, HeaderName, StatusCode, header},
+        http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header},
         response::{IntoResponse, Response},
     },
     futures_util::{StreamExt, stream},
@@ -30,6 +30,10 @@
 /// Faults that the server injects. Omitted fields are off.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 #[serde(default)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is a fault of its own that a test switches"
+)]
 pub struct RoutedFaults {
     /// Requests are refused with 503 and marked as not run.
     pub full: bool,
@@ -41,6 +45,8 @@
     pub cut_after: usize,
     /// Delay before each event, in milliseconds.
     pub event_ms: u64,
+    /// Every response states that the server is leaving.
+    pub leaving: bool,
 }
 
 /// A request that the server has run.
@@ -136,6 +142,22 @@
 
 async fn handle_request(State(server): State<Arc<RoutedServer>>, request: Request) -> Response {
     let faults = server.faults.get();
+    let is_leaving = faults.leaving;
+    let mut response = run_request(server, faults, request).await;
+
+    if is_leaving {
+        let name = HeaderName::from_static("server-leaving");
+        response.headers_mut().insert(name, HeaderValue::from_static("1"));
+    }
+
+    response
+}
+
+async fn run_request(
+    server: Arc<RoutedServer>,
+    faults: RoutedFaults,
+    request: Request,
+) -> Response {
     let (parts, body) = request.into_parts();
     let id = header_text(&parts.headers, "x-request-id");
 
