--- a/src/tests/peer_mesh.rs
+++ b/src/tests/peer_mesh.rs
@@ -152,3 +152,43 @@
         "the remote host queries this one from now on"
     );
 }
+
+/// The mesh of a host with five peers in its own region and two in another.
+fn mesh_with_owners(transport: &Arc<RecordingTransport>) -> Arc<PeerMesh> {
+    let mesh = mesh_of_two_regions(transport);
+    for port in 4..8 {
+        mesh.add_peer(format!("host-{port}").into(), address(port), "north".into());
+    }
+    mesh.add_peer("host-8".into(), address(8), "south".into());
+    mesh
+}
+
+#[tokio::test(start_paused = true)]
+async fn exchange_spend_of_an_owner_queries_all_peers_once() {
+    let transport = Arc::new(RecordingTransport::default());
+    let mesh = mesh_with_owners(&transport);
+    assert!(mesh.has_owners());
+    assert_eq!(mesh.sharing_host_count(), None, "no share is given out unasked");
+    assert_eq!(queried_ports(&mesh, &transport).await, [2, 3, 4, 5, 6, 7, 8]);
+    let none: [u16; 0] = [];
+    assert_eq!(queried_ports(&mesh, &transport).await, none, "no other host has spent anything");
+
+    // Another host begins to serve the program and announces itself.
+    let note = crate::entry::budget_ledger::SpendNote {
+        program: "program".into(),
+        tokens: 92,
+        recorded: 0,
+    };
+    let query = PeerMessage::SpendQuery { writer: "host-5.1".into(), sequence: 1, note };
+    Arc::clone(&mesh).handle(query, Box::new(ResponseStream { response: None })).await;
+    assert_eq!(queried_ports(&mesh, &transport).await, [5]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn sharing_host_count_without_owners() {
+    let transport = Arc::new(RecordingTransport::default());
+    let mesh = mesh_of_two_regions(&transport);
+    sleep(STABILIZATION_TIME).await;
+    assert!(!mesh.has_owners());
+    assert_eq!(mesh.sharing_host_count(), Some(2));
+}
