Fewer calls to the store: watches that report together, larger batches in larger groups

A follower now waits 0.3 s after a watch that reported changes, so that a group of changes costs one call; the first of them is reported at once. A recorder gathers 12 ms for each host that shares it (30 to 75 ms). A gateway reads a stale list first. Gateways and schedulers count offers, forwarded requests and their role in metrics.

--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -3,7 +3,6 @@
 use std::{collections::HashMap, sync::Arc};
 
 use arc_swap::ArcSwap;
-use eyre::Result;
 use parking_lot::Mutex;
 use tokio::{
     sync::watch,
@@ -88,13 +87,13 @@
         settings: &EntrySettings,
         backends: &EntryBackends,
         network: &HostNetwork,
-    ) -> Result<Arc<Self>> {
+        metrics: Arc<EntryMetrics>,
+    ) -> Arc<Self> {
         let settings = settings.clone();
         let run = hex_text(&rand::random::<[u8; 6]>());
         let writer: Arc<str> = format!("{}.{run}", settings.host).into();
         let region = settings.region();
         let transport = Arc::clone(&network.transport) as Arc<dyn PeerTransport>;
-        let metrics = Arc::new(EntryMetrics::new()?);
         let ledger = Arc::new(Mutex::new(BudgetLedger::default()));
         let history = Arc::new(Mutex::new(TurnHistory::default()));
         let crashes = Arc::new(Mutex::new(CrashTracker::default()));
@@ -172,7 +171,7 @@
         tokio::spawn(Arc::clone(&host).run_maintenance());
         tokio::spawn(Arc::clone(&host).restore());
         tokio::spawn(host.peers.clone().run());
-        Ok(host)
+        host
     }
 
     /// Registers this host with the others and loads what earlier runs of all hosts have recorded. Programs are not
@@ -304,11 +303,6 @@
         log::info!(flushed; "the flush of the journal has ended");
     }
 
-    /// Metrics in the Prometheus text format.
-    pub fn metrics_text(&self) -> Result<String> {
-        self.context.metrics.text()
-    }
-
     /// Handles a request and returns its response. Dropping the future cancels the request.
     pub async fn handle(&self, request: EntryRequest) -> EntryResponse {
         let (id, received) = (Arc::clone(&request.id), request.received);
--- a/src/entry/entry_metrics.rs
+++ b/src/entry/entry_metrics.rs
@@ -29,6 +29,10 @@
     journal_write_time: Histogram<f64>,
     config_version: Gauge<u64>,
     history_bytes: Gauge<u64>,
+    offers: Counter<u64>,
+    forwarded_requests: Counter<u64>,
+    is_scheduler: Gauge<u64>,
+    schedulers: Gauge<u64>,
 }
 
 impl EntryMetrics {
@@ -91,6 +95,22 @@
                 .with_unit("By")
                 .with_description("Bytes of turns in memory.")
                 .build(),
+            offers: counter(
+                "ragwortknot.entry.offers",
+                "Requests that were offered to schedulers, by result.",
+            ),
+            forwarded_requests: counter(
+                "ragwortknot.entry.forwarded",
+                "Forwarded requests that a scheduler has accepted, by outcome.",
+            ),
+            is_scheduler: meter
+                .u64_gauge("ragwortknot.entry.scheduler")
+                .with_description("1 on a scheduler, 0 on a gateway.")
+                .build(),
+            schedulers: meter
+                .u64_gauge("ragwortknot.entry.schedulers")
+                .with_description("Schedulers that a gateway knows, by whether they respond.")
+                .build(),
             registry,
         })
     }
@@ -115,6 +135,26 @@
         self.tokens.add(tokens, &[]);
     }
 
+    /// Counts an offer of a request to a scheduler.
+    pub(crate) fn count_offer(&self, result: &'static str) {
+        self.offers.add(1, &[KeyValue::new("result", result)]);
+    }
+
+    /// Counts a request that a scheduler has accepted, once its response begins or it is lost.
+    pub(crate) fn count_forwarded(&self, outcome: &'static str) {
+        self.forwarded_requests.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    pub(crate) fn record_role(&self, is_scheduler: bool) {
+        self.is_scheduler.record(u64::from(is_scheduler), &[]);
+    }
+
+    pub(crate) fn record_schedulers(&self, responsive: usize, suspect: usize) {
+        let state = |name: &'static str| [KeyValue::new("state", name)];
+        self.schedulers.record(responsive as u64, &state("responsive"));
+        self.schedulers.record(suspect as u64, &state("suspect"));
+    }
+
     pub(crate) fn record_config_version(&self, version: u64) {
         self.config_version.record(version, &[]);
     }
--- a/src/entry/kind_follower.rs
+++ b/src/entry/kind_follower.rs
@@ -6,11 +6,17 @@
     BackoffPolicy,
     entry::{ObjectChange, ObjectStore, StoreError, StoredObject, page_reader::PageReader},
 };
+use tokio::time::sleep;
 
 /// Time for which one watch call waits for changes. It is long because each call is priced; keep-alive probes detect
 /// dead connections sooner.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Time between two watches after one that has reported changes. Each watch is a call that is priced, and changes often
+/// come several at a time, as when the upstreams of a service are replaced; those that come in this time are reported
+/// together. The first change after a calm time is reported at once.
+const COALESCING_DELAY: Duration = Duration::from_millis(300);
+
 /// Delays between attempts while calls to the store fail. The limit is short because a change has to take effect
 /// within seconds of its acknowledgement.
 const RETRY_BACKOFF: BackoffPolicy =
@@ -100,7 +106,13 @@
 
     async fn watch_from(&self, revision: u64) -> Result<u64, StoreError> {
         let batch = self.store.watch(self.kind, revision, WATCH_TIMEOUT).await?;
+        let has_changes = !batch.changes.is_empty();
         batch.changes.into_iter().for_each(|change| self.listener.apply_change(change));
+
+        if has_changes {
+            sleep(COALESCING_DELAY).await;
+        }
+
         Ok(batch.store_revision.max(revision))
     }
 }
--- a/src/entry/mesh_recorder.rs
+++ b/src/entry/mesh_recorder.rs
@@ -73,6 +73,13 @@
         (*winner != local_host).then(|| winner.as_str().into())
     }
 
+    fn sharing_host_count(&self) -> u32 {
+        let peers = self.peers.lock();
+        let region_hosts = 1 + self.region_peer_count(&peers) as u64;
+        let group_count = region_hosts / HOSTS_PER_RECORDER + 1;
+        u32::try_from(region_hosts / group_count).unwrap_or(u32::MAX)
+    }
+
     fn fallback_hosts(&self) -> Vec<Arc<str>> {
         let now = Instant::now();
         let peers = self.peers.lock();
--- a/src/entry/peer_mesh.rs
+++ b/src/entry/peer_mesh.rs
@@ -267,7 +267,7 @@
         (!self.has_owners()).then(|| self.serving_host_count())
     }
 
-    fn region_peer_count(&self, peers: &HashMap<Arc<str>, MeshPeer>) -> usize {
+    pub(super) fn region_peer_count(&self, peers: &HashMap<Arc<str>, MeshPeer>) -> usize {
         peers.values().filter(|peer| peer.region == self.identity.region).count()
     }
 
--- a/src/entry/turn_journal.rs
+++ b/src/entry/turn_journal.rs
@@ -50,12 +50,18 @@
 /// larger, up to the store's limit of 1 MiB for a value.
 const MAX_BATCH_BYTES: usize = 192 << 10;
 
-/// Time for which a batch waits for more turns after the first one. Calls to the store are priced, and larger batches
-/// need fewer of them.
-const BATCH_DELAY: Duration = Duration::from_millis(30);
+/// Shortest time for which a batch waits for more turns after the first one. Calls to the store are priced, and larger
+/// batches need fewer of them.
+const MIN_BATCH_DELAY: Duration = Duration::from_millis(30);
+
+/// Longest time for which a batch waits for more turns, since the responses of the turns wait as well.
+const MAX_BATCH_DELAY: Duration = Duration::from_millis(75);
+
+/// Time for which a batch waits for each host that shares its recorder, between the two bounds.
+const BATCH_DELAY_PER_HOST: Duration = Duration::from_millis(12);
 
 /// Time for which a batch waits for more turns before it is forwarded to the host that records for this one. It is
-/// short, since that host gathers the turns of several hosts for [`BATCH_DELAY`].
+/// short, since that host gathers the turns of several hosts for [`MIN_BATCH_DELAY`] at least.
 const FORWARD_DELAY: Duration = Duration::from_millis(2);
 
 /// Time between two records of spends while no turn is recorded. Until then the headroom of the last record and the one
@@ -107,6 +113,9 @@
     /// Returns the host that records for this one, unless that is this host itself.
     fn preferred_host(&self) -> Option<Arc<str>>;
 
+    /// Number of hosts that share one recorder.
+    fn sharing_host_count(&self) -> u32;
+
     /// Returns other hosts that may record, those of this region first.
     fn fallback_hosts(&self) -> Vec<Arc<str>>;
 
@@ -114,6 +123,12 @@
     async fn record(&self, host: &Arc<str>, turns: &[HistoryTurn], notes: &[SpendNote]) -> bool;
 }
 
+/// Time for which a recorder that `host_count` hosts share gathers turns. In a larger group, turns follow each other more
+/// closely, so that the same number of calls to the store carries them with a longer wait.
+pub(crate) fn batch_delay(host_count: u32) -> Duration {
+    (BATCH_DELAY_PER_HOST * host_count).clamp(MIN_BATCH_DELAY, MAX_BATCH_DELAY)
+}
+
 /// Queues turns and spends, and writes them to the store in batches.
 #[derive(Debug)]
 pub(crate) struct TurnJournal {
@@ -219,8 +234,10 @@
             let pending_since = self.queue.lock().pending_since;
 
             if let Some(pending_since) = pending_since {
-                let delay =
-                    if recorder.preferred_host().is_some() { FORWARD_DELAY } else { BATCH_DELAY };
+                let delay = match recorder.preferred_host() {
+                    Some(_) => FORWARD_DELAY,
+                    None => batch_delay(recorder.sharing_host_count()),
+                };
                 sleep_until(pending_since + delay).await;
                 return;
             }
--- a/src/gateway/entry_node.rs
+++ b/src/gateway/entry_node.rs
@@ -17,7 +17,7 @@
     BackoffPolicy, PeerHandler, PeerMessage, PeerStream, PeerTransport,
     entry::{
         EntryBackends, EntryHost, EntryRequest, EntryResponse, EntrySettings, ReadFreshness,
-        RouteLimits, mesh_connector::MeshConnector,
+        RouteLimits, entry_metrics::EntryMetrics, mesh_connector::MeshConnector,
     },
     gateway::{
         DeclineReason, HostNetwork, RequestForwarder, SchedulerDirectory, SchedulerEntry,
@@ -59,6 +59,7 @@
     /// The scheduler, once this host has become one.
     host: OnceLock<Arc<EntryHost>>,
     is_draining: AtomicBool,
+    metrics: Arc<EntryMetrics>,
 }
 
 impl EntryNode {
@@ -72,9 +73,12 @@
         // With port 0, the system has chosen a free port.
         let settings = EntrySettings { peers_address: network.transport.address()?, ..settings };
         let transport = Arc::clone(&network.transport) as Arc<dyn PeerTransport>;
+        let metrics = Arc::new(EntryMetrics::new()?);
+        metrics.record_role(false);
         let forwarder = RequestForwarder {
             connector: Arc::new(MeshConnector::new(transport)),
             directory: Arc::new(SchedulerDirectory::new(settings.region())),
+            metrics: Arc::clone(&metrics),
         };
 
         let node = Arc::new(Self {
@@ -85,6 +89,7 @@
             forwarder,
             host: OnceLock::new(),
             is_draining: AtomicBool::new(false),
+            metrics,
         });
 
         let handler = Arc::clone(&node) as Arc<dyn PeerHandler>;
@@ -107,13 +112,16 @@
                 sleep(candidate_delay(self.settings.processor_share, rand::random())).await;
             }
 
-            let schedulers = self.read_registry(ReadFreshness::Linearizable).await;
+            // A list that is old but complete enough saves a call that costs ten times as much.
+            let mut schedulers = self.read_registry(ReadFreshness::MayBeStale).await;
 
             if should_schedule(&self.settings.host, &region, &schedulers) {
-                match self.become_scheduler() {
-                    Ok(()) => return,
-                    Err(error) => log::error!("failed to become a scheduler: {error:#}"),
-                }
+                schedulers = self.read_registry(ReadFreshness::Linearizable).await;
+            }
+
+            if should_schedule(&self.settings.host, &region, &schedulers) {
+                self.become_scheduler();
+                return;
             }
 
             log::info!(schedulers = schedulers.len(); "serving as a gateway");
@@ -138,9 +146,11 @@
         }
     }
 
-    fn become_scheduler(self: &Arc<Self>) -> Result<()> {
+    fn become_scheduler(&self) {
         log::info!(processor_share = self.settings.processor_share; "becoming a scheduler");
-        let host = EntryHost::start(&self.settings, &self.backends, &self.network)?;
+        self.metrics.record_role(true);
+        let metrics = Arc::clone(&self.metrics);
+        let host = EntryHost::start(&self.settings, &self.backends, &self.network, metrics);
         self.starter.start(&host);
 
         if self.is_draining.load(Ordering::Relaxed) {
@@ -148,7 +158,6 @@
         }
 
         let _ = self.host.set(host);
-        Ok(())
     }
 
     /// Asks schedulers for the list of schedulers, until there is reason to read the registry.
@@ -187,6 +196,9 @@
                 }
             }
 
+            let suspect_count = directory.suspects().len();
+            let responsive_count = directory.scheduler_count().saturating_sub(suspect_count);
+            self.metrics.record_schedulers(responsive_count, suspect_count);
             sleep(FOLLOW_INTERVAL).await;
         }
     }
@@ -286,9 +298,9 @@
         let _ = timeout(max_wait, host.deregister()).await;
     }
 
-    /// Metrics in the Prometheus text format; a gateway has none of its own yet.
+    /// Metrics in the Prometheus text format.
     pub fn metrics_text(&self) -> Result<String> {
-        self.host.get().map_or_else(|| Ok(String::new()), |it| it.metrics_text())
+        self.metrics.text()
     }
 }
 
--- a/src/gateway/request_forwarder.rs
+++ b/src/gateway/request_forwarder.rs
@@ -16,7 +16,8 @@
     PeerError, PeerMessage, PeerStream,
     entry::{
         EntryRefusal, EntryRequest, EntryResponse, RelayedBody, RelayedResponse, StreamItem,
-        entry_response::MAX_BUFFERED_ITEMS, mesh_connector::MeshConnector,
+        entry_metrics::EntryMetrics, entry_response::MAX_BUFFERED_ITEMS,
+        mesh_connector::MeshConnector,
     },
     gateway::{
         DeclineReason, ForwardedHead, ForwardedRequest, SchedulerDirectory, SchedulerEntry,
@@ -57,6 +58,7 @@
 pub(crate) struct RequestForwarder {
     pub(crate) connector: Arc<MeshConnector>,
     pub(crate) directory: Arc<SchedulerDirectory>,
+    pub(crate) metrics: Arc<EntryMetrics>,
 }
 
 impl RequestForwarder {
@@ -80,12 +82,17 @@
             let offered_at = Instant::now();
 
             let (stream, is_retryable) = match self.offer(request, scheduler.address).await {
-                OfferOutcome::Accepted { stream, is_retryable } => (stream, is_retryable),
+                OfferOutcome::Accepted { stream, is_retryable } => {
+                    self.metrics.count_offer("accepted");
+                    (stream, is_retryable)
+                }
                 OfferOutcome::Declined(reason) => {
+                    self.metrics.count_offer("declined");
                     log::info!(request:% = request.id, scheduler:% = scheduler.host; "a scheduler has declined a request: {reason}");
                     continue;
                 }
                 OfferOutcome::Silent(error) => {
+                    self.metrics.count_offer("silent");
                     log::warn!(
                         request:% = request.id, scheduler:% = scheduler.host,
                         waited_ms = offered_at.elapsed().as_millis() as u64;
@@ -103,8 +110,12 @@
             );
 
             match self.run(stream, deadline + DEADLINE_SLACK).await {
-                ForwardOutcome::Response(response) => return Some(response),
+                ForwardOutcome::Response(response) => {
+                    self.metrics.count_forwarded("answered");
+                    return Some(response);
+                }
                 ForwardOutcome::Lost(error) => {
+                    self.metrics.count_forwarded("lost");
                     log::warn!(request:% = request.id, scheduler:% = scheduler.host, is_retryable; "a scheduler was lost while it ran a request: {error}");
                     self.directory.mark_suspect(scheduler.address);
                     may_have_run = true;
--- a/src/gateway/scheduler_directory.rs
+++ b/src/gateway/scheduler_directory.rs
@@ -44,6 +44,10 @@
         self.schedulers.store(Arc::new(schedulers));
     }
 
+    pub(crate) fn scheduler_count(&self) -> usize {
+        self.schedulers.load().len()
+    }
+
     /// Schedulers in the order in which a request should be offered to them. Responsive schedulers come before those
     /// that did not respond, schedulers of this region before others, and within that the order depends on the key
     /// alone, so that all hosts of a region choose the same scheduler for a program.
--- a/src/tests/entry_journal.rs
+++ b/src/tests/entry_journal.rs
@@ -18,7 +18,7 @@
         mesh_peer::MeshIdentity,
         peer_mesh::PeerMesh,
         turn_history::{HistoryTurn, TurnHistory},
-        turn_journal::{JOURNAL_KIND, TurnJournal, TurnRecorder},
+        turn_journal::{JOURNAL_KIND, TurnJournal, TurnRecorder, batch_delay},
         turn_locator::{TurnLocator, TurnSearch},
     },
 };
@@ -64,6 +64,10 @@
         self.host.clone().filter(|_| self.is_preferred)
     }
 
+    fn sharing_host_count(&self) -> u32 {
+        1
+    }
+
     fn fallback_hosts(&self) -> Vec<Arc<str>> {
         self.host.iter().cloned().collect()
     }
@@ -253,3 +257,9 @@
     assert_eq!(run.locator.find(&"a".into(), RETENTION).await, TurnSearch::Unknown);
     assert_eq!(run.history.lock().cached_bytes(), 0);
 }
+
+#[test]
+fn batch_delay_grows_with_the_hosts_that_share_a_recorder() {
+    let delays = [1, 2, 3, 6, 12].map(|hosts| batch_delay(hosts).as_millis());
+    assert_eq!(delays, [30, 30, 36, 72, 75]);
+}
--- a/src/tests/entry_metrics.rs
+++ b/src/tests/entry_metrics.rs
@@ -31,6 +31,10 @@
     metrics.record_journal_write(time, 1);
     metrics.record_queue_time(time);
     metrics.record_request_time(time);
+    metrics.count_offer("accepted");
+    metrics.count_forwarded("answered");
+    metrics.record_role(true);
+    metrics.record_schedulers(6, 0);
 
     let text = metrics.text().expect("failed to encode the metrics");
     let help = text.lines().filter_map(|line| line.strip_prefix("# HELP "));
--- a/src/tests/entry_routes.rs
+++ b/src/tests/entry_routes.rs
@@ -113,3 +113,25 @@
     let unanswered = StoreError::Unanswered { reason: "cut".into() };
     assert_eq!(count_resets(vec![Err(unanswered)]).await, 2);
 }
+
+#[tokio::test(start_paused = true)]
+async fn kind_follower_reports_the_first_change_at_once_and_later_ones_together() {
+    let store = Arc::new(MemoryStore::default());
+    let object = StoredObject { name: "a".into(), revision: 1, content: None, status: None };
+    let change = ObjectChange { object, is_removed: false };
+    let batch = crate::entry::WatchBatch { changes: vec![change], store_revision: 1 };
+    store.script_watches(vec![Ok(batch); 20]);
+
+    let listener = Arc::new(RecordingListener::default());
+    let follower = KindFollower {
+        store: Arc::clone(&store) as Arc<dyn ObjectStore>,
+        kind: "things",
+        listener: Arc::clone(&listener) as Arc<dyn ObjectListener>,
+    };
+    tokio::spawn(follower.run());
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    assert_eq!(listener.changes.lock().len(), 1);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let watches = listener.changes.lock().len();
+    assert!((3..=5).contains(&watches), "{watches} watches in about a second of steady changes");
+}
--- a/src/tests/gateway_forwarding.rs
+++ b/src/tests/gateway_forwarding.rs
@@ -16,7 +16,7 @@
     PeerError, PeerMessage, PeerStream, PeerTransport,
     entry::{
         EntryRefusal, EntryRequest, EntryResponse, ProgramContext, PromptPart, RelayedBody,
-        StreamItem, mesh_connector::MeshConnector,
+        StreamItem, entry_metrics::EntryMetrics, mesh_connector::MeshConnector,
     },
     gateway::{
         DeclineReason, ForwardedHead, ForwardedRequest, RequestForwarder, SchedulerDirectory,
@@ -151,6 +151,7 @@
     let forwarder = RequestForwarder {
         connector: Arc::new(MeshConnector::new(Arc::clone(&transport) as Arc<dyn PeerTransport>)),
         directory: Arc::new(SchedulerDirectory::new("north".into())),
+        metrics: Arc::new(EntryMetrics::new().expect("metrics")),
     };
     let response = forwarder.forward(&request(), &candidates).await;
     let sent = transport.sent.lock().iter().map(|(peer, what)| (peer.port(), *what)).collect();
--- a/src/tests/peer_mesh.rs
+++ b/src/tests/peer_mesh.rs
@@ -174,12 +174,13 @@
     assert_eq!(queried_ports(&mesh, &transport).await, none, "no other host has spent anything");
 
     // Another host begins to serve the program and announces itself.
-    let note = crate::entry::budget_ledger::SpendNote {
+    let announcement = crate::entry::budget_ledger::SpendNote {
         program: "program".into(),
         tokens: 92,
         recorded: 0,
     };
-    let query = PeerMessage::SpendQuery { writer: "host-5.1".into(), sequence: 1, note };
+    let query =
+        PeerMessage::SpendQuery { writer: "host-5.1".into(), sequence: 1, note: announcement };
     Arc::clone(&mesh).handle(query, Box::new(ResponseStream { response: None })).await;
     assert_eq!(queried_ports(&mesh, &transport).await, [5]);
 }
