Segments of batches have an index, so that a starting host reads kilobytes and not all turns

A run now writes its batches in segments of a second and after each an index of turns and spends, which also names where the next segment is; readers list the indexes and the open segments alone. Objects are still reused, a segment at a time.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -29,6 +29,7 @@
 pub(crate) mod request_runner;
 mod retirement_keeper;
 mod route_table;
+pub(crate) mod segment_index;
 mod stream_relay;
 pub(crate) mod turn_budget;
 pub(crate) mod turn_history;
@@ -37,7 +38,7 @@
 mod upstream_channel;
 pub(crate) mod upstream_lease;
 mod upstream_record;
-mod written_batches;
+pub(crate) mod written_batches;
 
 pub(crate) use self::host_registry::HostRegistry;
 pub use self::{
--- a/src/entry/batch_index.rs
+++ b/src/entry/batch_index.rs
@@ -1,6 +1,9 @@
 //! Maps recorded turns to their batches in the store.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -15,16 +18,19 @@
 /// [`TurnHistory`](crate::entry::turn_history::TurnHistory) instead.
 #[derive(Debug, Default)]
 pub(crate) struct BatchIndex {
-    /// Name of the batch of each turn.
-    batches: HashMap<Arc<str>, Arc<str>>,
+    /// Names of the batches of each turn, the last one found at the end. A turn that is continued late in its retention
+    /// is recorded again, so that an earlier batch of it may have been overwritten.
+    batches: HashMap<Arc<str>, Vec<Arc<str>>>,
     /// Revision at which this host has read each batch.
     revisions: HashMap<Arc<str>, u64>,
+    /// Names of the segment indexes that this host has merged.
+    merged_indexes: HashSet<Arc<str>>,
 }
 
 impl BatchIndex {
-    /// Returns the name of a turn's batch.
+    /// Returns the name of the last found batch of a turn.
     pub(crate) fn batch(&self, turn: &str) -> Option<Arc<str>> {
-        self.batches.get(turn).cloned()
+        self.batches.get(turn)?.last().cloned()
     }
 
     pub(crate) fn turn_count(&self) -> usize {
@@ -36,24 +42,46 @@
         self.revisions.get(batch) == Some(&revision)
     }
 
+    /// Marks a segment index as merged. Returns whether it was not before.
+    pub(crate) fn mark_merged(&mut self, index: &Arc<str>) -> bool {
+        self.merged_indexes.insert(Arc::clone(index))
+    }
+
+    /// Forgets the merged indexes that are no longer in the store.
+    pub(crate) fn retain_merged(&mut self, listed: &HashSet<Arc<str>>) {
+        self.merged_indexes.retain(|it| listed.contains(it));
+    }
+
     pub(crate) fn mark_read(&mut self, batch: &Arc<str>, revision: u64) {
         self.revisions.insert(Arc::clone(batch), revision);
     }
 
     pub(crate) fn insert(&mut self, batch: &Arc<str>, turn: Arc<str>) {
-        self.batches.insert(turn, Arc::clone(batch));
+        let batches = self.batches.entry(turn).or_default();
+
+        if !batches.contains(batch) {
+            batches.push(Arc::clone(batch));
+        }
     }
 
-    pub(crate) fn remove(&mut self, turn: &str) {
-        self.batches.remove(turn);
+    /// Removes a batch that no longer has a turn.
+    pub(crate) fn remove(&mut self, turn: &str, batch: &str) {
+        if let Some(batches) = self.batches.get_mut(turn) {
+            batches.retain(|it| **it != *batch);
+        }
+        if self.batches.get(turn).is_some_and(Vec::is_empty) {
+            self.batches.remove(turn);
+        }
     }
 
     /// Returns the whole index, for a host that starts.
     pub(crate) fn all_batches(&self) -> Vec<IndexedBatch> {
         let mut by_batch: HashMap<&Arc<str>, Vec<Arc<str>>> = HashMap::new();
 
-        for (turn, batch) in &self.batches {
-            by_batch.entry(batch).or_default().push(Arc::clone(turn));
+        for (turn, batches) in &self.batches {
+            for batch in batches {
+                by_batch.entry(batch).or_default().push(Arc::clone(turn));
+            }
         }
 
         by_batch
--- a/src/entry/budget_ledger.rs
+++ b/src/entry/budget_ledger.rs
@@ -174,6 +174,8 @@
     unreported: HashSet<Arc<str>>,
     /// Programs whose spend is to be written with the next batch.
     unrecorded: HashSet<Arc<str>>,
+    /// The writer of this run.
+    local_writer: Option<Arc<str>>,
 }
 
 impl BudgetLedger {
@@ -387,18 +389,29 @@
         }
     }
 
+    /// Sets the writer whose totals this ledger keeps by itself, so that its records are not counted a second time.
+    pub(crate) fn set_local_writer(&mut self, writer: Arc<str>) {
+        self.local_writer = Some(writer);
+    }
+
     /// Merges totals from a batch that `batch_writer` has written. Records contain headroom, so a record counts only if
-    /// the writer that it is about has reported nothing, or if the host of the batch does not respond
-    /// (`is_unresponsive`) and the record is higher than the writer's last report.
+    /// the writer that it is about has reported nothing, or if that writer's host does not respond and the record is
+    /// higher than the writer's last report.
     pub(crate) fn merge_recorded(
         &mut self,
         batch_writer: &Arc<str>,
         records: &[SpendRecord],
-        is_unresponsive: bool,
+        unresponsive_hosts: &[Arc<str>],
     ) {
         for record in records {
-            let account = self.account(&record.program);
             let writer = record.writer.as_ref().unwrap_or(batch_writer);
+
+            if self.local_writer.as_ref() == Some(writer) {
+                continue;
+            }
+
+            let is_unresponsive = unresponsive_hosts.iter().any(|host| is_writer_of(host, writer));
+            let account = self.account(&record.program);
             let total = account.other_writers.entry(Arc::clone(writer)).or_default();
 
             total.recorded = total.recorded.max(record.tokens);
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -94,7 +94,9 @@
         let writer: Arc<str> = format!("{}.{run}", settings.host).into();
         let region = settings.region();
         let transport = Arc::clone(&network.transport) as Arc<dyn PeerTransport>;
-        let ledger = Arc::new(Mutex::new(BudgetLedger::default()));
+        let mut ledger = BudgetLedger::default();
+        ledger.set_local_writer(Arc::clone(&writer));
+        let ledger = Arc::new(Mutex::new(ledger));
         let history = Arc::new(Mutex::new(TurnHistory::default()));
         let crashes = Arc::new(Mutex::new(CrashTracker::default()));
         let pool = Arc::new(PlacementPool::new(
--- a/src/entry/kind_follower.rs
+++ b/src/entry/kind_follower.rs
@@ -17,10 +17,10 @@
 /// together. The first change after a calm time is reported at once.
 const COALESCING_DELAY: Duration = Duration::from_millis(300);
 
-/// Delays between attempts while calls to the store fail. The limit is short because a change has to take effect
-/// within seconds of its acknowledgement.
+/// Delays between attempts while calls to the store fail. Refused calls are priced as well; the limit is short enough
+/// that a change takes effect within seconds of its acknowledgement.
 const RETRY_BACKOFF: BackoffPolicy =
-    BackoffPolicy { first: Duration::from_millis(40), limit: Duration::from_millis(400) };
+    BackoffPolicy { first: Duration::from_millis(60), limit: Duration::from_secs(1) };
 
 /// Receives and decodes the objects that a [`KindFollower`] reads.
 pub trait ObjectListener: Debug + Send + Sync {
--- a/src/entry/turn_journal.rs
+++ b/src/entry/turn_journal.rs
@@ -26,6 +26,7 @@
         BudgetLedger, ObjectStore, StoreError, WriteOutcome,
         budget_ledger::{SpendNote, SpendRecord},
         entry_metrics::EntryMetrics,
+        segment_index::INDEX_KIND,
         turn_history::HistoryTurn,
         written_batches::{BatchSlot, WrittenBatches},
     },
@@ -204,7 +205,7 @@
     /// Records batches until the task is dropped.
     pub(crate) async fn run(self: Arc<Self>, recorder: Arc<dyn TurnRecorder>, retention: Duration) {
         tokio::spawn(Arc::clone(&self).probe_store());
-        let mut written = WrittenBatches::new(retention);
+        let mut written = WrittenBatches::new(&self.writer, retention);
 
         loop {
             self.wait_for_work(&*recorder).await;
@@ -218,6 +219,7 @@
                 self.record(&mut pending, &*recorder, &mut written).await;
                 self.ledger.lock().mark_recorded(&pending.records);
             }
+            self.remove_expired_index(&mut written).await;
 
             let forward_waiters = pending.forwarded.into_iter().map(|it| it.done);
             let turn_waiters = pending_turns.into_iter().map(|it| it.done);
@@ -302,9 +304,9 @@
             return;
         }
 
-        let batch = written.next_batch(&self.writer, pending);
+        let batch = written.next_batch(pending);
         let content = serde_json::value::to_raw_value(&batch).expect("a batch can be encoded");
-        let mut slot = written.take_slot(&batch);
+        let mut slot = None;
         let mut attempt = 0;
 
         loop {
@@ -313,6 +315,9 @@
                 && !self.is_store_reachable()
                 && let Some(host) = self.forward(pending, &notes, recorder).await
             {
+                if let Some(slot) = slot.take() {
+                    written.return_slot(slot);
+                }
                 self.report_recorded(pending, &host, started, attempt);
                 return;
             }
@@ -320,7 +325,14 @@
             let has_fallback = may_forward && !recorder.fallback_hosts().is_empty();
             let write_timeout =
                 if has_fallback { FAILOVER_WRITE_TIMEOUT } else { SOLE_WRITE_TIMEOUT };
-            let result = match timeout(write_timeout, self.write(&mut slot, &content)).await {
+            let writing = async {
+                if slot.is_none() {
+                    self.write_index(written).await?;
+                }
+                let slot = slot.get_or_insert_with(|| written.take_slot(&batch));
+                self.write(slot, &content).await
+            };
+            let result = match timeout(write_timeout, writing).await {
                 Ok(result) => result,
                 Err(_) => Err(StoreError::Unanswered { reason: "no answer in time".into() }),
             };
@@ -328,7 +340,9 @@
 
             match result {
                 Ok(true) => {
-                    written.add(slot, started);
+                    if let Some(slot) = slot.take() {
+                        written.add(slot, &batch);
+                    }
                     self.report_recorded(pending, &self.writer, started, attempt);
                     return;
                 }
@@ -389,6 +403,40 @@
         None
     }
 
+    /// Writes the index of the last segment, if that has not been done. A write whose response is lost is made again; it
+    /// then meets its own object.
+    async fn write_index(&self, written: &mut WrittenBatches) -> Result<(), StoreError> {
+        let Some(index) = written.index_to_write() else {
+            return Ok(());
+        };
+
+        let content = serde_json::value::to_raw_value(&index).expect("an index can be encoded");
+        let result = self.store.create(INDEX_KIND, &index.name(), &content).await;
+        self.metrics.count_store_call("index", result.is_ok());
+
+        match result? {
+            WriteOutcome::Written { revision } => written.confirm_index(Some(revision)),
+            // Only this run uses these names, so an earlier attempt has created the object.
+            WriteOutcome::Conflict => written.confirm_index(None),
+        }
+        Ok(())
+    }
+
+    /// Removes at most one index whose batches are no longer needed. A failure leaves an index that names batches which
+    /// no request asks for.
+    async fn remove_expired_index(&self, written: &mut WrittenBatches) {
+        let Some((name, revision)) = written.take_expired_index() else {
+            return;
+        };
+
+        let result = self.store.remove(INDEX_KIND, &name, revision).await;
+        self.metrics.count_store_call("index_removal", result.is_ok());
+
+        if let Err(error) = result {
+            log::warn!(index:% = name; "an expired index can't be removed: {error}");
+        }
+    }
+
     /// Makes one attempt to write a batch. A write whose response is lost may still take effect later, which is
     /// harmless, since each attempt writes the same batch. Returns whether the store has the batch; if not, the slot
     /// has a new name for the next attempt.
--- a/src/entry/turn_locator.rs
+++ b/src/entry/turn_locator.rs
@@ -1,6 +1,9 @@
 //! Finds turns that another host, or an earlier run of this one, has finished.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+};
 
 use parking_lot::Mutex;
 use serde::Deserialize;
@@ -15,6 +18,7 @@
     budget_ledger::SpendRecord,
     page_reader::PageReader,
     peer_mesh::PeerMesh,
+    segment_index::{INDEX_KIND, SegmentIndex, segment_prefix},
     turn_history::{HistoryTurn, TurnChain, TurnHistory},
     turn_journal::{JOURNAL_KIND, JournalBatch},
 };
@@ -38,6 +42,7 @@
 /// The part of a batch that the index and the ledger need. The turns' content is read again on demand.
 #[derive(Deserialize)]
 struct BatchSummary {
+    number: u64,
     writer: Arc<str>,
     turns: Vec<TurnSummary>,
     spends: Vec<SpendRecord>,
@@ -48,6 +53,26 @@
     id: Arc<str>,
 }
 
+/// Where a writer's open segment is, by its latest index.
+#[derive(Clone, Copy, Debug, Default)]
+struct SegmentPosition {
+    sequence: u64,
+    position: u32,
+    /// Number of the last batch that an index covers.
+    last_number: u64,
+}
+
+impl SegmentPosition {
+    /// Takes the position from an index if that is the latest one so far.
+    fn advance(&mut self, index: &SegmentIndex) {
+        if index.sequence >= self.sequence {
+            self.sequence = index.sequence;
+            self.position = index.next_position;
+            self.last_number = index.last_number;
+        }
+    }
+}
+
 /// Searches for turns in memory, then at the other hosts, then in the store.
 #[derive(Debug)]
 pub(crate) struct TurnLocator {
@@ -107,7 +132,7 @@
 
             let batch = self.index.lock().batch(&missing);
             let result = match batch {
-                Some(batch) => self.read_batch(&batch, &missing, retention).await,
+                Some(batch) => self.read_batch_or_list(&batch, &missing, retention).await,
                 None => self.list_batches(started).await.map(|()| self.is_indexed(&missing)),
             };
 
@@ -133,6 +158,22 @@
         turns.into_iter().for_each(|turn| history.insert(Arc::new(turn), retention));
     }
 
+    /// Reads a batch for the content of its turns. If it no longer has the turn, that may have been recorded again in
+    /// another batch, so the records are listed again. Returns whether the search can go on.
+    async fn read_batch_or_list(
+        &self,
+        name: &Arc<str>,
+        turn: &Arc<str>,
+        retention: Duration,
+    ) -> Result<bool, StoreError> {
+        if self.read_batch(name, turn, retention).await? {
+            return Ok(true);
+        }
+
+        self.list_batches(Instant::now()).await?;
+        Ok(self.is_indexed(turn))
+    }
+
     /// Reads a batch for the content of its turns, and keeps them in memory. Returns whether the turn is in it.
     async fn read_batch(
         &self,
@@ -156,7 +197,7 @@
 
         if !has_turn {
             // The batch's object has been reused since it was listed.
-            self.index.lock().remove(turn);
+            self.index.lock().remove(turn, name);
             return Ok(false);
         }
 
@@ -164,8 +205,8 @@
         Ok(true)
     }
 
-    /// Lists all batches, and merges them into the index and the ledger, unless the last listing was started at `since`
-    /// or later.
+    /// Reads what is recorded and not read yet into the index and the ledger, unless the last reading was started at
+    /// `since` or later: the indexes of all closed segments, and then the batches of each writer's open segment.
     pub(crate) async fn list_batches(&self, since: Instant) -> Result<(), StoreError> {
         let mut last_listing = self.last_listing.lock().await;
 
@@ -174,7 +215,7 @@
         }
 
         let started = Instant::now();
-        let pages = self.list_range(None, None, false).await?;
+        let pages = self.list_records(&[]).await?;
 
         log::info!(
             pages, turns = self.index.lock().turn_count(), took_ms = started.elapsed().as_millis() as u64;
@@ -184,68 +225,114 @@
         Ok(())
     }
 
-    /// Lists the batches whose names come after `after`, up to `end`. `is_unresponsive` says that the hosts which
-    /// wrote them do not respond. Returns the number of pages read.
-    async fn list_range(
-        &self,
-        after: Option<Arc<str>>,
-        end: Option<Arc<str>>,
-        is_unresponsive: bool,
-    ) -> Result<usize, StoreError> {
-        let is_in_range =
-            |object: &StoredObject| end.as_ref().is_none_or(|end| object.name <= *end);
-        let mut pages = PageReader::new(&*self.store, JOURNAL_KIND, after);
+    /// Reads the records again for the spends of unresponsive hosts, unless the last such reading for each of them was
+    /// started at `since` or later. Returns false if they can't be read.
+    pub(crate) async fn list_batches_of(&self, hosts: &[Arc<str>], since: Instant) -> bool {
+        let mut last_listings = self.last_host_listings.lock().await;
+        let is_recent =
+            |host| last_listings.get(host).is_some_and(|started: &Instant| *started >= since);
+
+        if hosts.iter().all(is_recent) {
+            return true;
+        }
+
+        let started = Instant::now();
+
+        if let Err(error) = self.list_records(hosts).await {
+            log::warn!("the records of {} unresponsive hosts can't be read: {error}", hosts.len());
+            return false;
+        }
+
+        last_listings.extend(hosts.iter().map(|host| (Arc::clone(host), started)));
+        true
+    }
+
+    /// Lists the indexes, and the batches that no index covers. Records about runs of `unresponsive_hosts` replace lower
+    /// reports of theirs, see [`BudgetLedger::merge_recorded`]. Returns the number of pages read.
+    async fn list_records(&self, unresponsive_hosts: &[Arc<str>]) -> Result<usize, StoreError> {
+        let mut pages = PageReader::new(&*self.store, INDEX_KIND, None);
         let mut page_count = 0;
+        let mut open_segments: HashMap<Arc<str>, SegmentPosition> = HashMap::new();
+        let mut listed = HashSet::new();
 
         while let Some(page) = pages.next().await? {
             page_count += 1;
-            let in_range = page.items.iter().take_while(|object| is_in_range(object));
-            in_range.for_each(|object| self.merge_batch(object, is_unresponsive));
 
-            if !page.items.last().is_some_and(is_in_range) {
-                break;
+            for object in &page.items {
+                let Some(index) = object.decode::<SegmentIndex>() else {
+                    log::warn!(index:% = object.name; "the index of a segment can't be decoded");
+                    continue;
+                };
+                let position = open_segments.entry(Arc::clone(&index.writer)).or_default();
+                position.advance(&index);
+                listed.insert(Arc::clone(&object.name));
+                self.merge_index(&object.name, &index, unresponsive_hosts);
             }
         }
 
+        self.index.lock().retain_merged(&listed);
+
+        for (writer, position) in open_segments {
+            page_count += self.list_open_segment(&writer, position, unresponsive_hosts).await?;
+        }
+
         Ok(page_count)
     }
 
-    /// Lists the batches of unresponsive hosts, except where the last listing was started at `since` or later.
-    /// Returns false as soon as one can't be listed.
-    pub(crate) async fn list_batches_of(&self, hosts: &[Arc<str>], since: Instant) -> bool {
-        for host in hosts {
-            let mut last_listings = self.last_host_listings.lock().await;
+    /// Merges an index that was not merged before. Its spends are merged again for unresponsive hosts.
+    fn merge_index(&self, name: &Arc<str>, index: &SegmentIndex, unresponsive_hosts: &[Arc<str>]) {
+        let mut batch_index = self.index.lock();
+        let is_new = batch_index.mark_merged(name);
 
-            if last_listings.get(host).is_some_and(|started| *started >= since) {
-                continue;
-            }
+        if is_new {
+            batch_index.merge(index.batches.clone());
+        }
+        drop(batch_index);
 
-            let started = Instant::now();
+        if is_new || !unresponsive_hosts.is_empty() {
+            let mut ledger = self.ledger.lock();
+            ledger.merge_recorded(&index.writer, &index.spends, unresponsive_hosts);
+        }
+    }
 
-            if let Err(error) = self.list_host_batches(host).await {
-                log::warn!(peer:% = host; "the records of a host can't be read: {error}");
-                return false;
-            }
+    /// Reads the batches of a writer's open segment. Returns the number of pages read.
+    async fn list_open_segment(
+        &self,
+        writer: &str,
+        position: SegmentPosition,
+        unresponsive_hosts: &[Arc<str>],
+    ) -> Result<usize, StoreError> {
+        let prefix: Arc<str> = segment_prefix(writer, position.position).into();
+        let mut pages = PageReader::new(&*self.store, JOURNAL_KIND, Some(Arc::clone(&prefix)));
+        let mut page_count = 0;
 
-            last_listings.insert(Arc::clone(host), started);
-        }
+        while let Some(page) = pages.next().await? {
+            page_count += 1;
+            let in_segment = |object: &&StoredObject| object.name.starts_with(&*prefix);
+            page.items
+                .iter()
+                .take_while(in_segment)
+                .for_each(|object| self.merge_batch(object, position, unresponsive_hosts));
 
-        true
-    }
+            if !page.items.last().is_some_and(|object| in_segment(&object)) {
+                break;
+            }
+        }
 
-    async fn list_host_batches(&self, host: &Arc<str>) -> Result<(), StoreError> {
-        // Names begin with the host and a dot, and the slash is the character after the dot.
-        let range = (format!("{host}."), format!("{host}/"));
-        self.list_range(Some(range.0.into()), Some(range.1.into()), true).await?;
-        Ok(())
+        Ok(page_count)
     }
 
-    /// Merges a listed batch into the index and the ledger. A revision that was read before is skipped, unless its host
-    /// is unresponsive: its records then replace lower reports, see [`BudgetLedger::merge_recorded`].
-    fn merge_batch(&self, object: &StoredObject, is_unresponsive: bool) {
+    /// Merges a batch of an open segment into the index and the ledger. Objects of the segment that was at the same
+    /// position before have lower numbers. A revision that was read before is merged again for unresponsive hosts only.
+    fn merge_batch(
+        &self,
+        object: &StoredObject,
+        position: SegmentPosition,
+        unresponsive_hosts: &[Arc<str>],
+    ) {
         let mut index = self.index.lock();
 
-        if !is_unresponsive && index.is_read(&object.name, object.revision) {
+        if unresponsive_hosts.is_empty() && index.is_read(&object.name, object.revision) {
             return;
         }
 
@@ -255,11 +342,16 @@
         };
 
         index.mark_read(&object.name, object.revision);
+
+        if batch.number <= position.last_number {
+            return;
+        }
+
         for turn in &batch.turns {
             index.insert(&object.name, Arc::clone(&turn.id));
         }
 
         drop(index);
-        self.ledger.lock().merge_recorded(&batch.writer, &batch.spends, is_unresponsive);
+        self.ledger.lock().merge_recorded(&batch.writer, &batch.spends, unresponsive_hosts);
     }
 }
--- a/src/tests/entry_budget.rs
+++ b/src/tests/entry_budget.rs
@@ -86,7 +86,7 @@
         for (writer, tokens) in &self.records {
             let program = Arc::clone(&self.program);
             let record = SpendRecord { writer: None, program, tokens: *tokens };
-            ledger.merge_recorded(writer, &[record], false);
+            ledger.merge_recorded(writer, &[record], &[]);
         }
 
         let writer = format!("host-{index}.{}", self.runs).into();
@@ -292,8 +292,49 @@
     ledger.merge_reported(&writer, &[note]);
 
     let record = SpendRecord { writer: None, program: Arc::clone(&program), tokens: 700 };
-    ledger.merge_recorded(&writer, std::slice::from_ref(&record), false);
+    ledger.merge_recorded(&writer, std::slice::from_ref(&record), &[]);
     assert_eq!(ledger.total(&program), 100);
-    ledger.merge_recorded(&writer, &[record], true);
+    ledger.merge_recorded(&writer, &[record], &["host-b".into()]);
     assert_eq!(ledger.total(&program), 700);
 }
+
+#[test]
+fn budget_ledger_raises_only_totals_of_the_unresponsive_host() {
+    let program: Arc<str> = "program".into();
+    let writers: [Arc<str>; 2] = ["host-b.1".into(), "host-c.1".into()];
+    let mut ledger = BudgetLedger::default();
+    for writer in &writers {
+        let note = SpendNote { program: Arc::clone(&program), tokens: 100, recorded: 0 };
+        ledger.merge_reported(writer, &[note]);
+    }
+
+    // A batch of the unresponsive host that also records, with headroom, for a host that responds.
+    let records = [None, Some(Arc::clone(&writers[1]))].map(|writer| SpendRecord {
+        writer,
+        program: Arc::clone(&program),
+        tokens: 700,
+    });
+    ledger.merge_recorded(&writers[0], &records, &["host-b".into()]);
+    assert_eq!(ledger.total(&program), 800);
+}
+
+#[test]
+fn budget_ledger_counts_own_records_once() {
+    let program: Arc<str> = "program".into();
+    let mut ledger = BudgetLedger::default();
+    ledger.set_local_writer("host-a.1".into());
+    assert_eq!(ledger.reserve(&program, 1_000, 100, 1), ReserveOutcome::Confirmed);
+    ledger.settle(&program, 100, 100);
+
+    // Both as a record of this host's batch and as one that another host has written for it.
+    let own = SpendRecord { writer: None, program: Arc::clone(&program), tokens: 100 };
+    let forwarded = SpendRecord { writer: Some("host-a.1".into()), ..own.clone() };
+    ledger.merge_recorded(&"host-a.1".into(), &[own], &[]);
+    ledger.merge_recorded(&"host-b.1".into(), &[forwarded], &[]);
+    assert_eq!(ledger.total(&program), 100);
+
+    // An earlier run of this host is another writer.
+    let earlier = SpendRecord { writer: None, program: Arc::clone(&program), tokens: 50 };
+    ledger.merge_recorded(&"host-a.0".into(), &[earlier], &[]);
+    assert_eq!(ledger.total(&program), 150);
+}
--- a/src/tests/entry_journal.rs
+++ b/src/tests/entry_journal.rs
@@ -13,10 +13,11 @@
     entry::{
         BudgetLedger, ObjectStore,
         batch_index::BatchIndex,
-        budget_ledger::SpendNote,
+        budget_ledger::{SpendNote, SpendRecord},
         entry_metrics::EntryMetrics,
         mesh_peer::MeshIdentity,
         peer_mesh::PeerMesh,
+        segment_index::INDEX_KIND,
         turn_history::{HistoryTurn, TurnHistory},
         turn_journal::{JOURNAL_KIND, TurnJournal, TurnRecorder, batch_delay},
         turn_locator::{TurnLocator, TurnSearch},
@@ -263,3 +264,69 @@
     let delays = [1, 2, 3, 6, 12].map(|hosts| batch_delay(hosts).as_millis());
     assert_eq!(delays, [30, 30, 36, 72, 75]);
 }
+
+#[tokio::test(start_paused = true)]
+async fn turn_locator_reads_indexes_in_place_of_batches() {
+    let store = Arc::new(MemoryStore::default());
+    let run = HostRun::start(&store, "host-a.1", &Arc::default());
+    for number in 0..60 {
+        let previous = (number > 0).then(|| (number - 1).to_string());
+        assert!(run.record(&number.to_string(), previous.as_deref()).await);
+        tokio::time::advance(Duration::from_millis(250)).await;
+    }
+    assert_eq!(store.object_count(JOURNAL_KIND), 60);
+
+    let next_run = HostRun::start(&store, "host-a.2", &Arc::default());
+    let before = store.call_count();
+    next_run.locator.list_batches(Instant::now()).await.expect("the store answers");
+    let calls = store.call_count() - before;
+    // A page has 3 objects, so a listing of all batches would take 20 calls.
+    assert!(calls <= 10, "{calls} calls");
+    let TurnSearch::Found(chain) = next_run.locator.find(&"59".into(), RETENTION).await else {
+        panic!("the chain is not found although it is recorded");
+    };
+    assert_eq!(chain.len(), 60);
+}
+
+#[tokio::test(start_paused = true)]
+async fn turn_locator_finds_turns_in_reused_objects() {
+    let store = Arc::new(MemoryStore::default());
+    let run = HostRun::start(&store, "host-a.1", &Arc::default());
+
+    // In each round some segments are written over those of the round before the last.
+    for round in 0..4 {
+        for number in 0..6 {
+            assert!(run.record(&format!("{round}.{number}"), None).await);
+            tokio::time::advance(Duration::from_millis(600)).await;
+        }
+        let reader = HostRun::start(&store, "host-b.1", &Arc::default());
+        for number in 0..6 {
+            let turn = format!("{round}.{number}").into();
+            let search = reader.locator.find(&turn, RETENTION).await;
+            assert!(matches!(search, TurnSearch::Found(_)), "{turn}: {search:?}");
+        }
+        tokio::time::advance(RETENTION * 2).await;
+    }
+
+    assert!(store.object_count(JOURNAL_KIND) <= 12, "{}", store.object_count(JOURNAL_KIND));
+    assert!(store.object_count(INDEX_KIND) <= 12, "{}", store.object_count(INDEX_KIND));
+}
+
+#[tokio::test(start_paused = true)]
+async fn turn_locator_finds_spends_that_a_silent_host_has_forwarded() {
+    let store = Arc::new(MemoryStore::default());
+    let program: Arc<str> = "program".into();
+    let reader = HostRun::start(&store, "host-c.1", &Arc::default());
+    let note = SpendNote { program: Arc::clone(&program), tokens: 10, recorded: 0 };
+    reader.locator.ledger.lock().merge_reported(&"host-b.1".into(), &[note]);
+
+    // The recorder writes the silent host's spend into a batch of its own.
+    let recorder = HostRun::start(&store, "host-a.1", &Arc::default());
+    let spend =
+        SpendRecord { writer: Some("host-b.1".into()), program: Arc::clone(&program), tokens: 70 };
+    let receiver = recorder.journal.append_forwarded(Vec::new(), vec![spend]);
+    timeout(Duration::from_secs(1), receiver).await.expect("in time").expect("recorded");
+
+    assert!(reader.locator.list_batches_of(&["host-b".into()], Instant::now()).await);
+    assert_eq!(reader.locator.ledger.lock().total(&program), 70);
+}
