--- a/src/membership/quic_transport.rs
+++ b/src/membership/quic_transport.rs
@@ -5,6 +5,10 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use eyre::{Result, WrapErr};
+use futures_util::{
+    FutureExt,
+    future::{BoxFuture, Shared},
+};
 use parking_lot::Mutex;
 use quinn::{
     ClientConfig, Connection, Endpoint, EndpointConfig, Incoming, RecvStream, SendStream,
@@ -61,17 +65,31 @@
     }
 }
 
-/// Time to connect to a peer, to open a stream, or to close all connections.
+/// Time that an exchange waits for a connection or for a stream, and to close all connections.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time for a handshake. It may take longer than an exchange waits, on a busy host or over a slow link; the next exchange
+/// then finds the connection.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Application error code of closed connections. Peers do not evaluate it.
 const CLOSE_CODE: VarInt = VarInt::from_u32(0);
 
+/// Attempt to connect to a peer. An error is the reason for which it failed.
+type ConnectAttempt = Shared<BoxFuture<'static, Result<Connection, Arc<str>>>>;
+
+/// Open connections and attempts to connect, by the peer's address.
+#[derive(Debug, Default)]
+struct PeerConnections {
+    open: HashMap<SocketAddr, Connection>,
+    attempts: HashMap<SocketAddr, ConnectAttempt>,
+}
+
 /// Connections to peers, each shared by all exchanges with that peer.
 #[derive(Debug)]
 pub(crate) struct QuicTransport {
     endpoint: Endpoint,
-    connections: Mutex<HashMap<SocketAddr, Connection>>,
+    connections: Arc<Mutex<PeerConnections>>,
     metrics: Arc<NodeMetrics>,
 }
 
@@ -119,7 +137,7 @@
         let runtime = Arc::new(quinn::TokioRuntime);
         let mut endpoint = Endpoint::new(config, Some(server), socket, runtime)?;
         endpoint.set_default_client_config(client);
-        Ok(Self { endpoint, connections: Mutex::default(), metrics })
+        Ok(Self { endpoint, connections: Arc::default(), metrics })
     }
 
     /// Address that the endpoint is bound to.
@@ -179,30 +197,56 @@
 
     /// Returns the connection to a peer, if there is one that is not closed.
     fn open_connection(&self, peer: SocketAddr) -> Option<Connection> {
-        let connection = self.connections.lock().get(&peer).cloned();
+        let connection = self.connections.lock().open.get(&peer).cloned();
         connection.filter(|it| it.close_reason().is_none())
     }
 
-    /// Returns the open connection to a peer, or a new one.
+    /// Returns the open connection to a peer, or a new one. At most one attempt to connect runs for each peer, and it
+    /// continues if the exchanges that wait for it give up: a handshake that takes longer than they wait would never
+    /// succeed otherwise.
     async fn get_or_connect(&self, peer: SocketAddr) -> Result<Connection, PeerError> {
         if let Some(connection) = self.open_connection(peer) {
             return Ok(connection);
         }
 
-        let lost = |reason: String| PeerError::Lost { reason };
-
-        let connecting = self
-            .endpoint
-            .connect(peer, PEER_SERVER_NAME)
-            .map_err(|error| lost(error.to_string()))?;
+        let attempt = {
+            let mut connections = self.connections.lock();
+            let start = || self.start_attempt(peer);
+            connections.attempts.entry(peer).or_insert_with(start).clone()
+        };
 
-        let connection = timeout(CONNECT_TIMEOUT, connecting)
+        timeout(CONNECT_TIMEOUT, attempt)
             .await
             .map_err(|_| PeerError::Overdue)?
-            .map_err(|error| lost(error.to_string()))?;
+            .map_err(|reason| PeerError::Lost { reason: reason.to_string() })
+    }
 
-        self.connections.lock().insert(peer, connection.clone());
-        Ok(connection)
+    /// Starts a task that connects to a peer and then removes itself from the attempts.
+    fn start_attempt(&self, peer: SocketAddr) -> ConnectAttempt {
+        let connecting = self.endpoint.connect(peer, PEER_SERVER_NAME);
+        let connections = Arc::clone(&self.connections);
+
+        let task = tokio::spawn(async move {
+            let result = match connecting {
+                Ok(connecting) => match timeout(HANDSHAKE_TIMEOUT, connecting).await {
+                    Ok(result) => result.map_err(|error| error.to_string().into()),
+                    Err(_) => Err("the handshake timed out".into()),
+                },
+                Err(error) => Err(error.to_string().into()),
+            };
+
+            let mut connections = connections.lock();
+            connections.attempts.remove(&peer);
+            if let Ok(connection) = &result {
+                connections.open.insert(peer, Connection::clone(connection));
+            }
+            result
+        });
+
+        let attempt = async move {
+            task.await.unwrap_or_else(|_| Err("the attempt to connect was cancelled".into()))
+        };
+        attempt.boxed().shared()
     }
 }
 
@@ -234,7 +278,7 @@
 #[async_trait]
 impl PeerTransport for QuicTransport {
     fn disconnect(&self, peer: SocketAddr) {
-        if let Some(connection) = self.connections.lock().remove(&peer) {
+        if let Some(connection) = self.connections.lock().open.remove(&peer) {
             connection.close(CLOSE_CODE, b"given up");
         }
     }
