Give up responses without end and streams that send a byte now and then

Looked for here, after what operators of similar systems saw. Progress of a resumable stream is a whole event with data, no longer any byte; a resumed attempt that stalls gives way to a further one if there is one left.

--- a/src/entry/request_runner.rs
+++ b/src/entry/request_runner.rs
@@ -35,7 +35,7 @@
 
 /// Time that a retryable request waits for an upstream before it is sent to another one, as a multiple of its route's
 /// latency objective.
-const RETRY_TIMEOUT_FACTOR: u32 = 4;
+pub(super) const RETRY_TIMEOUT_FACTOR: u32 = 4;
 
 /// Largest body of a response that is not a stream, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
@@ -387,6 +387,10 @@
                 Ok(Err(error)) => return self.finish_broken(lease, error.to_string().into()),
                 Err(_) => return self.finish_timed_out(lease, attempt_deadline),
             }
+
+            if framer.is_event_too_long() {
+                return self.finish_broken(lease, "an event exceeds the size limit".into());
+            }
         }
     }
 
--- a/src/entry/stream_relay.rs
+++ b/src/entry/stream_relay.rs
@@ -15,7 +15,7 @@
     entry_response::StreamItem,
     event_framer::{EventFramer, StreamEvent},
     pooled_upstream::LeaseOutcome,
-    request_runner::{RoutedRequest, RunnerContext},
+    request_runner::{RETRY_TIMEOUT_FACTOR, RoutedRequest, RunnerContext},
     turn_budget::TurnBudget,
     turn_history::HistoryTurn,
     upstream_lease::UpstreamLease,
@@ -28,6 +28,10 @@
 /// Time without data after which a resumable stream is resumed if its route has no event gap objective.
 const DEFAULT_GAP_TIMEOUT: Duration = Duration::from_millis(1_200);
 
+/// Most events without data that are relayed in one stream. An upstream that fails may send bytes without end that pass
+/// as such events.
+const MAX_EMPTY_EVENTS: u64 = 256;
+
 /// A stream from an upstream whose first event has arrived.
 #[derive(Debug)]
 pub(crate) struct StreamSource {
@@ -66,6 +70,8 @@
     last_event_id: Option<Arc<str>>,
     /// Number of events with data.
     events: u64,
+    /// Number of events without data.
+    empty_events: u64,
     /// Data of the events, each followed by a line feed; collected only if the route keeps history.
     output: BytesMut,
 }
@@ -122,17 +128,29 @@
     ) -> SourceEnd {
         let StreamSource { lease, mut body, mut framer, first_event, .. } = source;
         let mut first_event = Some(first_event);
+        // Only whole events with data count, so that an upstream which sends a byte now and then is stalled as well.
+        let mut last_progress = Instant::now();
 
         loop {
             while let Some(event) = first_event.take().or_else(|| framer.next_event()) {
+                let has_data = event.data.is_some();
+
                 if let Err(end) = self.forward_event(event, progress).await {
                     lease.finish(LeaseOutcome::Cancelled);
                     return end;
                 }
+                if has_data {
+                    last_progress = Instant::now();
+                }
+            }
+
+            if progress.empty_events > MAX_EMPTY_EVENTS {
+                lease.finish(LeaseOutcome::Failed);
+                return SourceEnd::Broken("too many events without data".into());
             }
 
             let read_deadline = if self.can_resume() {
-                self.routed.deadline.min(Instant::now() + self.gap_timeout())
+                self.routed.deadline.min(last_progress + self.gap_timeout())
             } else {
                 self.routed.deadline
             };
@@ -198,6 +216,8 @@
                 progress.output.extend_from_slice(data);
                 progress.output.extend_from_slice(b"\n");
             }
+        } else {
+            progress.empty_events += 1;
         }
 
         if let Some(id) = &event.id {
@@ -259,10 +279,16 @@
         lease: UpstreamLease,
         progress: &StreamProgress,
     ) -> Option<StreamSource> {
+        // The first event may take as long as that of a first attempt, which includes the prefill.
+        let resume_timeout = self.routed.route.latency_objective * RETRY_TIMEOUT_FACTOR;
+        let resume_deadline = if self.attempts + 1 < self.routed.route.attempt_limit {
+            self.routed.deadline.min(Instant::now() + resume_timeout)
+        } else {
+            self.routed.deadline
+        };
         let request = self.routed.upstream_request(progress.last_event_id.clone());
         let result =
-            timeout_at(self.routed.deadline, self.context.channel.send(&lease.record, request))
-                .await;
+            timeout_at(resume_deadline, self.context.channel.send(&lease.record, request)).await;
 
         let mut response = match result {
             Ok(Ok(response)) => response,
@@ -312,7 +338,7 @@
                 }
             }
 
-            let read = timeout_at(self.routed.deadline, response.body.next()).await;
+            let read = timeout_at(resume_deadline, response.body.next()).await;
 
             let Ok(Ok(Some(chunk))) = read else {
                 lease.finish(LeaseOutcome::Failed);
@@ -320,6 +346,11 @@
             };
 
             framer.push(&chunk);
+
+            if framer.is_event_too_long() {
+                lease.finish(LeaseOutcome::Failed);
+                return None;
+            }
         }
     }
 
