--- a/src/entry.rs
+++ b/src/entry.rs
@@ -12,6 +12,7 @@
 mod entry_settings;
 pub(crate) mod event_framer;
 pub(crate) mod host_registry;
+mod journal_queue;
 mod kind_follower;
 pub(crate) mod leaving_upstreams;
 mod mesh_answers;
--- a/src/entry/budget_ledger.rs
+++ b/src/entry/budget_ledger.rs
@@ -51,25 +51,18 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub(crate) struct SpendRecord {
     /// The writer, if it is not the one that writes the batch.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(default)]
     pub(crate) writer: Option<Arc<str>>,
     pub(crate) program: Arc<str>,
     pub(crate) tokens: u64,
 }
 
 impl SpendRecord {
-    /// Returns the record as a note, if it is a total of the writer of the batch.
-    pub(crate) fn local_note(&self) -> Option<SpendNote> {
-        self.writer.is_none().then(|| SpendNote {
-            program: Arc::clone(&self.program),
-            tokens: self.tokens,
-            recorded: self.tokens,
-        })
-    }
-
-    /// Makes a record for another writer, which has put the total to record into the note's `recorded`.
-    pub(crate) fn for_writer(writer: &Arc<str>, note: SpendNote) -> Self {
-        Self { writer: Some(Arc::clone(writer)), program: note.program, tokens: note.recorded }
+    /// Returns the record with its writer, which is that of the batch if it names none. A record that goes into a batch of
+    /// another host has to name it.
+    pub(crate) fn with_writer(&self, batch_writer: &Arc<str>) -> Self {
+        let writer = self.writer.as_ref().unwrap_or(batch_writer);
+        Self { writer: Some(Arc::clone(writer)), ..self.clone() }
     }
 }
 
--- a/src/entry/mesh_answers.rs
+++ b/src/entry/mesh_answers.rs
@@ -83,9 +83,7 @@
 impl PeerHandler for PeerMesh {
     async fn handle(self: Arc<Self>, first: PeerMessage, mut stream: Box<dyn PeerStream>) {
         let response = match first {
-            PeerMessage::Record { writer, turns, notes } => {
-                self.record_for(&writer, turns, notes).await
-            }
+            PeerMessage::Record { turns, spends } => self.record_for(turns, spends).await,
             message => self.respond(message),
         };
 
--- a/src/entry/mesh_recorder.rs
+++ b/src/entry/mesh_recorder.rs
@@ -9,9 +9,7 @@
 use crate::{
     HostName, PeerMessage,
     entry::{
-        budget_ledger::{SpendNote, SpendRecord},
-        peer_mesh::PeerMesh,
-        turn_history::HistoryTurn,
+        budget_ledger::SpendRecord, peer_mesh::PeerMesh, turn_history::HistoryTurn,
         turn_journal::TurnRecorder,
     },
     membership::rendezvous::rendezvous_winner,
@@ -35,17 +33,14 @@
     /// that the other host tries elsewhere.
     pub(super) async fn record_for(
         &self,
-        writer: &Arc<str>,
         turns: Vec<HistoryTurn>,
-        notes: Vec<SpendNote>,
+        spends: Vec<SpendRecord>,
     ) -> PeerMessage {
         let Some(journal) = self.journal.get().filter(|journal| journal.is_store_reachable())
         else {
             return PeerMessage::NoAck;
         };
 
-        let spends = notes.into_iter().map(|note| SpendRecord::for_writer(writer, note)).collect();
-
         match timeout(RECORD_TIMEOUT, journal.append_forwarded(turns, spends)).await {
             Ok(Ok(())) => PeerMessage::Done,
             _ => PeerMessage::NoAck,
@@ -94,16 +89,17 @@
         candidates.into_iter().map(|(_, host)| host).take(MAX_FALLBACK_HOSTS).collect()
     }
 
-    async fn record(&self, host: &Arc<str>, turns: &[HistoryTurn], notes: &[SpendNote]) -> bool {
+    async fn record(
+        &self,
+        host: &Arc<str>,
+        turns: &[HistoryTurn],
+        records: &[SpendRecord],
+    ) -> bool {
         let Some(address) = self.peers.lock().get(host).map(|peer| peer.address) else {
             return false;
         };
 
-        let message = PeerMessage::Record {
-            writer: Arc::clone(&self.identity.writer),
-            turns: turns.to_vec(),
-            notes: notes.to_vec(),
-        };
+        let message = PeerMessage::Record { turns: turns.to_vec(), spends: records.to_vec() };
         let response = timeout(RECORD_TIMEOUT, self.connector.exchange(address, &message)).await;
         let is_recorded = matches!(response, Ok(Ok(PeerMessage::Done)));
 
--- a/src/entry/turn_budget.rs
+++ b/src/entry/turn_budget.rs
@@ -92,7 +92,9 @@
     async fn refuse(&self, program: &Arc<str>) -> Result<TurnBudget, BudgetRefusal> {
         let is_recorded = self.ledger.lock().is_recorded(program);
 
-        if is_recorded || timeout(FLUSH_TIMEOUT, self.journal.flush_spends()).await.is_ok() {
+        if is_recorded
+            || matches!(timeout(FLUSH_TIMEOUT, self.journal.flush_spends()).await, Ok(Ok(())))
+        {
             Err(BudgetRefusal::Spent)
         } else {
             Err(BudgetRefusal::Unknown)
@@ -177,7 +179,8 @@
                 ledger.mark_unrecorded(&self.program);
             }
 
-            if timeout_at(deadline, self.context.journal.flush_spends()).await.is_err() {
+            let flush = timeout_at(deadline, self.context.journal.flush_spends()).await;
+            if !matches!(flush, Ok(Ok(()))) {
                 return false;
             }
         }
--- a/src/entry/turn_journal.rs
+++ b/src/entry/turn_journal.rs
@@ -3,7 +3,6 @@
 //! See docs/design/platform.md, "Turns" and "Budgets".
 
 use std::{
-    collections::VecDeque,
     fmt::Debug,
     sync::{
         Arc,
@@ -24,8 +23,9 @@
     BackoffPolicy,
     entry::{
         BudgetLedger, ObjectStore, StoreError, WriteOutcome,
-        budget_ledger::{SpendNote, SpendRecord},
+        budget_ledger::SpendRecord,
         entry_metrics::EntryMetrics,
+        journal_queue::{JournalQueue, PendingBatch, QueuedEntries},
         segment_index::INDEX_KIND,
         turn_history::HistoryTurn,
         written_batches::{BatchSlot, WrittenBatches},
@@ -47,10 +47,6 @@
 /// Object kind of the batches in the store.
 pub(crate) const JOURNAL_KIND: &str = "turn-batches";
 
-/// Most bytes of turns in a batch, since a host has little memory and reads whole batches back. A single turn may be
-/// larger, up to the store's limit of 1 MiB for a value.
-const MAX_BATCH_BYTES: usize = 192 << 10;
-
 /// Shortest time for which a batch waits for more turns after the first one. Calls to the store are priced, and larger
 /// batches need fewer of them.
 const MIN_BATCH_DELAY: Duration = Duration::from_millis(30);
@@ -83,31 +79,6 @@
     pub(crate) spends: Vec<SpendRecord>,
 }
 
-/// A turn that waits to be recorded.
-#[derive(Debug)]
-struct PendingTurn {
-    turn: Arc<HistoryTurn>,
-    done: oneshot::Sender<()>,
-}
-
-/// Turns and spends that another host has forwarded to be recorded by this one.
-#[derive(Debug)]
-pub(crate) struct ForwardedBatch {
-    pub(crate) turns: Vec<HistoryTurn>,
-    pub(crate) spends: Vec<SpendRecord>,
-    done: oneshot::Sender<()>,
-}
-
-#[derive(Debug, Default)]
-struct JournalQueue {
-    forwarded: Vec<ForwardedBatch>,
-    turns: VecDeque<PendingTurn>,
-    /// Callers that wait until the spends which are unrecorded now are durable.
-    spend_waiters: Vec<oneshot::Sender<()>>,
-    /// When the first entry was queued, or when the last batch was taken if that left entries behind.
-    pending_since: Option<Instant>,
-}
-
 /// Asks other hosts to record turns and spends.
 #[async_trait]
 pub(crate) trait TurnRecorder: Debug + Send + Sync {
@@ -121,7 +92,8 @@
     fn fallback_hosts(&self) -> Vec<Arc<str>>;
 
     /// Asks a host to record turns and spends. Returns whether it has made them durable.
-    async fn record(&self, host: &Arc<str>, turns: &[HistoryTurn], notes: &[SpendNote]) -> bool;
+    async fn record(&self, host: &Arc<str>, turns: &[HistoryTurn], records: &[SpendRecord])
+    -> bool;
 }
 
 /// Time for which a recorder that `host_count` hosts share gathers turns. In a larger group, turns follow each other more
@@ -173,20 +145,14 @@
         turns: Vec<HistoryTurn>,
         spends: Vec<SpendRecord>,
     ) -> oneshot::Receiver<()> {
-        let (done, receiver) = oneshot::channel();
-        let mut queue = self.queue.lock();
-        queue.forwarded.push(ForwardedBatch { turns, spends, done });
-        queue.pending_since.get_or_insert_with(Instant::now);
+        let receiver = self.queue.lock().push_forwarded(turns, spends);
         self.work_added.notify_one();
         receiver
     }
 
     /// Queues a turn. The receiver is notified once it is durable.
     pub(crate) fn append(&self, turn: Arc<HistoryTurn>) -> oneshot::Receiver<()> {
-        let (done, receiver) = oneshot::channel();
-        let mut queue = self.queue.lock();
-        queue.turns.push_back(PendingTurn { turn, done });
-        queue.pending_since.get_or_insert_with(Instant::now);
+        let receiver = self.queue.lock().push_turn(turn);
         self.work_added.notify_one();
         receiver
     }
@@ -194,10 +160,7 @@
     /// Requests a batch with the spends that are unrecorded now, even if no turn waits. The receiver is notified once
     /// they are durable.
     pub(crate) fn flush_spends(&self) -> oneshot::Receiver<()> {
-        let (done, receiver) = oneshot::channel();
-        let mut queue = self.queue.lock();
-        queue.spend_waiters.push(done);
-        queue.pending_since.get_or_insert_with(Instant::now);
+        let receiver = self.queue.lock().push_spend_waiter();
         self.work_added.notify_one();
         receiver
     }
@@ -209,11 +172,10 @@
 
         loop {
             self.wait_for_work(&*recorder).await;
-            let (pending_turns, forwarded, spend_waiters) = self.take_queued();
+            let QueuedEntries { turns, forwarded, spend_waiters } = self.queue.lock().take();
             let records = self.ledger.lock().take_unrecorded();
-            let turns: Vec<HistoryTurn> =
-                pending_turns.iter().map(|it| HistoryTurn::clone(&it.turn)).collect();
-            let mut pending = PendingBatch { turns, records, forwarded };
+            let contents = turns.iter().map(|it| HistoryTurn::clone(&it.turn)).collect();
+            let mut pending = PendingBatch { turns: contents, records, forwarded };
 
             if !pending.is_empty() {
                 self.record(&mut pending, &*recorder, &mut written).await;
@@ -222,7 +184,7 @@
             self.remove_expired_index(&mut written).await;
 
             let forward_waiters = pending.forwarded.into_iter().map(|it| it.done);
-            let turn_waiters = pending_turns.into_iter().map(|it| it.done);
+            let turn_waiters = turns.into_iter().map(|it| it.done);
             turn_waiters.chain(forward_waiters).chain(spend_waiters).for_each(notify_done);
         }
     }
@@ -233,7 +195,7 @@
         let mut spends_due = Instant::now() + SPEND_INTERVAL;
 
         loop {
-            let pending_since = self.queue.lock().pending_since;
+            let pending_since = self.queue.lock().pending_since();
 
             if let Some(pending_since) = pending_since {
                 let delay = match recorder.preferred_host() {
@@ -253,35 +215,6 @@
         }
     }
 
-    /// Takes the entries of one batch: forwarded batches first, then this host's turns as far as they fit, and all
-    /// waiters for spends.
-    fn take_queued(&self) -> (Vec<PendingTurn>, Vec<ForwardedBatch>, Vec<oneshot::Sender<()>>) {
-        let mut queue = self.queue.lock();
-        let mut turns = Vec::new();
-        let mut forwarded = Vec::new();
-        let mut size = 0;
-
-        while let Some(batch) = queue.forwarded.pop() {
-            size += batch.turns.iter().map(HistoryTurn::size).sum::<usize>();
-            forwarded.push(batch);
-            if size > MAX_BATCH_BYTES {
-                break;
-            }
-        }
-
-        while let Some(pending) = queue.turns.front() {
-            size += pending.turn.size();
-            if size > MAX_BATCH_BYTES && !(turns.is_empty() && forwarded.is_empty()) {
-                break;
-            }
-            turns.extend(queue.turns.pop_front());
-        }
-
-        let is_empty = queue.turns.is_empty() && queue.forwarded.is_empty();
-        queue.pending_since = (!is_empty).then(Instant::now);
-        (turns, forwarded, std::mem::take(&mut queue.spend_waiters))
-    }
-
     /// Makes a batch durable: through the preferred host, else by a write of this host, else through a fallback host
     /// that reaches the store. Retries until one has succeeded. Batches that were forwarded to this host are not
     /// forwarded again.
@@ -292,13 +225,13 @@
         written: &mut WrittenBatches,
     ) {
         let started = Instant::now();
-        let notes: Vec<SpendNote> =
-            pending.records.iter().filter_map(SpendRecord::local_note).collect();
+        let records: Vec<SpendRecord> =
+            pending.records.iter().map(|it| it.with_writer(&self.writer)).collect();
         let mut may_forward = pending.forwarded.is_empty();
 
         if may_forward
             && let Some(host) = recorder.preferred_host()
-            && recorder.record(&host, &pending.turns, &notes).await
+            && recorder.record(&host, &pending.turns, &records).await
         {
             self.report_recorded(pending, &host, started, 0);
             return;
@@ -313,7 +246,7 @@
             // While the store does not answer this host, it forwards the batch before it tries its own write.
             if may_forward
                 && !self.is_store_reachable()
-                && let Some(host) = self.forward(pending, &notes, recorder).await
+                && let Some(host) = self.forward(pending, &records, recorder).await
             {
                 if let Some(slot) = slot.take() {
                     written.return_slot(slot);
@@ -391,11 +324,11 @@
     async fn forward(
         &self,
         pending: &PendingBatch,
-        notes: &[SpendNote],
+        records: &[SpendRecord],
         recorder: &dyn TurnRecorder,
     ) -> Option<Arc<str>> {
         for host in recorder.fallback_hosts() {
-            if recorder.record(&host, &pending.turns, notes).await {
+            if recorder.record(&host, &pending.turns, records).await {
                 return Some(host);
             }
         }
@@ -481,20 +414,6 @@
     }
 }
 
-/// Turns and spends of a batch that is not durable yet.
-#[derive(Debug)]
-pub(crate) struct PendingBatch {
-    pub(crate) turns: Vec<HistoryTurn>,
-    pub(crate) records: Vec<SpendRecord>,
-    pub(crate) forwarded: Vec<ForwardedBatch>,
-}
-
-impl PendingBatch {
-    fn is_empty(&self) -> bool {
-        self.turns.is_empty() && self.records.is_empty() && self.forwarded.is_empty()
-    }
-}
-
 fn notify_done(done: oneshot::Sender<()>) {
     if done.send(()).is_err() {
         log::debug!("a receiver was dropped before its batch was recorded");
--- a/src/entry/written_batches.rs
+++ b/src/entry/written_batches.rs
@@ -5,8 +5,9 @@
 use tokio::time::{Duration, Instant};
 
 use crate::entry::{
+    journal_queue::PendingBatch,
     segment_index::{SegmentIndex, segment_prefix},
-    turn_journal::{JournalBatch, PendingBatch},
+    turn_journal::JournalBatch,
 };
 
 /// Time for which a batch is kept beyond the retention of its turns.
--- a/src/membership/peer_message.rs
+++ b/src/membership/peer_message.rs
@@ -11,7 +11,7 @@
     entry::{
         EntryRefusal, RouteLimits,
         batch_index::IndexedBatch,
-        budget_ledger::{SpendNote, WriterSpends},
+        budget_ledger::{SpendNote, SpendRecord, WriterSpends},
         leaving_upstreams::UpstreamInstance,
         turn_history::HistoryTurn,
     },
@@ -152,9 +152,9 @@
     /// Entry: request to record turns and spends in the store on behalf of the sender. The response is `Done` once they
     /// are durable, or `NoAck` if the receiver could not record them in time or can't reach the store either.
     Record {
-        writer: Arc<str>,
         turns: Vec<HistoryTurn>,
-        notes: Vec<SpendNote>,
+        /// Totals of the sender, and of writers that have reported to it what they have not recorded.
+        spends: Vec<SpendRecord>,
     },
     /// Entry: crash counts of requests that may have crashed upstreams. The response is `Done`.
     RequestCrashesNoted {
--- a/src/tests/entry_journal.rs
+++ b/src/tests/entry_journal.rs
@@ -57,6 +57,7 @@
     host: Option<Arc<str>>,
     is_preferred: bool,
     turns: Mutex<Vec<Arc<str>>>,
+    records: Mutex<Vec<SpendRecord>>,
 }
 
 #[async_trait]
@@ -73,7 +74,13 @@
         self.host.iter().cloned().collect()
     }
 
-    async fn record(&self, _host: &Arc<str>, turns: &[HistoryTurn], _notes: &[SpendNote]) -> bool {
+    async fn record(
+        &self,
+        _host: &Arc<str>,
+        turns: &[HistoryTurn],
+        records: &[SpendRecord],
+    ) -> bool {
+        self.records.lock().extend_from_slice(records);
         self.turns.lock().extend(turns.iter().map(|turn| Arc::clone(&turn.id)));
         true
     }
@@ -209,6 +216,29 @@
     assert_eq!((store.call_count(), recorder.turns.lock().len()), (0, 1));
 }
 
+#[tokio::test(start_paused = true)]
+async fn turn_journal_forwards_totals_of_other_writers_before_they_count_as_recorded() {
+    let recorder = Arc::new(FakeRecorder {
+        host: Some("host-b".into()),
+        is_preferred: true,
+        ..FakeRecorder::default()
+    });
+    let run = HostRun::start(&Arc::default(), "host-a.1", &recorder);
+    let program: Arc<str> = "program".into();
+    let note = SpendNote { program: Arc::clone(&program), tokens: 300, recorded: 0 };
+    run.locator.ledger.lock().merge_reported(&"host-c.1".into(), &[note]);
+    run.locator.ledger.lock().mark_unrecorded(&program);
+    assert_eq!(run.locator.ledger.lock().unrecorded_tokens(&program), 300);
+
+    timeout(Duration::from_secs(1), run.journal.flush_spends())
+        .await
+        .expect("in time")
+        .expect("ok");
+    assert_eq!(run.locator.ledger.lock().unrecorded_tokens(&program), 0);
+    let expected = SpendRecord { writer: Some("host-c.1".into()), program, tokens: 300 };
+    assert!(recorder.records.lock().contains(&expected), "{:?}", recorder.records.lock());
+}
+
 #[tokio::test(start_paused = true)]
 async fn turn_journal_reuses_objects_after_retention() {
     let store = Arc::new(MemoryStore::default());
