Probe silent schedulers beside the question for the list, and on schedulers too

Found by reading: a gateway asked each silent scheduler in turn, 0.6 s each, before its question for the list, so that with several hosts gone it counted as out of contact (2.5 s); and a scheduler, which forwards turns as well, never asked them again, so that programs kept away from an owner that was back. The second fault has no test.

--- a/src/gateway/entry_node.rs
+++ b/src/gateway/entry_node.rs
@@ -11,6 +11,7 @@
 
 use async_trait::async_trait;
 use eyre::Result;
+use futures_util::future::join_all;
 use tokio::time::{Duration, sleep, timeout};
 
 use crate::{
@@ -121,7 +122,7 @@
 
             if should_schedule(&self.settings.host, &region, &schedulers) {
                 self.become_scheduler();
-                return;
+                return self.probe_suspects_forever().await;
             }
 
             log::info!(schedulers = schedulers.len(); "serving as a gateway");
@@ -166,22 +167,18 @@
 
         while failures < MAX_FAILED_QUESTIONS {
             let directory = &self.forwarder.directory;
-
-            for address in directory.suspects() {
-                if let Some(schedulers) = self.query_schedulers(address).await {
-                    directory.mark_responsive(address);
-                    directory.set_schedulers(schedulers);
-                }
-            }
-
             // A random key spreads the questions over the schedulers of the region.
             let key = rand::random::<u64>().to_string();
             let candidate = directory.candidates(&key).into_iter().next();
 
-            let schedulers = match &candidate {
-                Some(scheduler) => self.query_schedulers(scheduler.address).await,
-                None => None,
+            let question = async {
+                match &candidate {
+                    Some(scheduler) => self.query_schedulers(scheduler.address).await,
+                    None => None,
+                }
             };
+            // At the same time, so that several hosts which are gone don't delay the question.
+            let (schedulers, ()) = tokio::join!(question, self.probe_suspects());
 
             if let Some(schedulers) = schedulers {
                 let is_short = is_region_short(region, &schedulers);
@@ -203,6 +200,26 @@
         }
     }
 
+    /// Asks the schedulers that did not respond again, and marks those as responsive that do.
+    async fn probe_suspects(&self) {
+        let directory = &self.forwarder.directory;
+        let probes = directory.suspects().into_iter().map(|address| async move {
+            if self.query_schedulers(address).await.is_some() {
+                directory.mark_responsive(address);
+            }
+        });
+
+        join_all(probes).await;
+    }
+
+    /// Probes suspects on a scheduler, which forwards turns of programs that others own.
+    async fn probe_suspects_forever(&self) {
+        loop {
+            sleep(FOLLOW_INTERVAL).await;
+            self.probe_suspects().await;
+        }
+    }
+
     /// Asks one scheduler for the list; `None` if it is not ready or does not respond in time.
     async fn query_schedulers(&self, address: std::net::SocketAddr) -> Option<Vec<SchedulerEntry>> {
         let exchange = self.forwarder.connector.exchange(address, &PeerMessage::SchedulersQuery);
