--- a/src/entry/turn_journal.rs
+++ b/src/entry/turn_journal.rs
@@ -55,7 +55,7 @@
 const MAX_BATCH_DELAY: Duration = Duration::from_millis(75);
 
 /// Time for which a batch waits for each host that shares its recorder, between the two bounds.
-const BATCH_DELAY_PER_HOST: Duration = Duration::from_millis(12);
+const BATCH_DELAY_PER_HOST: Duration = Duration::from_millis(6);
 
 /// Time for which a batch waits for more turns before it is forwarded to the host that records for this one. It is
 /// short, since that host gathers the turns of several hosts for [`MIN_BATCH_DELAY`] at least.
