LOST: name request, scheduler and cause of each stream that a host closes early

Change: request, scheduler and cause in the line, a line when a stream does not resume, the counter streams_broken_total by cause. The relay of a forwarded stream is a type of its own.

--- a/src/entry/entry_metrics.rs
+++ b/src/entry/entry_metrics.rs
@@ -31,6 +31,7 @@
     history_bytes: Gauge<u64>,
     offers: Counter<u64>,
     forwarded_requests: Counter<u64>,
+    broken_streams: Counter<u64>,
     is_scheduler: Gauge<u64>,
     schedulers: Gauge<u64>,
 }
@@ -103,6 +104,10 @@
                 "ragwortknot.entry.forwarded",
                 "Forwarded requests that a scheduler has accepted, by outcome.",
             ),
+            broken_streams: counter(
+                "ragwortknot.entry.streams.broken",
+                "Streams to clients that were closed before their end, by cause.",
+            ),
             is_scheduler: meter
                 .u64_gauge("ragwortknot.entry.scheduler")
                 .with_description("1 on a scheduler, 0 on a gateway.")
@@ -145,6 +150,11 @@
         self.forwarded_requests.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a stream that this host closes before its end. The client then has an incomplete response.
+    pub(crate) fn count_broken_stream(&self, cause: &'static str) {
+        self.broken_streams.add(1, &[KeyValue::new("cause", cause)]);
+    }
+
     pub(crate) fn record_role(&self, is_scheduler: bool) {
         self.is_scheduler.record(u64::from(is_scheduler), &[]);
     }
--- a/src/entry/stream_relay.rs
+++ b/src/entry/stream_relay.rs
@@ -99,12 +99,21 @@
                     );
                     self.excluded.push(upstream);
                     next_source = self.resume(&progress).await;
+
+                    if next_source.is_none() {
+                        self.context.metrics.count_broken_stream("upstream");
+                        log::warn!(
+                            request:% = self.routed.request.id, events = progress.events, attempts = self.attempts;
+                            "broken off: the stream does not resume on another upstream"
+                        );
+                    }
                 }
                 SourceEnd::ClientDisconnected => {
                     log::info!(request:% = self.routed.request.id, events = progress.events; "the client has disconnected");
                     return;
                 }
                 SourceEnd::DeadlineExceeded => {
+                    self.context.metrics.count_broken_stream("deadline");
                     log::info!(request:% = self.routed.request.id, events = progress.events; "broken off: the deadline has passed");
                     return;
                 }
@@ -374,6 +383,7 @@
             let recording = self.context.journal.append(Arc::clone(&turn));
 
             if !matches!(timeout_at(self.routed.deadline, recording).await, Ok(Ok(()))) {
+                self.context.metrics.count_broken_stream("unrecorded");
                 log::warn!(request:% = request.id; "broken off: the turn can't be recorded in time");
                 return;
             }
--- a/src/gateway/request_forwarder.rs
+++ b/src/gateway/request_forwarder.rs
@@ -9,19 +9,19 @@
 use hyper::StatusCode;
 use tokio::{
     sync::mpsc,
-    time::{Duration, Instant, sleep_until, timeout, timeout_at},
+    time::{Duration, Instant, timeout, timeout_at},
 };
 
 use crate::{
     PeerError, PeerMessage, PeerStream,
     entry::{
-        EntryRefusal, EntryRequest, EntryResponse, RelayedBody, RelayedResponse, StreamItem,
+        EntryRefusal, EntryRequest, EntryResponse, RelayedBody, RelayedResponse,
         entry_metrics::EntryMetrics, entry_response::MAX_BUFFERED_ITEMS,
         mesh_connector::MeshConnector,
     },
     gateway::{
         DeclineReason, ForwardedHead, ForwardedRequest, SchedulerDirectory, SchedulerEntry,
-        forwarded_request::decode_headers,
+        forwarded_request::decode_headers, forwarded_stream::ForwardedStream,
     },
 };
 
@@ -109,7 +109,15 @@
                 "forwarded"
             );
 
-            match self.run(stream, deadline + DEADLINE_SLACK).await {
+            let forwarded = ForwardedStream {
+                request: Arc::clone(&request.id),
+                scheduler: Arc::clone(&scheduler.host),
+                stream,
+                deadline: deadline + DEADLINE_SLACK,
+                metrics: Arc::clone(&self.metrics),
+            };
+
+            match run(forwarded).await {
                 ForwardOutcome::Response(response) => {
                     self.metrics.count_forwarded("answered");
                     return Some(response);
@@ -154,59 +162,46 @@
             Ok(Ok((_, Some(PeerMessage::ForwardDeclined { reason })))) => {
                 OfferOutcome::Declined(reason)
             }
-            Ok(Ok((_, other))) => OfferOutcome::Silent(unexpected(other)),
+            Ok(Ok((_, other))) => OfferOutcome::Silent(unexpected_message(other)),
             Ok(Err(error)) => OfferOutcome::Silent(error),
             Err(_) => OfferOutcome::Silent(PeerError::Overdue),
         }
     }
+}
 
-    /// Confirms an accepted request and reads its response.
-    async fn run(&self, mut stream: Box<dyn PeerStream>, deadline: Instant) -> ForwardOutcome {
-        if let Err(error) = stream.send(&PeerMessage::ForwardConfirmed).await {
-            return ForwardOutcome::Lost(error);
-        }
+/// Confirms an accepted request and reads its response.
+async fn run(mut forwarded: ForwardedStream) -> ForwardOutcome {
+    if let Err(error) = forwarded.stream.send(&PeerMessage::ForwardConfirmed).await {
+        return ForwardOutcome::Lost(error);
+    }
 
-        let response = match timeout_at(deadline, stream.receive()).await {
-            Ok(Ok(response)) => response,
-            Ok(Err(error)) => return ForwardOutcome::Lost(error),
-            Err(_) => {
-                return ForwardOutcome::Response(EntryResponse::refused(
-                    EntryRefusal::DeadlineExceeded,
-                    "the time has run out",
-                ));
-            }
-        };
+    let response = match timeout_at(forwarded.deadline, forwarded.stream.receive()).await {
+        Ok(Ok(response)) => response,
+        Ok(Err(error)) => return ForwardOutcome::Lost(error),
+        Err(_) => {
+            return ForwardOutcome::Response(EntryResponse::refused(
+                EntryRefusal::DeadlineExceeded,
+                "the time has run out",
+            ));
+        }
+    };
 
-        match response {
-            Some(PeerMessage::ForwardRefused { refusal, reason }) => {
-                ForwardOutcome::Response(EntryResponse::refused(refusal, reason))
-            }
-            Some(PeerMessage::ForwardHead(head)) => match decode_head(head, stream, deadline) {
-                Some(relayed) => ForwardOutcome::Response(EntryResponse::Relayed(relayed)),
-                None => ForwardOutcome::Lost(PeerError::Refused {
-                    reason: "the head of the response is not valid in HTTP".into(),
-                }),
-            },
-            other => ForwardOutcome::Lost(unexpected(other)),
+    match response {
+        Some(PeerMessage::ForwardRefused { refusal, reason }) => {
+            ForwardOutcome::Response(EntryResponse::refused(refusal, reason))
         }
+        Some(PeerMessage::ForwardHead(head)) => match decode_head(head, forwarded) {
+            Some(relayed) => ForwardOutcome::Response(EntryResponse::Relayed(relayed)),
+            None => ForwardOutcome::Lost(PeerError::Refused {
+                reason: "the head of the response is not valid in HTTP".into(),
+            }),
+        },
+        other => ForwardOutcome::Lost(unexpected_message(other)),
     }
 }
 
-fn unexpected(message: Option<PeerMessage>) -> PeerError {
-    let reason = match message {
-        Some(PeerMessage::Refused { reason }) => reason.to_string(),
-        Some(_) => "the message does not fit the exchange".into(),
-        None => "the peer has ended the exchange".into(),
-    };
-    PeerError::Lost { reason }
-}
-
 /// Decodes the head of a response. A streamed body is relayed by a task that ends with the client or the deadline.
-fn decode_head(
-    head: ForwardedHead,
-    stream: Box<dyn PeerStream>,
-    deadline: Instant,
-) -> Option<RelayedResponse> {
+fn decode_head(head: ForwardedHead, forwarded: ForwardedStream) -> Option<RelayedResponse> {
     let status = StatusCode::from_u16(head.status).ok()?;
     let headers = decode_headers(&head.headers)?;
 
@@ -214,46 +209,18 @@
         RelayedBody::Whole(body)
     } else {
         let (sender, receiver) = mpsc::channel(MAX_BUFFERED_ITEMS);
-        tokio::spawn(relay_body(stream, sender, deadline));
+        tokio::spawn(forwarded.relay(sender));
         RelayedBody::Events(receiver)
     };
 
     Some(RelayedResponse { status, headers, body })
 }
 
-/// Relays a streamed body. If the stream ends early, the sender is dropped without [`StreamItem::End`].
-async fn relay_body(
-    mut stream: Box<dyn PeerStream>,
-    sender: mpsc::Sender<StreamItem>,
-    deadline: Instant,
-) {
-    loop {
-        let received = tokio::select! {
-            received = stream.receive() => received,
-            () = sender.closed() => return,
-            () = sleep_until(deadline) => {
-                log::info!("a forwarded stream was broken off: the deadline has passed");
-                return;
-            }
-        };
-
-        let item = match received {
-            Ok(Some(PeerMessage::ForwardBytes { bytes })) => StreamItem::Bytes(bytes),
-            Ok(Some(PeerMessage::ForwardEnd)) => StreamItem::End,
-            Ok(other) => {
-                log::info!("a forwarded stream has broken off: {}", unexpected(other));
-                return;
-            }
-            Err(error) => {
-                log::warn!("a forwarded stream has broken off: {error}");
-                return;
-            }
-        };
-
-        let is_end = matches!(item, StreamItem::End);
-
-        if sender.send(item).await.is_err() || is_end {
-            return;
-        }
-    }
+pub(super) fn unexpected_message(message: Option<PeerMessage>) -> PeerError {
+    let reason = match message {
+        Some(PeerMessage::Refused { reason }) => reason.to_string(),
+        Some(_) => "the message does not fit the exchange".into(),
+        None => "the peer has ended the exchange".into(),
+    };
+    PeerError::Lost { reason }
 }
--- a/src/tests/entry_metrics.rs
+++ b/src/tests/entry_metrics.rs
@@ -33,6 +33,7 @@
     metrics.record_request_time(time);
     metrics.count_offer("accepted");
     metrics.count_forwarded("answered");
+    metrics.count_broken_stream("deadline");
     metrics.record_role(true);
     metrics.record_schedulers(6, 0);
 
