LOST: failing tests: a host closes the connection that carries forwarded streams

Cause: PeerMesh::record_delivery and add_peer disconnect a peer; requests forwarded to it run on the same connection.

--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -26,5 +26,6 @@
 mod settings;
 mod shard_log_model;
 mod shard_state;
+mod shared_connections;
 mod small_parts;
 mod transport;
--- /dev/null
+++ b/src/tests/shared_connections.rs
@@ -0,0 +1,179 @@
+//! Connections between hosts that carry clients' requests beside the messages of the hosts.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use hyper::{HeaderMap, Method};
+use parking_lot::Mutex;
+use tokio::time::{Duration, Instant, sleep};
+
+use crate::{
+    IdlePolicy, NodeMetrics, PeerHandler, PeerMessage, PeerStream, PeerTransport, QuicTransport,
+    entry::{
+        EntryRequest, EntryResponse, RelayedBody, StreamItem, entry_metrics::EntryMetrics,
+        mesh_connector::MeshConnector, mesh_peer::MeshIdentity, peer_mesh::PeerMesh,
+        turn_history::TurnHistory,
+    },
+    gateway::{ForwardedHead, RequestForwarder, SchedulerDirectory, SchedulerEntry},
+    membership::key_files::CertificateAuthority,
+};
+
+const BUSY_HOST: &str = "busy";
+
+/// Number of events of a forwarded response, and the time between two of them. Together they take longer than a host
+/// waits for the acknowledgement of an update.
+const EVENT_COUNT: usize = 10;
+const EVENT_INTERVAL: Duration = Duration::from_millis(100);
+
+/// A scheduler that streams the response to a forwarded request, and is too busy to respond to anything else.
+#[derive(Debug)]
+struct BusyScheduler;
+
+impl BusyScheduler {
+    async fn stream_response(stream: &mut dyn PeerStream) -> Result<(), crate::PeerError> {
+        let accepted = PeerMessage::ForwardAccepted { is_retryable: false, config_version: 1 };
+        stream.send(&accepted).await?;
+        stream.receive().await?;
+        let head = ForwardedHead { status: 200, headers: Vec::new(), body: None };
+        stream.send(&PeerMessage::ForwardHead(head)).await?;
+
+        for _ in 0..EVENT_COUNT {
+            sleep(EVENT_INTERVAL).await;
+            let bytes = Bytes::from_static(b"data: word\n\n");
+            stream.send(&PeerMessage::ForwardBytes { bytes }).await?;
+        }
+
+        stream.send(&PeerMessage::ForwardEnd).await
+    }
+}
+
+#[async_trait]
+impl PeerHandler for BusyScheduler {
+    async fn handle(self: Arc<Self>, first: PeerMessage, mut stream: Box<dyn PeerStream>) {
+        if !matches!(first, PeerMessage::ForwardOffer { .. }) {
+            return std::future::pending().await;
+        }
+
+        // An error means that the connection is gone, which the test sees at the other end.
+        let _ = Self::stream_response(&mut *stream).await;
+        stream.finish();
+    }
+}
+
+fn transport(authority: &CertificateAuthority, host: &str) -> Arc<QuicTransport> {
+    let keys = authority.issue(host).expect("keys");
+    let metrics = Arc::new(NodeMetrics::new().expect("metrics"));
+    let address: SocketAddr = ([127, 0, 0, 1], 0).into();
+    let transport = QuicTransport::bind(address, &keys, "secret", IdlePolicy::KeptAlive, metrics);
+    Arc::new(transport.expect("failed to bind a port"))
+}
+
+/// A host of a mesh whose only other host is busy.
+struct ConnectedHost {
+    mesh: Arc<PeerMesh>,
+    forwarder: RequestForwarder,
+    busy_address: SocketAddr,
+}
+
+impl ConnectedHost {
+    fn start() -> Self {
+        let authority = CertificateAuthority::generate().expect("an authority");
+        let busy_transport = transport(&authority, BUSY_HOST);
+        let busy_address = busy_transport.address().expect("a bound endpoint");
+        tokio::spawn(busy_transport.serve(Arc::new(BusyScheduler)));
+
+        let transport = transport(&authority, "one") as Arc<dyn PeerTransport>;
+        let identity = MeshIdentity {
+            host: "one".into(),
+            address: ([127, 0, 0, 1], 1).into(),
+            region: "north".into(),
+            writer: "one.1".into(),
+        };
+        let mesh = Arc::new(PeerMesh::new(
+            identity,
+            Arc::clone(&transport),
+            Arc::default(),
+            Arc::new(Mutex::new(TurnHistory::default())),
+            Arc::default(),
+            Arc::default(),
+            Arc::default(),
+        ));
+        let forwarder = RequestForwarder {
+            connector: Arc::new(MeshConnector::new(transport)),
+            directory: Arc::new(SchedulerDirectory::new("north".into())),
+            metrics: Arc::new(EntryMetrics::new().expect("metrics")),
+        };
+        Self { mesh, forwarder, busy_address }
+    }
+
+    /// Forwards a request to the busy host, and returns the number of events that arrive and whether the response is
+    /// complete. `disturb` runs after the first event.
+    async fn forward(&self, disturb: impl FnOnce()) -> (usize, bool) {
+        let scheduler = SchedulerEntry {
+            host: BUSY_HOST.into(),
+            address: self.busy_address,
+            region: "north".into(),
+            is_draining: false,
+        };
+        let response = self.forwarder.forward(&request(), &[scheduler]).await;
+        let Some(EntryResponse::Relayed(relayed)) = response else {
+            panic!("expected a response, received {response:?}");
+        };
+        let RelayedBody::Events(mut events) = relayed.body else {
+            panic!("expected a stream");
+        };
+        let mut event_count = 0;
+        let mut disturb = Some(disturb);
+
+        while let Some(item) = events.recv().await {
+            match item {
+                StreamItem::Bytes(_) => event_count += 1,
+                StreamItem::End => return (event_count, true),
+            }
+            if let Some(disturb) = disturb.take() {
+                disturb();
+            }
+        }
+
+        (event_count, false)
+    }
+}
+
+fn request() -> EntryRequest {
+    let now = Instant::now();
+
+    EntryRequest {
+        id: "r1".into(),
+        method: Method::POST,
+        host: "a.example".into(),
+        path: "/read/1".into(),
+        target: "/read/1".into(),
+        headers: HeaderMap::new(),
+        body: Bytes::from_static(b"input"),
+        received: now,
+        deadline: Some(now + Duration::from_secs(5)),
+        program: None,
+        prompt_tokens: 0,
+        max_completion_tokens: 0,
+        prompt_parts: Vec::new(),
+        last_event_id: None,
+    }
+}
+
+#[tokio::test]
+async fn unacknowledged_update_leaves_forwarded_stream_open() {
+    let host = ConnectedHost::start();
+    let mesh = Arc::clone(&host.mesh);
+    mesh.add_peer(BUSY_HOST.into(), host.busy_address, "north".into());
+    let result = host.forward(|| drop(tokio::spawn(mesh.run()))).await;
+    assert_eq!(result, (EVENT_COUNT, true));
+}
+
+#[tokio::test]
+async fn relisted_peer_leaves_forwarded_stream_open() {
+    let host = ConnectedHost::start();
+    let mesh = Arc::clone(&host.mesh);
+    let relist = || mesh.add_peer(BUSY_HOST.into(), host.busy_address, "north".into());
+    assert_eq!(host.forward(relist).await, (EVENT_COUNT, true));
+}
