LOST: a peer's late response no longer closes the connection that carries clients' requests

Callers saw: a forwarded response that breaks off in the middle, while neither the upstream nor a host has failed. Cause: a host that does not acknowledge an update within 400 ms, or is listed again, was disconnected. Since hosts forward requests, these run on the same connection. Class: a failure detector that acts on what others share. Evidence: unacknowledged_update_leaves_forwarded_stream_open got 5 of 10 events before, relisted_peer_leaves_forwarded_stream_open 1 of 10. Change: the connection is retired. Later exchanges use a new one, as before; exchanges in progress keep the old one, which closes with the last of them. It is closed at once only by disconnect, for peers that are known to be gone. Why it works: no timeout of one exchange can end another; a peer that is gone is found by QUIC's idle timeout of 2 s, or by its stateless reset.

--- a/src/entry/mesh_connector.rs
+++ b/src/entry/mesh_connector.rs
@@ -59,9 +59,9 @@
         self.transport.open(address, first).await
     }
 
-    /// Drops the connection to a peer.
-    pub(crate) fn disconnect(&self, address: SocketAddr) {
-        self.transport.disconnect(address);
+    /// Makes later exchanges with a peer use a new connection. Those in progress continue.
+    pub(crate) fn retire(&self, address: SocketAddr) {
+        self.transport.retire(address);
     }
 
     fn join_or_start_attempt(&self, address: SocketAddr) -> ConnectAttempt {
--- a/src/entry/peer_mesh.rs
+++ b/src/entry/peer_mesh.rs
@@ -142,7 +142,7 @@
         log::info!(peer:% = host, address:% = address; "added a peer");
         self.record_membership_change();
         // The host may have restarted, so that an open connection would belong to its earlier run.
-        self.connector.disconnect(address);
+        self.connector.retire(address);
         let peer = MeshPeer::new(address, region);
         self.peers.lock().insert(host, peer);
     }
@@ -425,8 +425,9 @@
         let delay = BACKOFF_BASE.saturating_mul(1 << peer.failures.min(6)).min(MAX_BACKOFF);
         peer.backoff_until = Some(Instant::now() + delay);
         drop(peers);
-        // A stale connection to a host that died or was cut off must not delay the next attempt.
-        self.connector.disconnect(address);
+        // A stale connection to a host that died or was cut off must not delay the next attempt. It is not closed, since
+        // clients' requests run on it if the host is only slow.
+        self.connector.retire(address);
     }
 
     /// Merges the totals that a writer has reported, unless a newer message of that writer has already arrived.
--- a/src/membership/peer_transport.rs
+++ b/src/membership/peer_transport.rs
@@ -22,9 +22,13 @@
 /// Connections to other hosts, by their addresses.
 #[async_trait]
 pub(crate) trait PeerTransport: Debug + Send + Sync {
-    /// Closes the connection to a peer, if there is one, which ends all exchanges on it.
+    /// Closes all connections to a peer, which ends the exchanges on them. Only for a peer that is known to be gone.
     fn disconnect(&self, peer: SocketAddr);
 
+    /// Makes later exchanges with a peer use a new connection. Exchanges in progress continue on the old one: a peer that
+    /// is late with one response may be about to send others.
+    fn retire(&self, peer: SocketAddr);
+
     /// Whether there is an open connection to a peer.
     fn is_connected(&self, peer: SocketAddr) -> bool;
 
--- a/src/membership/quic_transport.rs
+++ b/src/membership/quic_transport.rs
@@ -1,6 +1,11 @@
 //! Transport between hosts: QUIC with mutual TLS. See docs/design/peers.md.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Weak},
+    time::Duration,
+};
 
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -76,12 +81,14 @@
 const CLOSE_CODE: VarInt = VarInt::from_u32(0);
 
 /// Attempt to connect to a peer. An error is the reason for which it failed.
-type ConnectAttempt = Shared<BoxFuture<'static, Result<Connection, Arc<str>>>>;
+type ConnectAttempt = Shared<BoxFuture<'static, Result<Arc<Connection>, Arc<str>>>>;
 
-/// Open connections and attempts to connect, by the peer's address.
+/// Connections and attempts to connect, by the peer's address.
 #[derive(Debug, Default)]
 struct PeerConnections {
-    open: HashMap<SocketAddr, Connection>,
+    open: HashMap<SocketAddr, Arc<Connection>>,
+    /// Connections that get no new exchange. Only their exchanges hold them, so each is closed with its last exchange.
+    retired: HashMap<SocketAddr, Vec<Weak<Connection>>>,
     attempts: HashMap<SocketAddr, ConnectAttempt>,
 }
 
@@ -178,7 +185,7 @@
         while let Ok((send, receive)) = connection.accept_bi().await {
             let metrics = Arc::clone(&self.metrics);
             let handler = Arc::clone(&handler);
-            let stream = QuicStream { send, receive, metrics };
+            let stream = QuicStream { send, receive, metrics, _connection: None };
             let stream_guard = Arc::clone(&open_guard);
             tokio::spawn(async move {
                 serve_stream(peer, stream, handler).await;
@@ -196,7 +203,7 @@
     }
 
     /// Returns the connection to a peer, if there is one that is not closed.
-    fn open_connection(&self, peer: SocketAddr) -> Option<Connection> {
+    fn open_connection(&self, peer: SocketAddr) -> Option<Arc<Connection>> {
         let connection = self.connections.lock().open.get(&peer).cloned();
         connection.filter(|it| it.close_reason().is_none())
     }
@@ -204,7 +211,7 @@
     /// Returns the open connection to a peer, or a new one. At most one attempt to connect runs for each peer, and it
     /// continues if the exchanges that wait for it give up: a handshake that takes longer than they wait would never
     /// succeed otherwise.
-    async fn get_or_connect(&self, peer: SocketAddr) -> Result<Connection, PeerError> {
+    async fn get_or_connect(&self, peer: SocketAddr) -> Result<Arc<Connection>, PeerError> {
         if let Some(connection) = self.open_connection(peer) {
             return Ok(connection);
         }
@@ -229,7 +236,7 @@
         let task = tokio::spawn(async move {
             let result = match connecting {
                 Ok(connecting) => match timeout(HANDSHAKE_TIMEOUT, connecting).await {
-                    Ok(result) => result.map_err(|error| error.to_string().into()),
+                    Ok(result) => result.map(Arc::new).map_err(|error| error.to_string().into()),
                     Err(_) => Err("the handshake timed out".into()),
                 },
                 Err(error) => Err(error.to_string().into()),
@@ -238,7 +245,7 @@
             let mut connections = connections.lock();
             connections.attempts.remove(&peer);
             if let Ok(connection) = &result {
-                connections.open.insert(peer, Connection::clone(connection));
+                connections.open.insert(peer, Arc::clone(connection));
             }
             result
         });
@@ -278,11 +285,26 @@
 #[async_trait]
 impl PeerTransport for QuicTransport {
     fn disconnect(&self, peer: SocketAddr) {
-        if let Some(connection) = self.connections.lock().open.remove(&peer) {
+        let mut connections = self.connections.lock();
+        let retired = connections.retired.remove(&peer).unwrap_or_default();
+        let retired = retired.iter().filter_map(Weak::upgrade);
+
+        for connection in connections.open.remove(&peer).into_iter().chain(retired) {
             connection.close(CLOSE_CODE, b"given up");
         }
     }
 
+    fn retire(&self, peer: SocketAddr) {
+        let mut connections = self.connections.lock();
+        let PeerConnections { open, retired, .. } = &mut *connections;
+
+        if let Some(connection) = open.remove(&peer) {
+            let handles = retired.entry(peer).or_default();
+            handles.retain(|it| it.strong_count() > 0);
+            handles.push(Arc::downgrade(&connection));
+        }
+    }
+
     fn is_connected(&self, peer: SocketAddr) -> bool {
         self.open_connection(peer).is_some()
     }
@@ -304,7 +326,8 @@
             .map_err(|_| PeerError::Overdue)?
             .map_err(|error| lost(error.to_string()))?;
 
-        let mut stream = QuicStream { send, receive, metrics: Arc::clone(&self.metrics) };
+        let metrics = Arc::clone(&self.metrics);
+        let mut stream = QuicStream { send, receive, metrics, _connection: Some(connection) };
         stream.send(first).await?;
         Ok(Box::new(stream))
     }
@@ -316,6 +339,8 @@
     send: SendStream,
     receive: RecvStream,
     metrics: Arc<NodeMetrics>,
+    /// Keeps the connection of an exchange that this host has started, even if the connection is retired.
+    _connection: Option<Arc<Connection>>,
 }
 
 #[async_trait]
@@ -378,7 +403,8 @@
         send.write_all(&length.to_le_bytes()).await.expect("failed to send the length");
         send.write_all(bytes).await.expect("failed to send the bytes");
         send.finish().expect("failed to finish the stream");
-        let mut stream = QuicStream { send, receive, metrics: Arc::clone(&self.metrics) };
+        let metrics = Arc::clone(&self.metrics);
+        let mut stream = QuicStream { send, receive, metrics, _connection: Some(connection) };
 
         match stream.receive().await {
             Ok(Some(PeerMessage::Refused { reason })) => reason.to_string(),
--- a/src/tests/entry_journal.rs
+++ b/src/tests/entry_journal.rs
@@ -34,6 +34,8 @@
 impl PeerTransport for NoTransport {
     fn disconnect(&self, _peer: std::net::SocketAddr) {}
 
+    fn retire(&self, _peer: std::net::SocketAddr) {}
+
     fn is_connected(&self, _peer: std::net::SocketAddr) -> bool {
         false
     }
--- a/src/tests/gateway_forwarding.rs
+++ b/src/tests/gateway_forwarding.rs
@@ -67,6 +67,8 @@
 impl PeerTransport for ScriptedTransport {
     fn disconnect(&self, _peer: SocketAddr) {}
 
+    fn retire(&self, _peer: SocketAddr) {}
+
     fn is_connected(&self, _peer: SocketAddr) -> bool {
         true
     }
--- a/src/tests/mesh_connector.rs
+++ b/src/tests/mesh_connector.rs
@@ -30,7 +30,11 @@
 
 #[async_trait]
 impl PeerTransport for SlowTransport {
-    fn disconnect(&self, _peer: SocketAddr) {
+    fn disconnect(&self, peer: SocketAddr) {
+        self.retire(peer);
+    }
+
+    fn retire(&self, _peer: SocketAddr) {
         self.is_connected.store(false, Ordering::Relaxed);
     }
 
@@ -75,7 +79,7 @@
     assert!(matches!(response, Ok(Ok(PeerMessage::Done))), "{response:?}");
     assert_eq!(transport.attempts.load(Ordering::Relaxed), 1);
 
-    connector.disconnect(address);
+    connector.retire(address);
     let response = connector.exchange(address, &PeerMessage::Done).await;
     assert!(matches!(response, Ok(PeerMessage::Done)), "{response:?}");
     assert_eq!(transport.attempts.load(Ordering::Relaxed), 2);
--- a/src/tests/peer_mesh.rs
+++ b/src/tests/peer_mesh.rs
@@ -25,6 +25,8 @@
 impl PeerTransport for RecordingTransport {
     fn disconnect(&self, _peer: SocketAddr) {}
 
+    fn retire(&self, _peer: SocketAddr) {}
+
     fn is_connected(&self, _peer: SocketAddr) -> bool {
         true
     }
--- a/src/tests/shared_connections.rs
+++ b/src/tests/shared_connections.rs
@@ -6,10 +6,11 @@
 use bytes::Bytes;
 use hyper::{HeaderMap, Method};
 use parking_lot::Mutex;
-use tokio::time::{Duration, Instant, sleep};
+use tokio::time::{Duration, Instant, sleep, timeout};
 
 use crate::{
-    IdlePolicy, NodeMetrics, PeerHandler, PeerMessage, PeerStream, PeerTransport, QuicTransport,
+    IdlePolicy, NodeMetrics, PeerError, PeerHandler, PeerMessage, PeerStream, PeerTransport,
+    QuicTransport,
     entry::{
         EntryRequest, EntryResponse, RelayedBody, StreamItem, entry_metrics::EntryMetrics,
         mesh_connector::MeshConnector, mesh_peer::MeshIdentity, peer_mesh::PeerMesh,
@@ -31,7 +32,7 @@
 struct BusyScheduler;
 
 impl BusyScheduler {
-    async fn stream_response(stream: &mut dyn PeerStream) -> Result<(), crate::PeerError> {
+    async fn stream_response(stream: &mut dyn PeerStream) -> Result<(), PeerError> {
         let accepted = PeerMessage::ForwardAccepted { is_retryable: false, config_version: 1 };
         stream.send(&accepted).await?;
         stream.receive().await?;
@@ -71,6 +72,7 @@
 
 /// A host of a mesh whose only other host is busy.
 struct ConnectedHost {
+    transport: Arc<dyn PeerTransport>,
     mesh: Arc<PeerMesh>,
     forwarder: RequestForwarder,
     busy_address: SocketAddr,
@@ -100,11 +102,11 @@
             Arc::default(),
         ));
         let forwarder = RequestForwarder {
-            connector: Arc::new(MeshConnector::new(transport)),
+            connector: Arc::new(MeshConnector::new(Arc::clone(&transport))),
             directory: Arc::new(SchedulerDirectory::new("north".into())),
             metrics: Arc::new(EntryMetrics::new().expect("metrics")),
         };
-        Self { mesh, forwarder, busy_address }
+        Self { transport, mesh, forwarder, busy_address }
     }
 
     /// Forwards a request to the busy host, and returns the number of events that arrive and whether the response is
@@ -177,3 +179,18 @@
     let relist = || mesh.add_peer(BUSY_HOST.into(), host.busy_address, "north".into());
     assert_eq!(host.forward(relist).await, (EVENT_COUNT, true));
 }
+
+#[tokio::test]
+async fn disconnect_ends_exchanges_on_retired_connections() {
+    let host = ConnectedHost::start();
+    let transport = Arc::clone(&host.transport);
+    let mut stream = transport.open(host.busy_address, &PeerMessage::Done).await.expect("a stream");
+    transport.retire(host.busy_address);
+    assert!(!transport.is_connected(host.busy_address), "later exchanges connect anew");
+    let early = timeout(EVENT_INTERVAL, stream.receive()).await;
+    assert!(early.is_err(), "the exchange has ended: {early:?}");
+
+    transport.disconnect(host.busy_address);
+    let received = timeout(Duration::from_secs(1), stream.receive()).await;
+    assert!(matches!(received, Ok(Err(PeerError::Lost { .. }))), "{received:?}");
+}
