Move the resumption of streams to a file of its own

Change: code is moved, none is altered; a file names one job. Measured: the entry tests of the library pass.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -32,6 +32,7 @@
 mod route_table;
 pub(crate) mod segment_index;
 mod stream_relay;
+mod stream_resume;
 pub(crate) mod turn_budget;
 pub(crate) mod turn_history;
 pub(crate) mod turn_journal;
--- a/src/entry/stream_relay.rs
+++ b/src/entry/stream_relay.rs
@@ -11,11 +11,11 @@
 };
 
 use crate::entry::{
-    ChannelError, UpstreamBody,
+    UpstreamBody,
     entry_response::StreamItem,
     event_framer::{EventFramer, StreamEvent},
     pooled_upstream::LeaseOutcome,
-    request_runner::{RETRY_TIMEOUT_FACTOR, RoutedRequest, RunnerContext},
+    request_runner::{RoutedRequest, RunnerContext},
     turn_budget::TurnBudget,
     turn_history::HistoryTurn,
     upstream_lease::UpstreamLease,
@@ -66,8 +66,8 @@
 
 /// What has been sent to the client so far.
 #[derive(Debug, Default)]
-struct StreamProgress {
-    last_event_id: Option<Arc<str>>,
+pub(super) struct StreamProgress {
+    pub(super) last_event_id: Option<Arc<str>>,
     /// Number of events with data.
     events: u64,
     /// Number of events without data.
@@ -243,126 +243,6 @@
         }
     }
 
-    fn can_resume(&self) -> bool {
-        self.routed.route.kind.is_retryable() && self.attempts < self.routed.route.attempt_limit
-    }
-
-    /// Resumes the stream on another upstream after the last event that was sent to the client. Returns `None` if no
-    /// attempt or time is left, or if no slot is granted.
-    async fn resume(&mut self, progress: &StreamProgress) -> Option<StreamSource> {
-        while self.can_resume() && Instant::now() < self.routed.deadline {
-            let lease = match self
-                .context
-                .pool
-                .acquire(self.routed.placement_request(&self.excluded))
-                .await
-            {
-                Ok(lease) => lease,
-                Err(refusal) => {
-                    log::warn!(request:% = self.routed.request.id; "a stream can't be resumed: {}", refusal.reason);
-                    return None;
-                }
-            };
-
-            let upstream = Arc::clone(&lease.record.id);
-
-            if let Some(source) = self.open_source(lease, progress).await {
-                log::info!(
-                    request:% = self.routed.request.id, upstream:% = upstream,
-                    after_event:? = progress.last_event_id;
-                    "a stream resumes on another upstream"
-                );
-                return Some(source);
-            }
-
-            self.excluded.push(upstream);
-        }
-
-        None
-    }
-
-    /// Opens a stream on the leased upstream and skips the events that have been sent already. Returns `None` if the
-    /// upstream sends no further event.
-    async fn open_source(
-        &mut self,
-        lease: UpstreamLease,
-        progress: &StreamProgress,
-    ) -> Option<StreamSource> {
-        // The first event may take as long as that of a first attempt, which includes the prefill.
-        let resume_timeout = self.routed.route.latency_objective * RETRY_TIMEOUT_FACTOR;
-        let resume_deadline = if self.attempts + 1 < self.routed.route.attempt_limit {
-            self.routed.deadline.min(Instant::now() + resume_timeout)
-        } else {
-            self.routed.deadline
-        };
-        let request = self.routed.upstream_request(progress.last_event_id.clone());
-        let result =
-            timeout_at(resume_deadline, self.context.channel.send(&lease.record, request)).await;
-
-        let mut response = match result {
-            Ok(Ok(response)) => response,
-            Ok(Err(ChannelError::NotSent { .. })) => {
-                lease.finish(LeaseOutcome::Unreachable);
-                return None;
-            }
-            result => {
-                if let Ok(Err(ChannelError::Mismatched { is_leaving: true })) = result {
-                    lease.record_leaving();
-                }
-                self.attempts += 1;
-                lease.finish(LeaseOutcome::Failed);
-                return None;
-            }
-        };
-
-        lease.record_response(&response);
-
-        if response.has_not_run || response.status == StatusCode::MISDIRECTED_REQUEST {
-            lease.finish(LeaseOutcome::Full);
-            return None;
-        }
-
-        self.attempts += 1;
-
-        if !response.status.is_success() || !response.is_signed {
-            lease.finish(LeaseOutcome::Failed);
-            return None;
-        }
-
-        let mut framer = EventFramer::default();
-
-        loop {
-            while let Some(event) = framer.next_event() {
-                if is_new_event(progress.last_event_id.as_deref(), event.id.as_deref()) {
-                    let (status, headers, body) =
-                        (response.status, response.headers, response.body);
-                    return Some(StreamSource {
-                        lease,
-                        status,
-                        headers,
-                        body,
-                        framer,
-                        first_event: event,
-                    });
-                }
-            }
-
-            let read = timeout_at(resume_deadline, response.body.next()).await;
-
-            let Ok(Ok(Some(chunk))) = read else {
-                lease.finish(LeaseOutcome::Failed);
-                return None;
-            };
-
-            framer.push(&chunk);
-
-            if framer.is_event_too_long() {
-                lease.finish(LeaseOutcome::Failed);
-                return None;
-            }
-        }
-    }
-
     /// Records the turn if the route keeps history, and ends the response only once the turn is durable.
     async fn finish(self, progress: StreamProgress) {
         let request = &self.routed.request;
@@ -401,16 +281,3 @@
         let _ = self.sender.send(StreamItem::End).await;
     }
 }
-
-/// Whether an event comes after the last one that was sent. Ids are increasing numbers. An event without an id belongs
-/// to the head of the stream and is not sent again after a break.
-fn is_new_event(last_id: Option<&str>, id: Option<&str>) -> bool {
-    match (last_id, id) {
-        (None, _) => true,
-        (Some(_), None) => false,
-        (Some(last_id), Some(id)) => match (last_id.parse::<u64>(), id.parse::<u64>()) {
-            (Ok(last_id), Ok(id)) => id > last_id,
-            _ => id != last_id,
-        },
-    }
-}
