LOST: a silent stream is given up only for an upstream that can take it up

Callers saw: a response that breaks off in the middle although its upstream would have gone on. Cause: a stream without data for three times its gap objective was dropped before another upstream was asked; if none had a free slot, the client's connection was closed. Class: giving up what works before its replacement is there. Evidence: relay_keeps_a_silent_upstream_while_no_other_can_take_the_stream got one of two events and no end before. Change: the silent upstream is kept until another one grants a slot at once; the next look is 100 ms later. Measured: the test passes; relay_resumes_elsewhere_when_an_upstream_is_silent holds the other case; the platform tests pass.

--- a/src/entry/placement_pool.rs
+++ b/src/entry/placement_pool.rs
@@ -266,10 +266,8 @@
         let (receiver, position) = {
             let now = Instant::now();
             let mut state = self.state.lock();
-            let pool = state.services.get(&service);
-            let is_queue_empty = pool.is_none_or(|pool| pool.waiting.is_empty());
 
-            if is_queue_empty && let Some(slot) = self.take_slot(&mut state, now, &request) {
+            if let Some(slot) = self.take_free_slot(&mut state, now, &request) {
                 return Ok(self.lease(slot, now));
             }
 
@@ -299,6 +297,26 @@
         }
     }
 
+    /// Takes a slot if one is free and no other request waits for one.
+    pub(crate) fn try_acquire(
+        self: &Arc<Self>,
+        request: &PlacementRequest,
+    ) -> Option<UpstreamLease> {
+        let now = Instant::now();
+        let slot = self.take_free_slot(&mut self.state.lock(), now, request)?;
+        Some(self.lease(slot, now))
+    }
+
+    fn take_free_slot(
+        &self,
+        state: &mut PoolState,
+        now: Instant,
+        request: &PlacementRequest,
+    ) -> Option<GrantedSlot> {
+        let pool = state.services.get(&request.service)?;
+        pool.waiting.is_empty().then(|| self.take_slot(state, now, request)).flatten()
+    }
+
     fn lease(self: &Arc<Self>, slot: GrantedSlot, now: Instant) -> UpstreamLease {
         UpstreamLease {
             pool: Arc::clone(self),
--- a/src/entry/stream_relay.rs
+++ b/src/entry/stream_relay.rs
@@ -28,6 +28,9 @@
 /// Time without data after which a resumable stream is resumed if its route has no event gap objective.
 const DEFAULT_GAP_TIMEOUT: Duration = Duration::from_millis(1_200);
 
+/// Time between two looks for an upstream that can take up a silent stream.
+const SUCCESSOR_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Most events without data that are relayed in one stream. An upstream that fails may send bytes without end that pass
 /// as such events.
 const MAX_EMPTY_EVENTS: u64 = 256;
@@ -48,6 +51,8 @@
     Complete,
     /// The stream broke off, and may be resumed on another upstream.
     Broken(Arc<str>),
+    /// The upstream was silent, and another one has a free slot for the rest of the stream.
+    Silent(UpstreamLease),
     ClientDisconnected,
     DeadlineExceeded,
 }
@@ -98,15 +103,18 @@
                         "a stream has broken off: {reason}"
                     );
                     self.excluded.push(upstream);
-                    next_source = self.resume(&progress).await;
-
-                    if next_source.is_none() {
-                        self.context.metrics.count_broken_stream("upstream");
-                        log::warn!(
-                            request:% = self.routed.request.id, events = progress.events, attempts = self.attempts;
-                            "broken off: the stream does not resume on another upstream"
-                        );
-                    }
+                    next_source = self.resume(&progress, None).await;
+                    self.report_break(next_source.is_none(), &progress);
+                }
+                SourceEnd::Silent(successor) => {
+                    log::warn!(
+                        request:% = self.routed.request.id, upstream:% = upstream, events = progress.events,
+                        attempts = self.attempts, successor:% = successor.record.id;
+                        "a stream is silent, and another upstream takes it up"
+                    );
+                    self.excluded.push(upstream);
+                    next_source = self.resume(&progress, Some(successor)).await;
+                    self.report_break(next_source.is_none(), &progress);
                 }
                 SourceEnd::ClientDisconnected => {
                     log::info!(request:% = self.routed.request.id, events = progress.events; "the client has disconnected");
@@ -121,6 +129,17 @@
         }
     }
 
+    /// Reports the end of a stream that no upstream takes up again.
+    fn report_break(&self, is_broken: bool, progress: &StreamProgress) {
+        if is_broken {
+            self.context.metrics.count_broken_stream("upstream");
+            log::warn!(
+                request:% = self.routed.request.id, events = progress.events, attempts = self.attempts;
+                "broken off: the stream does not resume on another upstream"
+            );
+        }
+    }
+
     /// Time without data after which the stream is resumed on another upstream.
     fn gap_timeout(&self) -> Duration {
         self.routed
@@ -138,7 +157,7 @@
         let StreamSource { lease, mut body, mut framer, first_event, .. } = source;
         let mut first_event = Some(first_event);
         // Only whole events with data count, so that an upstream which sends a byte now and then is stalled as well.
-        let mut last_progress = Instant::now();
+        let mut silent_at = Instant::now() + self.gap_timeout();
 
         loop {
             while let Some(event) = first_event.take().or_else(|| framer.next_event()) {
@@ -149,7 +168,7 @@
                     return end;
                 }
                 if has_data {
-                    last_progress = Instant::now();
+                    silent_at = Instant::now() + self.gap_timeout();
                 }
             }
 
@@ -159,7 +178,7 @@
             }
 
             let read_deadline = if self.can_resume() {
-                self.routed.deadline.min(last_progress + self.gap_timeout())
+                self.routed.deadline.min(silent_at)
             } else {
                 self.routed.deadline
             };
@@ -187,8 +206,12 @@
                     return SourceEnd::Broken(error.to_string().into());
                 }
                 Err(_) if read_deadline < self.routed.deadline => {
-                    lease.finish(LeaseOutcome::Failed);
-                    return SourceEnd::Broken("the upstream sent nothing in time".into());
+                    // The upstream may still go on, so it is given up only for one that can take the stream up.
+                    if let Some(successor) = self.try_successor(&lease.record.id) {
+                        lease.finish(LeaseOutcome::Failed);
+                        return SourceEnd::Silent(successor);
+                    }
+                    silent_at = Instant::now() + SUCCESSOR_INTERVAL;
                 }
                 Err(_) => {
                     lease.finish(LeaseOutcome::Cancelled);
--- a/src/entry/stream_resume.rs
+++ b/src/entry/stream_resume.rs
@@ -19,21 +19,24 @@
         self.routed.route.kind.is_retryable() && self.attempts < self.routed.route.attempt_limit
     }
 
-    /// Resumes the stream on another upstream after the last event that was sent to the client. Returns `None` if no
-    /// attempt or time is left, or if no slot is granted.
-    pub(super) async fn resume(&mut self, progress: &StreamProgress) -> Option<StreamSource> {
+    /// Takes a free slot on another upstream than the one whose stream is silent. Returns `None` if there is none now.
+    pub(super) fn try_successor(&self, silent_upstream: &Arc<str>) -> Option<UpstreamLease> {
+        let mut excluded = self.excluded.clone();
+        excluded.push(Arc::clone(silent_upstream));
+        self.context.pool.try_acquire(&self.routed.placement_request(&excluded))
+    }
+
+    /// Resumes the stream on another upstream after the last event that was sent to the client: on that of `successor`,
+    /// or else on one that grants a slot. Returns `None` if no attempt or time is left, or if no slot is granted.
+    pub(super) async fn resume(
+        &mut self,
+        progress: &StreamProgress,
+        mut successor: Option<UpstreamLease>,
+    ) -> Option<StreamSource> {
         while self.can_resume() && Instant::now() < self.routed.deadline {
-            let lease = match self
-                .context
-                .pool
-                .acquire(self.routed.placement_request(&self.excluded))
-                .await
-            {
-                Ok(lease) => lease,
-                Err(refusal) => {
-                    log::warn!(request:% = self.routed.request.id; "a stream can't be resumed: {}", refusal.reason);
-                    return None;
-                }
+            let lease = match successor.take() {
+                Some(lease) => lease,
+                None => self.acquire().await?,
             };
 
             let upstream = Arc::clone(&lease.record.id);
@@ -53,6 +56,18 @@
         None
     }
 
+    async fn acquire(&self) -> Option<UpstreamLease> {
+        let request = self.routed.placement_request(&self.excluded);
+
+        match self.context.pool.acquire(request).await {
+            Ok(lease) => Some(lease),
+            Err(refusal) => {
+                log::warn!(request:% = self.routed.request.id; "a stream can't be resumed: {}", refusal.reason);
+                None
+            }
+        }
+    }
+
     /// Opens a stream on the leased upstream and skips the events that have been sent already. Returns `None` if the
     /// upstream sends no further event.
     async fn open_source(
--- a/src/tests/entry_fakes.rs
+++ b/src/tests/entry_fakes.rs
@@ -10,7 +10,7 @@
 use hyper::{HeaderMap, StatusCode};
 use parking_lot::Mutex;
 use serde_json::value::RawValue;
-use tokio::time::{Duration, sleep};
+use tokio::time::{Duration, Instant, sleep, sleep_until};
 
 use crate::{
     PeerError, PeerMessage, PeerStream,
@@ -224,6 +224,8 @@
     Whole { status: StatusCode, has_not_run: bool, is_signed: bool },
     /// The upstream sends events as chunks of text. If the stream is not complete, the connection breaks after them.
     Stream { chunks: Vec<&'static str>, is_complete: bool },
+    /// The upstream sends events, pauses, and then sends the rest of a complete stream.
+    PausingStream { events: &'static str, pause: Duration, rest: &'static str },
     /// The upstream never responds.
     Silent,
 }
@@ -265,11 +267,15 @@
             }
             ScriptedResponse::Silent => std::future::pending().await,
             ScriptedResponse::Whole { status, has_not_run, is_signed } => {
-                let chunks = VecDeque::from(["body"]);
-                (status, has_not_run, is_signed, ScriptedBody { chunks, is_complete: true })
+                (status, has_not_run, is_signed, ScriptedBody::new(["body"], true))
             }
             ScriptedResponse::Stream { chunks, is_complete } => {
-                (StatusCode::OK, false, true, ScriptedBody { chunks: chunks.into(), is_complete })
+                (StatusCode::OK, false, true, ScriptedBody::new(chunks, is_complete))
+            }
+            ScriptedResponse::PausingStream { events, pause, rest } => {
+                let mut body = ScriptedBody::new([events], true);
+                body.chunks.push_back((pause, rest));
+                (StatusCode::OK, false, true, body)
             }
         };
 
@@ -287,19 +293,34 @@
     fn close_expired(&self) {}
 }
 
+/// Time between two chunks.
+const CHUNK_INTERVAL: Duration = Duration::from_millis(1);
+
 #[derive(Debug)]
 struct ScriptedBody {
-    chunks: VecDeque<&'static str>,
+    /// Chunks, each with the time before it.
+    chunks: VecDeque<(Duration, &'static str)>,
     is_complete: bool,
+    /// When the next chunk arrives, once it has been waited for.
+    next_at: Option<Instant>,
+}
+
+impl ScriptedBody {
+    fn new(chunks: impl IntoIterator<Item = &'static str>, is_complete: bool) -> Self {
+        let chunks = chunks.into_iter().map(|chunk| (CHUNK_INTERVAL, chunk)).collect();
+        Self { chunks, is_complete, next_at: None }
+    }
 }
 
 #[async_trait]
 impl UpstreamBody for ScriptedBody {
     async fn next(&mut self) -> Result<Option<Bytes>, ChannelError> {
-        sleep(Duration::from_millis(1)).await;
+        let pause = self.chunks.front().map_or(CHUNK_INTERVAL, |(pause, _)| *pause);
+        sleep_until(*self.next_at.get_or_insert_with(|| Instant::now() + pause)).await;
+        self.next_at = None;
 
         match self.chunks.pop_front() {
-            Some(chunk) => Ok(Some(Bytes::from_static(chunk.as_bytes()))),
+            Some((_, chunk)) => Ok(Some(Bytes::from_static(chunk.as_bytes()))),
             None if self.is_complete => Ok(None),
             None => Err(ChannelError::Broken { reason: "reset".into() }),
         }
--- a/src/tests/entry_runner.rs
+++ b/src/tests/entry_runner.rs
@@ -48,14 +48,25 @@
     }
 }
 
+/// Number of upstreams, unless a test needs another.
+const UPSTREAM_COUNT: u32 = 6;
+
 async fn run_request(kind: RequestKind, responses: Vec<ScriptedResponse>) -> RunResult {
+    run_request_on(UPSTREAM_COUNT, kind, responses).await
+}
+
+async fn run_request_on(
+    upstream_count: u32,
+    kind: RequestKind,
+    responses: Vec<ScriptedResponse>,
+) -> RunResult {
     let store = Arc::new(MemoryStore::default());
     let channel = Arc::new(ScriptedChannel::new(responses));
     let metrics = Arc::new(EntryMetrics::new().expect("metrics"));
     let ledger = Arc::new(Mutex::new(BudgetLedger::default()));
     let regions = BTreeMap::from([("dc-a".into(), "north".into())]);
     let pool = Arc::new(PlacementPool::new("dc-a".into(), regions));
-    (1..=6).for_each(|it| pool.upsert(upstream(&format!("u{it}"), "service", 4)));
+    (1..=upstream_count).for_each(|it| pool.upsert(upstream(&format!("u{it}"), "service", 4)));
 
     let context = Arc::new(RunnerContext {
         pool,
@@ -121,7 +132,11 @@
     can_resume: bool,
     responses: Vec<ScriptedResponse>,
 ) -> (String, bool, RunResult) {
-    let mut result = run_request(RequestKind::Stream { can_resume }, responses).await;
+    read_stream(run_request(RequestKind::Stream { can_resume }, responses).await).await
+}
+
+/// Reads a stream to its end. Returns the text that the client has received and whether the stream is complete.
+async fn read_stream(mut result: RunResult) -> (String, bool, RunResult) {
     let EntryResponse::Relayed(response) = &mut result.response else {
         panic!("the request was not relayed: {}", result.outcome());
     };
@@ -247,3 +262,27 @@
     let (text, is_complete, _) = run_stream(false, vec![first]).await;
     assert_eq!((text.as_str(), is_complete), ("id: 1\ndata: a\n\n", false));
 }
+
+/// A stream that pauses for longer than three times the gap objective, and then goes on.
+const PAUSING_STREAM: ScriptedResponse = ScriptedResponse::PausingStream {
+    events: "id: 1\ndata: a\n\n",
+    pause: Duration::from_millis(900),
+    rest: "id: 2\ndata: b\n\n",
+};
+
+#[tokio::test(start_paused = true)]
+async fn relay_keeps_a_silent_upstream_while_no_other_can_take_the_stream() {
+    let kind = RequestKind::Stream { can_resume: true };
+    let result = run_request_on(1, kind, vec![PAUSING_STREAM]).await;
+    let (text, is_complete, _) = read_stream(result).await;
+    assert_eq!((text.as_str(), is_complete), ("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", true));
+}
+
+#[tokio::test(start_paused = true)]
+async fn relay_resumes_elsewhere_when_an_upstream_is_silent() {
+    let second =
+        ScriptedResponse::Stream { chunks: vec!["id: 2\ndata: other\n\n"], is_complete: true };
+    let (text, is_complete, result) = run_stream(true, vec![PAUSING_STREAM, second]).await;
+    assert_eq!((text.as_str(), is_complete), ("id: 1\ndata: a\n\nid: 2\ndata: other\n\n", true));
+    assert_eq!(result.upstreams().len(), 2);
+}
