LOST: a silent stream ends only once its successor has accepted it

Callers saw: a response that breaks off although its upstream would have gone on. Evidence: relay_keeps_a_silent_upstream_until_another_accepts_the_stream got one of two events and no end before (found by the reviewer of the fix). Change: the silent upstream is kept until the other one has accepted the stream, for 300 ms at most. Measured: the test passes with a rejection and with a refused connection; the entry tests of the library pass.

--- a/src/entry/stream_relay.rs
+++ b/src/entry/stream_relay.rs
@@ -7,7 +7,7 @@
 use hyper::{HeaderMap, StatusCode};
 use tokio::{
     sync::mpsc,
-    time::{Duration, Instant, timeout_at},
+    time::{Duration, Instant, timeout, timeout_at},
 };
 
 use crate::entry::{
@@ -16,6 +16,7 @@
     event_framer::{EventFramer, StreamEvent},
     pooled_upstream::LeaseOutcome,
     request_runner::{RoutedRequest, RunnerContext},
+    stream_resume::ResumedResponse,
     turn_budget::TurnBudget,
     turn_history::HistoryTurn,
     upstream_lease::UpstreamLease,
@@ -31,6 +32,10 @@
 /// Time between two looks for an upstream that can take up a silent stream.
 const SUCCESSOR_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Longest time for which a silent upstream is kept beside the one that is asked to take up its stream, so that only one
+/// of them works on the request for long.
+const OVERLAP_LIMIT: Duration = Duration::from_millis(300);
+
 /// Most events without data that are relayed in one stream. An upstream that fails may send bytes without end that pass
 /// as such events.
 const MAX_EMPTY_EVENTS: u64 = 256;
@@ -51,8 +56,8 @@
     Complete,
     /// The stream broke off, and may be resumed on another upstream.
     Broken(Arc<str>),
-    /// The upstream was silent, and another one has a free slot for the rest of the stream.
-    Silent(UpstreamLease),
+    /// The upstream was silent, and another one has accepted the rest of the stream.
+    Silent(ResumedResponse),
     ClientDisconnected,
     DeadlineExceeded,
 }
@@ -109,7 +114,7 @@
                 SourceEnd::Silent(successor) => {
                     log::warn!(
                         request:% = self.routed.request.id, upstream:% = upstream, events = progress.events,
-                        attempts = self.attempts, successor:% = successor.record.id;
+                        attempts = self.attempts, successor:% = successor.lease.record.id;
                         "a stream is silent, and another upstream takes it up"
                     );
                     self.excluded.push(upstream);
@@ -207,9 +212,24 @@
                 }
                 Err(_) if read_deadline < self.routed.deadline => {
                     // The upstream may still go on, so it is given up only for one that can take the stream up.
-                    if let Some(successor) = self.try_successor(&lease.record.id) {
-                        lease.finish(LeaseOutcome::Failed);
-                        return SourceEnd::Silent(successor);
+                    if let Some(slot) = self.try_successor(&lease.record.id) {
+                        let mut opening = Box::pin(self.open_response(slot, progress));
+
+                        match timeout(OVERLAP_LIMIT, &mut opening).await {
+                            Ok(Some(successor)) => {
+                                lease.finish(LeaseOutcome::Failed);
+                                return SourceEnd::Silent(successor);
+                            }
+                            Ok(None) => (),
+                            Err(_) => {
+                                drop(body);
+                                lease.finish(LeaseOutcome::Failed);
+                                return match opening.await {
+                                    Some(successor) => SourceEnd::Silent(successor),
+                                    None => SourceEnd::Broken("the upstream was silent".into()),
+                                };
+                            }
+                        }
                     }
                     silent_at = Instant::now() + SUCCESSOR_INTERVAL;
                 }
--- a/src/entry/stream_resume.rs
+++ b/src/entry/stream_resume.rs
@@ -6,7 +6,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::entry::{
-    ChannelError,
+    ChannelError, UpstreamResponse,
     event_framer::EventFramer,
     pooled_upstream::LeaseOutcome,
     request_runner::RETRY_TIMEOUT_FACTOR,
@@ -14,6 +14,14 @@
     upstream_lease::UpstreamLease,
 };
 
+/// Response of an upstream that has accepted the rest of a stream, and when its first event has to arrive.
+#[derive(Debug)]
+pub(super) struct ResumedResponse {
+    pub(super) lease: UpstreamLease,
+    response: UpstreamResponse,
+    deadline: Instant,
+}
+
 impl StreamRelay {
     pub(super) fn can_resume(&self) -> bool {
         self.routed.route.kind.is_retryable() && self.attempts < self.routed.route.attempt_limit
@@ -26,22 +34,30 @@
         self.context.pool.try_acquire(&self.routed.placement_request(&excluded))
     }
 
-    /// Resumes the stream on another upstream after the last event that was sent to the client: on that of `successor`,
-    /// or else on one that grants a slot. Returns `None` if no attempt or time is left, or if no slot is granted.
+    /// Resumes the stream on another upstream after the last event that was sent to the client. `successor` is the
+    /// response of one that has accepted the stream already. Returns `None` if no attempt or time is left, or if no slot
+    /// is granted.
     pub(super) async fn resume(
         &mut self,
         progress: &StreamProgress,
-        mut successor: Option<UpstreamLease>,
+        mut successor: Option<ResumedResponse>,
     ) -> Option<StreamSource> {
-        while self.can_resume() && Instant::now() < self.routed.deadline {
-            let lease = match successor.take() {
-                Some(lease) => lease,
-                None => self.acquire().await?,
+        loop {
+            let resumed = match successor.take() {
+                Some(resumed) => Some(resumed),
+                None if self.can_resume() && Instant::now() < self.routed.deadline => {
+                    let lease = self.acquire().await?;
+                    self.open_response(lease, progress).await
+                }
+                None => return None,
+            };
+            let Some(resumed) = resumed else {
+                continue;
             };
 
-            let upstream = Arc::clone(&lease.record.id);
+            let upstream = Arc::clone(&resumed.lease.record.id);
 
-            if let Some(source) = self.open_source(lease, progress).await {
+            if let Some(source) = read_new_event(resumed, progress).await {
                 log::info!(
                     request:% = self.routed.request.id, upstream:% = upstream,
                     after_event:? = progress.last_event_id;
@@ -49,11 +65,7 @@
                 );
                 return Some(source);
             }
-
-            self.excluded.push(upstream);
         }
-
-        None
     }
 
     async fn acquire(&self) -> Option<UpstreamLease> {
@@ -68,25 +80,25 @@
         }
     }
 
-    /// Opens a stream on the leased upstream and skips the events that have been sent already. Returns `None` if the
-    /// upstream sends no further event.
-    async fn open_source(
+    /// Sends the request for the rest of the stream to the leased upstream, which then gets no further attempt. Returns
+    /// `None` if the upstream does not accept it.
+    pub(super) async fn open_response(
         &mut self,
         lease: UpstreamLease,
         progress: &StreamProgress,
-    ) -> Option<StreamSource> {
+    ) -> Option<ResumedResponse> {
+        self.excluded.push(Arc::clone(&lease.record.id));
         // The first event may take as long as that of a first attempt, which includes the prefill.
         let resume_timeout = self.routed.route.latency_objective * RETRY_TIMEOUT_FACTOR;
-        let resume_deadline = if self.attempts + 1 < self.routed.route.attempt_limit {
+        let deadline = if self.attempts + 1 < self.routed.route.attempt_limit {
             self.routed.deadline.min(Instant::now() + resume_timeout)
         } else {
             self.routed.deadline
         };
         let request = self.routed.upstream_request(progress.last_event_id.clone());
-        let result =
-            timeout_at(resume_deadline, self.context.channel.send(&lease.record, request)).await;
+        let result = timeout_at(deadline, self.context.channel.send(&lease.record, request)).await;
 
-        let mut response = match result {
+        let response = match result {
             Ok(Ok(response)) => response,
             Ok(Err(ChannelError::NotSent { .. })) => {
                 lease.finish(LeaseOutcome::Unreachable);
@@ -116,37 +128,43 @@
             return None;
         }
 
-        let mut framer = EventFramer::default();
+        Some(ResumedResponse { lease, response, deadline })
+    }
+}
 
-        loop {
-            while let Some(event) = framer.next_event() {
-                if is_new_event(progress.last_event_id.as_deref(), event.id.as_deref()) {
-                    let (status, headers, body) =
-                        (response.status, response.headers, response.body);
-                    return Some(StreamSource {
-                        lease,
-                        status,
-                        headers,
-                        body,
-                        framer,
-                        first_event: event,
-                    });
-                }
+/// Reads to the first event that has not been sent to the client. Returns `None` if the upstream sends none in time.
+async fn read_new_event(
+    resumed: ResumedResponse,
+    progress: &StreamProgress,
+) -> Option<StreamSource> {
+    let ResumedResponse { lease, mut response, deadline } = resumed;
+    let mut framer = EventFramer::default();
+
+    loop {
+        while let Some(event) = framer.next_event() {
+            if is_new_event(progress.last_event_id.as_deref(), event.id.as_deref()) {
+                let (status, headers, body) = (response.status, response.headers, response.body);
+                return Some(StreamSource {
+                    lease,
+                    status,
+                    headers,
+                    body,
+                    framer,
+                    first_event: event,
+                });
             }
+        }
 
-            let read = timeout_at(resume_deadline, response.body.next()).await;
-
-            let Ok(Ok(Some(chunk))) = read else {
-                lease.finish(LeaseOutcome::Failed);
-                return None;
-            };
+        let Ok(Ok(Some(chunk))) = timeout_at(deadline, response.body.next()).await else {
+            lease.finish(LeaseOutcome::Failed);
+            return None;
+        };
 
-            framer.push(&chunk);
+        framer.push(&chunk);
 
-            if framer.is_event_too_long() {
-                lease.finish(LeaseOutcome::Failed);
-                return None;
-            }
+        if framer.is_event_too_long() {
+            lease.finish(LeaseOutcome::Failed);
+            return None;
         }
     }
 }
--- a/src/tests/entry_runner.rs
+++ b/src/tests/entry_runner.rs
@@ -278,6 +278,16 @@
     assert_eq!((text.as_str(), is_complete), ("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", true));
 }
 
+#[tokio::test(start_paused = true)]
+async fn relay_keeps_a_silent_upstream_until_another_accepts_the_stream() {
+    let kind = RequestKind::Stream { can_resume: true };
+    for rejection in [FULL, ScriptedResponse::NotSent] {
+        let result = run_request_on(2, kind, vec![PAUSING_STREAM, rejection]).await;
+        let (text, is_complete, _) = read_stream(result).await;
+        assert_eq!((text.as_str(), is_complete), ("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", true));
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn relay_resumes_elsewhere_when_an_upstream_is_silent() {
     let second =
