GONE: a stream whose client has left is not sent to another upstream

Callers saw: nothing; an upstream worked for a client that was gone. Cause: while a broken stream waited for another upstream, nobody watched whether the client was still there. Change: one place ends the relay, wherever it waits, when the client has left. Measured: the test passes; the entry tests of the library pass.

--- a/src/entry/stream_relay.rs
+++ b/src/entry/stream_relay.rs
@@ -62,6 +62,16 @@
     DeadlineExceeded,
 }
 
+/// How a stream to a client has ended.
+enum RelayEnd {
+    /// All events have been sent.
+    Complete,
+    /// The stream broke off, and no upstream takes it up again.
+    Broken,
+    ClientDisconnected,
+    DeadlineExceeded,
+}
+
 /// Relays one stream to its client.
 #[derive(Debug)]
 pub(crate) struct StreamRelay {
@@ -88,19 +98,47 @@
 
 impl StreamRelay {
     /// Relays the whole stream. If it ends early, the sender is dropped without [`StreamItem::End`], and the client's
-    /// connection is broken off.
+    /// connection is broken off. If the client leaves first, nothing more is sent to an upstream.
     pub(crate) async fn run(mut self, source: StreamSource) {
         let mut progress = StreamProgress::default();
+        let sender = self.sender.clone();
+
+        let end = tokio::select! {
+            end = self.relay(source, &mut progress) => end,
+            () = sender.closed() => RelayEnd::ClientDisconnected,
+        };
+        drop(sender);
+
+        match end {
+            RelayEnd::Complete => self.finish(progress).await,
+            RelayEnd::Broken => {
+                self.context.metrics.count_broken_stream("upstream");
+                log::warn!(
+                    request:% = self.routed.request.id, events = progress.events, attempts = self.attempts;
+                    "broken off: the stream does not resume on another upstream"
+                );
+            }
+            RelayEnd::ClientDisconnected => {
+                log::info!(request:% = self.routed.request.id, events = progress.events; "the client has disconnected");
+            }
+            RelayEnd::DeadlineExceeded => {
+                self.context.metrics.count_broken_stream("deadline");
+                log::info!(request:% = self.routed.request.id, events = progress.events; "broken off: the deadline has passed");
+            }
+        }
+    }
+
+    /// Forwards events from one upstream after the other until the stream ends.
+    async fn relay(&mut self, source: StreamSource, progress: &mut StreamProgress) -> RelayEnd {
         let mut next_source = Some(source);
 
         while let Some(source) = next_source.take() {
             let upstream = Arc::clone(&source.lease.record.id);
 
-            match self.forward_events(source, &mut progress).await {
-                SourceEnd::Complete => {
-                    self.finish(progress).await;
-                    return;
-                }
+            next_source = match self.forward_events(source, progress).await {
+                SourceEnd::Complete => return RelayEnd::Complete,
+                SourceEnd::ClientDisconnected => return RelayEnd::ClientDisconnected,
+                SourceEnd::DeadlineExceeded => return RelayEnd::DeadlineExceeded,
                 SourceEnd::Broken(reason) => {
                     log::warn!(
                         request:% = self.routed.request.id, upstream:% = upstream, events = progress.events,
@@ -108,8 +146,7 @@
                         "a stream has broken off: {reason}"
                     );
                     self.excluded.push(upstream);
-                    next_source = self.resume(&progress, None).await;
-                    self.report_break(next_source.is_none(), &progress);
+                    self.resume(progress, None).await
                 }
                 SourceEnd::Silent(successor) => {
                     log::warn!(
@@ -118,31 +155,12 @@
                         "a stream is silent, and another upstream takes it up"
                     );
                     self.excluded.push(upstream);
-                    next_source = self.resume(&progress, Some(successor)).await;
-                    self.report_break(next_source.is_none(), &progress);
-                }
-                SourceEnd::ClientDisconnected => {
-                    log::info!(request:% = self.routed.request.id, events = progress.events; "the client has disconnected");
-                    return;
-                }
-                SourceEnd::DeadlineExceeded => {
-                    self.context.metrics.count_broken_stream("deadline");
-                    log::info!(request:% = self.routed.request.id, events = progress.events; "broken off: the deadline has passed");
-                    return;
+                    self.resume(progress, Some(successor)).await
                 }
-            }
+            };
         }
-    }
 
-    /// Reports the end of a stream that no upstream takes up again.
-    fn report_break(&self, is_broken: bool, progress: &StreamProgress) {
-        if is_broken {
-            self.context.metrics.count_broken_stream("upstream");
-            log::warn!(
-                request:% = self.routed.request.id, events = progress.events, attempts = self.attempts;
-                "broken off: the stream does not resume on another upstream"
-            );
-        }
+        RelayEnd::Broken
     }
 
     /// Time without data after which the stream is resumed on another upstream.
@@ -188,15 +206,7 @@
                 self.routed.deadline
             };
 
-            let read = tokio::select! {
-                () = self.sender.closed() => {
-                    lease.finish(LeaseOutcome::Cancelled);
-                    return SourceEnd::ClientDisconnected;
-                }
-                read = timeout_at(read_deadline, body.next()) => read,
-            };
-
-            match read {
+            match timeout_at(read_deadline, body.next()).await {
                 Ok(Ok(Some(chunk))) => framer.push(&chunk),
                 Ok(Ok(None)) if !framer.has_partial_event() => {
                     lease.finish(LeaseOutcome::Answered);
--- a/src/tests/entry_runner.rs
+++ b/src/tests/entry_runner.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, StatusCode};
 use parking_lot::Mutex;
-use tokio::time::{Duration, Instant};
+use tokio::time::{Duration, Instant, sleep};
 
 use super::entry_fakes::{MemoryStore, ScriptedChannel, ScriptedResponse, upstream};
 use crate::{
@@ -14,6 +14,7 @@
         BudgetLedger, EntryRefusal, EntryRequest, EntryResponse, PlacementPool, RelayedBody,
         RequestKind, RouteTarget, ServiceConfig, ServiceRoute, StreamItem,
         entry_metrics::EntryMetrics,
+        placement_request::PlacementRequest,
         request_runner::{RequestRunner, RoutedRequest, RunnerContext},
         turn_journal::TurnJournal,
     },
@@ -30,6 +31,7 @@
 struct RunResult {
     response: EntryResponse,
     channel: Arc<ScriptedChannel>,
+    pool: Arc<PlacementPool>,
     elapsed: Duration,
 }
 
@@ -69,7 +71,7 @@
     (1..=upstream_count).for_each(|it| pool.upsert(upstream(&format!("u{it}"), "service", 4)));
 
     let context = Arc::new(RunnerContext {
-        pool,
+        pool: Arc::clone(&pool),
         channel: Arc::clone(&channel) as Arc<_>,
         journal: Arc::new(TurnJournal::new(store, ledger, Arc::clone(&metrics), "host-a.1".into())),
         history: Arc::default(),
@@ -124,7 +126,7 @@
     };
 
     let response = RequestRunner::new(context, routed, None).run().await;
-    RunResult { response, channel, elapsed: now.elapsed() }
+    RunResult { response, channel, pool, elapsed: now.elapsed() }
 }
 
 /// Runs a stream. Returns the text that the client has received and whether the stream is complete.
@@ -263,6 +265,22 @@
     assert_eq!((text.as_str(), is_complete), ("id: 1\ndata: a\n\n", false));
 }
 
+/// A request for a slot on an upstream that is not in `excluded`.
+fn placement(excluded: &[&str]) -> PlacementRequest {
+    let deadline = Instant::now() + Duration::from_secs(2);
+
+    PlacementRequest {
+        service: "service".into(),
+        priority: 0,
+        is_continuation: false,
+        finish_by: deadline,
+        deadline,
+        prompt_parts: Vec::new(),
+        prompt_tokens: 0,
+        excluded: excluded.iter().map(|it| Arc::from(*it)).collect(),
+    }
+}
+
 /// A stream that pauses for longer than three times the gap objective, and then goes on.
 const PAUSING_STREAM: ScriptedResponse = ScriptedResponse::PausingStream {
     events: "id: 1\ndata: a\n\n",
@@ -296,3 +314,19 @@
     assert_eq!((text.as_str(), is_complete), ("id: 1\ndata: a\n\nid: 2\ndata: other\n\n", true));
     assert_eq!(result.upstreams().len(), 2);
 }
+
+#[tokio::test(start_paused = true)]
+async fn relay_sends_nothing_for_a_client_that_left_while_its_stream_waits() {
+    let first = ScriptedResponse::Stream { chunks: vec!["id: 1\ndata: a\n\n"], is_complete: false };
+    let kind = RequestKind::Stream { can_resume: true };
+    let result = run_request_on(1, kind, vec![first]).await;
+    let (channel, pool) = (Arc::clone(&result.channel), Arc::clone(&result.pool));
+    pool.upsert(upstream("u2", "service", 1));
+    let slot = pool.try_acquire(&placement(&["u1"])).expect("a free slot");
+    sleep(Duration::from_millis(100)).await;
+    drop(result);
+    sleep(Duration::from_millis(100)).await;
+    drop(slot);
+    sleep(Duration::from_millis(100)).await;
+    assert_eq!(channel.requests().len(), 1);
+}
