ORDER: decode software versions and resumed attempts, and log them

Change: the version of an upstream's entry, and the attempt that a client's request resumes, are decoded, forwarded between hosts and logged where an upstream is listed and a request is placed. An entry without a version is malformed. No decision uses them.

--- a/src/entry/entry_request.rs
+++ b/src/entry/entry_request.rs
@@ -61,4 +61,6 @@
     pub prompt_parts: Vec<PromptPart>,
     /// Id of the last event of this stream that the client has received.
     pub last_event_id: Option<Arc<str>>,
+    /// Id of the client's attempt that has brought the stream's first event, if this attempt takes the stream up.
+    pub resumed_request: Option<Arc<str>>,
 }
--- a/src/entry/placement_pool.rs
+++ b/src/entry/placement_pool.rs
@@ -191,7 +191,7 @@
         } else {
             let cache_tokens = state.cache_capacities.get(&service).copied().unwrap_or(0);
             let id = Arc::clone(&record.id);
-            log::info!(upstream:% = id, service:% = service, data_centre:% = record.data_centre; "an upstream is listed");
+            log::info!(upstream:% = id, service:% = service, software_version:% = record.software_version, data_centre:% = record.data_centre; "an upstream is listed");
             let key = state.upstreams.insert(PooledUpstream::new(record, cache_tokens));
             state.by_id.insert(id, key);
             state.services.entry(Arc::clone(&service)).or_default().keys.push(key);
--- a/src/entry/upstream_record.rs
+++ b/src/entry/upstream_record.rs
@@ -20,6 +20,8 @@
     pub started_at_ms: u64,
     /// Service that the upstream belongs to.
     pub service: Arc<str>,
+    /// Version of the upstream's software. Streams of different versions don't fit together.
+    pub software_version: Arc<str>,
     /// Address for requests. Another upstream may reuse it later.
     pub address: SocketAddr,
     /// Data centre in which the upstream runs.
--- a/src/gateway/forwarded_request.rs
+++ b/src/gateway/forwarded_request.rs
@@ -34,6 +34,7 @@
     /// Id and length in tokens of each part of the prompt.
     prompt_parts: Vec<(u64, u64)>,
     last_event_id: Option<Arc<str>>,
+    resumed_request: Option<Arc<str>>,
 }
 
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -71,6 +72,7 @@
             max_completion_tokens: request.max_completion_tokens,
             prompt_parts: request.prompt_parts.iter().map(|it| (it.id, it.tokens)).collect(),
             last_event_id: request.last_event_id.clone(),
+            resumed_request: request.resumed_request.clone(),
         }
     }
 
@@ -102,6 +104,7 @@
                 .map(|(id, tokens)| PromptPart { id, tokens })
                 .collect(),
             last_event_id: self.last_event_id,
+            resumed_request: self.resumed_request,
             target: self.target,
         })
     }
--- a/src/tests/entry_fakes.rs
+++ b/src/tests/entry_fakes.rs
@@ -333,6 +333,7 @@
         id: id.into(),
         started_at_ms: 1,
         service: service.into(),
+        software_version: "v1".into(),
         address: "127.0.0.1:9".parse().expect("a valid address"),
         data_centre: "dc-a".into(),
         slots,
--- a/src/tests/entry_runner.rs
+++ b/src/tests/entry_runner.rs
@@ -95,6 +95,7 @@
         max_completion_tokens: 0,
         prompt_parts: Vec::new(),
         last_event_id: None,
+        resumed_request: None,
     };
     let route = ServiceRoute {
         name: "route".into(),
--- a/src/tests/gateway_forwarding.rs
+++ b/src/tests/gateway_forwarding.rs
@@ -119,6 +119,7 @@
         max_completion_tokens: 92,
         prompt_parts: vec![PromptPart { id: 7, tokens: 10 }],
         last_event_id: Some("3".into()),
+        resumed_request: Some("r-1".into()),
     }
 }
 
@@ -234,6 +235,7 @@
     assert_eq!((&decoded.headers, &decoded.body), (&original.headers, &original.body));
     assert_eq!(decoded.prompt_parts, original.prompt_parts);
     assert_eq!(decoded.last_event_id, original.last_event_id);
+    assert_eq!(decoded.resumed_request, original.resumed_request);
     let (program, sent) = (decoded.program.expect("a program"), original.program.expect("one"));
     assert_eq!((program.id, program.previous_turn), (sent.id, sent.previous_turn));
     assert_eq!((program.token_budget, program.finish_by), (sent.token_budget, sent.finish_by));
--- a/src/tests/shared_connections.rs
+++ b/src/tests/shared_connections.rs
@@ -168,6 +168,7 @@
         max_completion_tokens: 0,
         prompt_parts: Vec::new(),
         last_event_id: None,
+        resumed_request: None,
     }
 }
 
