A request that no free upstream may take no longer blocks those behind it

Callers saw: 503 at the deadline, or a wait, while upstreams had free slots. Cause: the queue of a service granted slots to its first request only. One that has been rejected by all upstreams with free slots stayed first until its deadline; and a request that may use no upstream at all was admitted, as upstreams that had rejected it counted as slots that it might get. Change: free slots go to the first request in the order of the queue that may use them; only upstreams that a request may use count for its expected wait, and with none it is refused at once. Measured: both tests pass; the entry tests of the library pass.

--- a/src/entry/placement_pool.rs
+++ b/src/entry/placement_pool.rs
@@ -297,7 +297,7 @@
         }
     }
 
-    /// Takes a slot if one is free and no other request waits for one.
+    /// Takes a slot if one is free that no waiting request may take.
     pub(crate) fn try_acquire(
         self: &Arc<Self>,
         request: &PlacementRequest,
@@ -313,8 +313,8 @@
         now: Instant,
         request: &PlacementRequest,
     ) -> Option<GrantedSlot> {
-        let pool = state.services.get(&request.service)?;
-        pool.waiting.is_empty().then(|| self.take_slot(state, now, request)).flatten()
+        self.serve_queue(state, &request.service);
+        self.take_slot(state, now, request)
     }
 
     fn lease(self: &Arc<Self>, slot: GrantedSlot, now: Instant) -> UpstreamLease {
@@ -340,10 +340,7 @@
         let leaving = self.leaving.lock();
         let eligible = |key: &&UpstreamKey| {
             let upstream = &state.upstreams[**key];
-            upstream.is_serving()
-                && !leaving.contains(&upstream.record.id, upstream.record.started_at_ms)
-                && upstream.has_room(now)
-                && !request.excluded.contains(&upstream.record.id)
+            request.may_use(upstream, &leaving) && upstream.has_room(now)
         };
 
         let cost = |key: &UpstreamKey| self.cost_ms(&state.upstreams[*key], now, request);
@@ -388,20 +385,27 @@
         }
     }
 
-    /// Grants free slots to the waiting requests of a service, in the order of the queue.
+    /// Grants free slots to the waiting requests of a service, in the order of the queue. A request that may use none of
+    /// the free slots leaves them to those behind it.
     fn serve_queue(&self, state: &mut PoolState, service: &Arc<str>) {
         let now = Instant::now();
+        let positions: Vec<QueuePosition> = state
+            .services
+            .get(service)
+            .into_iter()
+            .flat_map(|it| it.waiting.keys())
+            .copied()
+            .collect();
 
-        loop {
-            let Some(pool) = state.services.get(service) else {
-                return;
-            };
-            let Some((position, waiting)) = pool.waiting.first_key_value() else {
+        for position in positions {
+            if !self.has_free_slot(state, now, service) {
                 return;
-            };
-            let (position, request) = (*position, waiting.request.clone());
+            }
+
+            let pool = &state.services[service];
+            let request = pool.waiting[&position].request.clone();
             let Some(slot) = self.take_slot(state, now, &request) else {
-                return;
+                continue;
             };
             let waiting =
                 state.services.get_mut(service).and_then(|it| it.waiting.remove(&position));
@@ -414,6 +418,15 @@
         }
     }
 
+    fn has_free_slot(&self, state: &PoolState, now: Instant, service: &Arc<str>) -> bool {
+        let leaving = self.leaving.lock();
+        let is_free = |key: &UpstreamKey| {
+            let upstream = &state.upstreams[*key];
+            upstream.is_open(&leaving) && upstream.has_room(now)
+        };
+        state.services.get(service).is_some_and(|pool| pool.keys.iter().any(is_free))
+    }
+
     /// Records the load that an upstream has reported with a response.
     pub(super) fn record_load(&self, key: UpstreamKey, load: ReportedLoad) {
         let mut state = self.state.lock();
@@ -484,14 +497,14 @@
             .keys
             .iter()
             .map(|key| &self.upstreams[*key])
-            .filter(|upstream| upstream.is_serving() && !upstream.is_in_backoff(now))
-            .filter(|it| !leaving.contains(&it.record.id, it.record.started_at_ms))
+            .filter(|upstream| request.may_use(upstream, leaving) && !upstream.is_in_backoff(now))
             .map(|upstream| upstream.record.slots)
             .sum();
 
         if slots == 0 {
             let retry_after = Duration::from_millis(300);
-            return Err(PlacementRefusal { reason: "the service has no upstream", retry_after });
+            let reason = "no upstream of the service may take the request";
+            return Err(PlacementRefusal { reason, retry_after });
         }
 
         let queue_length = pool.waiting.len() as u32 + 1;
--- a/src/entry/placement_request.rs
+++ b/src/entry/placement_request.rs
@@ -4,7 +4,9 @@
 
 use tokio::time::{Duration, Instant};
 
-use crate::entry::PromptPart;
+use crate::entry::{
+    PromptPart, leaving_upstreams::LeavingUpstreams, pooled_upstream::PooledUpstream,
+};
 
 /// A request for a slot on an upstream of a service.
 #[derive(Clone, Debug)]
@@ -24,6 +26,13 @@
     pub(crate) excluded: Vec<Arc<str>>,
 }
 
+impl PlacementRequest {
+    /// Whether the request may run on an upstream, apart from its load.
+    pub(crate) fn may_use(&self, upstream: &PooledUpstream, leaving: &LeavingUpstreams) -> bool {
+        upstream.is_open(leaving) && !self.excluded.contains(&upstream.record.id)
+    }
+}
+
 /// Why no slot was granted, and when to retry.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) struct PlacementRefusal {
--- a/src/tests/entry_placement.rs
+++ b/src/tests/entry_placement.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use tokio::time::{Duration, Instant, sleep};
+use tokio::time::{Duration, Instant, sleep, timeout};
 
 use super::entry_fakes::upstream;
 use crate::entry::{
@@ -233,3 +233,34 @@
     drop(lease);
     assert!(acquire(&pool).await.is_ok(), "the slot was granted to the abandoned request");
 }
+
+#[tokio::test(start_paused = true)]
+async fn placement_pool_serves_requests_behind_one_that_no_free_upstream_may_take() {
+    let pool = pool();
+    pool.upsert(upstream("u1", "model", 1));
+    pool.upsert(upstream("u2", "model", 1));
+    let first = PlacementRequest { excluded: vec!["u2".into()], ..request(0, false) };
+    let blocker = pool.try_acquire(&first).expect("u1 is free");
+    let waiting = tokio::spawn({
+        let (pool, first) = (Arc::clone(&pool), first.clone());
+        async move { pool.acquire(first).await }
+    });
+    sleep(Duration::from_millis(1)).await;
+
+    let second = timeout(Duration::from_millis(10), pool.acquire(request(0, false))).await;
+    let lease = second.expect("u2 is free").expect("a slot");
+    assert_eq!(&*lease.record.id, "u2");
+    drop(blocker);
+    let lease = waiting.await.expect("the task ends").expect("a slot");
+    assert_eq!(&*lease.record.id, "u1");
+}
+
+#[tokio::test(start_paused = true)]
+async fn placement_pool_refuses_at_once_what_no_upstream_may_take() {
+    let pool = pool();
+    pool.upsert(upstream("u1", "model", 4));
+    let excluded = PlacementRequest { excluded: vec!["u1".into()], ..request(0, false) };
+    let outcome = timeout(Duration::from_millis(10), pool.acquire(excluded)).await;
+    let refusal = outcome.expect("an answer at once").expect_err("a refusal");
+    assert!(refusal.retry_after > Duration::ZERO);
+}
