--- a/src/tests/entry_runner.rs
+++ b/src/tests/entry_runner.rs
@@ -12,7 +12,7 @@
     CrashTracker,
     entry::{
         BudgetLedger, EntryRefusal, EntryRequest, EntryResponse, PlacementPool, RelayedBody,
-        RequestKind, RouteTarget, ServiceConfig, ServiceRoute, StreamItem,
+        RequestKind, RouteTarget, ServiceConfig, ServiceRoute, StreamItem, UpstreamRecord,
         entry_metrics::EntryMetrics,
         placement_request::PlacementRequest,
         request_runner::{RequestRunner, RoutedRequest, RunnerContext},
@@ -61,6 +61,15 @@
     upstream_count: u32,
     kind: RequestKind,
     responses: Vec<ScriptedResponse>,
+) -> RunResult {
+    run_request_on_versions(&vec!["v1"; upstream_count as usize], kind, responses).await
+}
+
+/// Runs a request on upstreams with these software versions, named u1, u2 and so on.
+async fn run_request_on_versions(
+    versions: &[&str],
+    kind: RequestKind,
+    responses: Vec<ScriptedResponse>,
 ) -> RunResult {
     let store = Arc::new(MemoryStore::default());
     let channel = Arc::new(ScriptedChannel::new(responses));
@@ -68,7 +77,14 @@
     let ledger = Arc::new(Mutex::new(BudgetLedger::default()));
     let regions = BTreeMap::from([("dc-a".into(), "north".into())]);
     let pool = Arc::new(PlacementPool::new("dc-a".into(), regions));
-    (1..=upstream_count).for_each(|it| pool.upsert(upstream(&format!("u{it}"), "service", 4)));
+
+    for (number, version) in (1..).zip(versions) {
+        let software_version = Arc::from(*version);
+        pool.upsert(UpstreamRecord {
+            software_version,
+            ..upstream(&format!("u{number}"), "service", 4)
+        });
+    }
 
     let context = Arc::new(RunnerContext {
         pool: Arc::clone(&pool),
@@ -331,3 +347,24 @@
     sleep(Duration::from_millis(100)).await;
     assert_eq!(channel.requests().len(), 1);
 }
+
+#[tokio::test(start_paused = true)]
+async fn relay_never_resumes_a_stream_at_another_software_version() {
+    let kind = RequestKind::Stream { can_resume: true };
+    let first =
+        || ScriptedResponse::Stream { chunks: vec!["id: 1\ndata: a\n\n"], is_complete: false };
+    let second =
+        || ScriptedResponse::Stream { chunks: vec!["id: 2\ndata: b\n\n"], is_complete: true };
+
+    let versions = ["v1", "v2", "v1", "v2"];
+    let result = run_request_on_versions(&versions, kind, vec![first(), second()]).await;
+    let (_, is_complete, result) = read_stream(result).await;
+    let version = |id: &Arc<str>| if matches!(&**id, "u1" | "u3") { "v1" } else { "v2" };
+    let used: Vec<&str> = result.upstreams().iter().map(version).collect();
+    assert!(is_complete && used[0] == used[1], "resumed at another version: {used:?}");
+
+    let result = run_request_on_versions(&["v1", "v2"], kind, vec![first(), second()]).await;
+    let (text, is_complete, result) = read_stream(result).await;
+    assert_eq!((text.as_str(), is_complete), ("id: 1\ndata: a\n\n", false));
+    assert_eq!(result.upstreams().len(), 1);
+}
