ORDER: a host resumes a broken stream only at the version that began it

Callers saw: one response with events of two software versions, which don't fit together. Cause: the resumption of a stream excluded only the upstreams that had been tried; the version in an upstream's entry was not read. Class: upstreams of a service taken as equal where they differ. Change: once a stream has its first event, each further slot for it is on an upstream of the same version, whether free or waited for; if there is none, the response breaks off, and the client may take it up later.

--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -408,6 +408,7 @@
         let routed = RoutedRequest {
             body: chain_body(&chain, &request.body),
             is_continuation: !chain.is_empty(),
+            software_version: None,
             request,
             route,
             service,
--- a/src/entry/placement_request.rs
+++ b/src/entry/placement_request.rs
@@ -22,6 +22,8 @@
     pub(crate) deadline: Instant,
     pub(crate) prompt_parts: Vec<PromptPart>,
     pub(crate) prompt_tokens: u64,
+    /// Software version of the upstream, if the request goes on with a stream that one has begun.
+    pub(crate) software_version: Option<Arc<str>>,
     /// Upstreams that have failed or rejected this request.
     pub(crate) excluded: Vec<Arc<str>>,
 }
@@ -29,7 +31,11 @@
 impl PlacementRequest {
     /// Whether the request may run on an upstream, apart from its load.
     pub(crate) fn may_use(&self, upstream: &PooledUpstream, leaving: &LeavingUpstreams) -> bool {
-        upstream.is_open(leaving) && !self.excluded.contains(&upstream.record.id)
+        let version = &upstream.record.software_version;
+
+        upstream.is_open(leaving)
+            && !self.excluded.contains(&upstream.record.id)
+            && self.software_version.as_ref().is_none_or(|it| it == version)
     }
 }
 
--- a/src/entry/request_runner.rs
+++ b/src/entry/request_runner.rs
@@ -68,6 +68,8 @@
     pub(crate) deadline: Instant,
     /// Whether the request continues earlier turns.
     pub(crate) is_continuation: bool,
+    /// Software version that has begun the request's stream. The stream may only go on at this version.
+    pub(crate) software_version: Option<Arc<str>>,
 }
 
 impl RoutedRequest {
@@ -88,6 +90,7 @@
             deadline: self.deadline,
             prompt_parts: self.request.prompt_parts.clone(),
             prompt_tokens: self.request.prompt_tokens,
+            software_version: self.software_version.clone(),
             excluded: excluded.to_vec(),
         }
     }
@@ -394,7 +397,8 @@
         }
     }
 
-    fn relay_stream(self, source: StreamSource) -> EntryResponse {
+    fn relay_stream(mut self, source: StreamSource) -> EntryResponse {
+        self.routed.software_version = Some(Arc::clone(&source.lease.record.software_version));
         self.context.metrics.record_first_event_time(self.routed.request.received.elapsed());
         let (sender, receiver) = mpsc::channel(MAX_BUFFERED_ITEMS);
         let (status, headers) = (source.status, source.headers.clone());
--- a/src/entry/stream_resume.rs
+++ b/src/entry/stream_resume.rs
@@ -60,7 +60,7 @@
             if let Some(source) = read_new_event(resumed, progress).await {
                 log::info!(
                     request:% = self.routed.request.id, upstream:% = upstream,
-                    after_event:? = progress.last_event_id;
+                    software_version:? = self.routed.software_version, after_event:? = progress.last_event_id;
                     "a stream resumes on another upstream"
                 );
                 return Some(source);
--- a/src/tests/entry_placement.rs
+++ b/src/tests/entry_placement.rs
@@ -38,6 +38,7 @@
         deadline: now + REQUEST_TIMEOUT,
         prompt_parts: Vec::new(),
         prompt_tokens: 1_000,
+        software_version: None,
         excluded: Vec::new(),
     }
 }
--- a/src/tests/entry_runner.rs
+++ b/src/tests/entry_runner.rs
@@ -140,6 +140,7 @@
         fingerprint: 1,
         deadline: now + Duration::from_secs(2),
         is_continuation: false,
+        software_version: None,
     };
 
     let response = RequestRunner::new(context, routed, None).run().await;
@@ -294,6 +295,7 @@
         deadline,
         prompt_parts: Vec::new(),
         prompt_tokens: 0,
+        software_version: None,
         excluded: excluded.iter().map(|it| Arc::from(*it)).collect(),
     }
 }
