ORDER: a stream that a client takes up goes on only at the version that began it

Callers saw: over two attempts of a client, events of two software versions in one stream. Cause: a host that got the second attempt did not read which attempt had brought the first event, and no host told others where streams begin. Class: state of a request that only the host which began it has. Change: each host records the version of a resumable stream before its first event is sent, and tells the other schedulers with the updates that it sends anyway. A host that gets the next attempt looks in its memory, then asks the others, and last takes the version of the service if that had only one for 30 s. Else the attempt is refused as not run. What the mesh shares is one type.

--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -11,21 +11,22 @@
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 use crate::{
-    BackoffPolicy, CrashTracker, PeerTransport,
+    BackoffPolicy, PeerTransport,
     entry::{
         BudgetLedger, EntryBackends, EntryRefusal, EntryRequest, EntryResponse, EntrySettings,
         KindFollower, ObjectListener, PlacementPool, RelayedBody, RouteTable, ServiceConfig,
         ServiceRoute, StoreError,
-        batch_index::BatchIndex,
         entry_metrics::EntryMetrics,
         host_registry::{HostRegistry, REGISTRY_KIND},
         mesh_peer::MeshIdentity,
+        mesh_state::MeshState,
         peer_mesh::PeerMesh,
         request_runner::{RequestRunner, RoutedRequest, RunnerContext},
         turn_budget::{BudgetContext, BudgetRefusal, TurnBudget},
-        turn_history::{HistoryTurn, TurnHistory, chain_body},
+        turn_history::{HistoryTurn, chain_body},
         turn_journal::{TurnJournal, TurnRecorder},
         turn_locator::{TurnLocator, TurnSearch},
+        version_finder::{RequiredVersion, VersionFinder},
     },
     gateway::{ForwardedRequests, HostNetwork, SchedulerEntry},
     hex_text,
@@ -73,6 +74,7 @@
     /// Follows the registry entries of the other entry hosts in the store.
     peers: KindFollower,
     budgets: BudgetContext,
+    versions: VersionFinder,
     registry: HostRegistry,
     context: Arc<RunnerContext>,
     forwarded_requests: ForwardedRequests,
@@ -97,29 +99,23 @@
         let mut ledger = BudgetLedger::default();
         ledger.set_local_writer(Arc::clone(&writer));
         let ledger = Arc::new(Mutex::new(ledger));
-        let history = Arc::new(Mutex::new(TurnHistory::default()));
-        let crashes = Arc::new(Mutex::new(CrashTracker::default()));
         let pool = Arc::new(PlacementPool::new(
             Arc::clone(&settings.data_centre),
             settings.regions.clone(),
         ));
 
-        let index = Arc::new(Mutex::new(BatchIndex::default()));
+        let state = MeshState {
+            ledger: Arc::clone(&ledger),
+            leaving: Arc::clone(pool.leaving()),
+            ..MeshState::default()
+        };
         let identity = MeshIdentity {
             host: Arc::clone(&settings.host),
             address: settings.peers_address,
             region,
             writer: Arc::clone(&writer),
         };
-        let mesh = Arc::new(PeerMesh::new(
-            identity,
-            transport,
-            Arc::clone(&ledger),
-            Arc::clone(&history),
-            Arc::clone(&crashes),
-            Arc::clone(&index),
-            Arc::clone(pool.leaving()),
-        ));
+        let mesh = Arc::new(PeerMesh::new(identity, transport, state.clone()));
         let journal = Arc::new(TurnJournal::new(
             Arc::clone(&backends.store),
             Arc::clone(&ledger),
@@ -129,10 +125,10 @@
         mesh.set_journal(Arc::clone(&journal));
         let locator = Arc::new(TurnLocator::new(
             Arc::clone(&backends.store),
-            Arc::clone(&history),
+            Arc::clone(&state.history),
             Arc::clone(&ledger),
             Arc::clone(&mesh),
-            index,
+            state.index,
         ));
 
         let budgets = BudgetContext {
@@ -142,12 +138,19 @@
             locator,
         };
 
+        let versions = VersionFinder {
+            streams: Arc::clone(&state.streams),
+            mesh: Arc::clone(&mesh),
+            pool: Arc::clone(&pool),
+        };
+
         let runner_context = Arc::new(RunnerContext {
             pool,
             channel: Arc::clone(&backends.channel),
             journal: Arc::clone(&journal),
-            history,
-            crashes,
+            history: state.history,
+            crashes: state.crashes,
+            streams: state.streams,
             metrics,
         });
 
@@ -161,6 +164,7 @@
             peers,
             routes: ArcSwap::default(),
             budgets,
+            versions,
             registry: network.registry.clone(),
             context: runner_context,
             forwarded_requests: ForwardedRequests::default(),
@@ -395,6 +399,15 @@
             return EntryResponse::not_run(UNAVAILABLE_RETRY_AFTER, reason);
         }
 
+        let software_version = match self.versions.find(&request, &route, &service.name).await {
+            RequiredVersion::Any => None,
+            RequiredVersion::Only(version) => Some(version),
+            RequiredVersion::Unknown => {
+                let reason = "the software version that has begun the stream is not known";
+                return EntryResponse::not_run(UNAVAILABLE_RETRY_AFTER, reason);
+            }
+        };
+
         let chain = match self.find_chain(&request, &route, deadline).await {
             Ok(chain) => chain,
             Err(response) => return response,
@@ -408,7 +421,7 @@
         let routed = RoutedRequest {
             body: chain_body(&chain, &request.body),
             is_continuation: !chain.is_empty(),
-            software_version: None,
+            software_version,
             request,
             route,
             service,
--- a/src/entry/mesh_answers.rs
+++ b/src/entry/mesh_answers.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, atomic::Ordering};
 
 use async_trait::async_trait;
-use tokio::time::Duration;
+use tokio::time::{Duration, Instant};
 
 use crate::{
     PeerHandler, PeerMessage, PeerStream,
@@ -25,11 +25,15 @@
                 sequence,
                 is_draining,
                 notes,
+                streams,
             } => {
                 if !self.update_peer_state(&host, address, is_draining) {
                     self.add_peer(host, address, region);
                 }
                 self.merge_reported_spends(&writer, sequence, &notes);
+                let mut known = self.state.streams.lock();
+                let now = Instant::now();
+                streams.iter().for_each(|stream| known.merge(now, stream));
                 PeerMessage::Done
             }
             PeerMessage::SpendQuery { writer, sequence, note } => {
@@ -38,23 +42,23 @@
                 PeerMessage::Spend {
                     writer: Arc::clone(&self.identity.writer),
                     sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
-                    note: self.ledger.lock().local_note(&program),
+                    note: self.state.ledger.lock().local_note(&program),
                 }
             }
             PeerMessage::KnowledgeQuery if self.has_loaded_records.load(Ordering::Relaxed) => {
-                let mut spends = self.ledger.lock().other_spends();
-                let notes = self.ledger.lock().local_notes();
+                let mut spends = self.state.ledger.lock().other_spends();
+                let notes = self.state.ledger.lock().local_notes();
                 spends.push(WriterSpends { writer: Arc::clone(&self.identity.writer), notes });
-                PeerMessage::Knowledge { spends, batches: self.index.lock().all_batches() }
+                PeerMessage::Knowledge { spends, batches: self.state.index.lock().all_batches() }
             }
             PeerMessage::KnowledgeQuery => PeerMessage::NoAck,
             PeerMessage::RequestCrashesNoted { notes } => {
-                let mut crashes = self.crashes.lock();
+                let mut crashes = self.state.crashes.lock();
                 notes.into_iter().for_each(|note| crashes.merge(note));
                 PeerMessage::Done
             }
             PeerMessage::UpstreamsLeaving { instances } => {
-                let mut leaving = self.leaving.lock();
+                let mut leaving = self.state.leaving.lock();
                 for instance in instances {
                     let id = Arc::clone(&instance.id);
                     if leaving.merge(instance) {
@@ -63,9 +67,12 @@
                 }
                 PeerMessage::Done
             }
+            PeerMessage::StreamQuery { request } => {
+                PeerMessage::StreamVersion { version: self.state.streams.lock().get(&request) }
+            }
             PeerMessage::TurnQuery { turn } => {
                 // The query of a peer does not extend the time for which this host caches the turns.
-                let chain = self.history.lock().chain(&turn, Duration::ZERO);
+                let chain = self.state.history.lock().chain(&turn, Duration::ZERO);
                 let turns = match chain {
                     TurnChain::Complete(chain) => {
                         chain.iter().map(|turn| HistoryTurn::clone(turn)).collect()
--- a/src/entry/mesh_queries.rs
+++ b/src/entry/mesh_queries.rs
@@ -5,7 +5,7 @@
     sync::{Arc, atomic::Ordering},
 };
 
-use futures_util::future::join_all;
+use futures_util::{StreamExt, future::join_all, stream::FuturesUnordered};
 use tokio::time::{Duration, Instant, timeout};
 
 use crate::{
@@ -20,6 +20,9 @@
 /// Time for a peer to respond to a spend query. A round trip between regions takes 16 ms.
 const SPEND_QUERY_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Time for a peer to respond to the query for a stream that a client takes up.
+const STREAM_QUERY_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// A peer to which a spend query may be sent.
 #[derive(Debug)]
 struct QueriedPeer {
@@ -44,10 +47,10 @@
 
         for (host, response) in join_all(queries).await {
             if let Ok(Ok(PeerMessage::Knowledge { spends, batches })) = response {
-                let mut ledger = self.ledger.lock();
+                let mut ledger = self.state.ledger.lock();
                 spends.iter().for_each(|it| ledger.merge_reported(&it.writer, &it.notes));
                 drop(ledger);
-                self.index.lock().merge(batches);
+                self.state.index.lock().merge(batches);
                 log::info!(peer:% = host; "loaded the recorded spends and the index of turns from a peer");
                 return true;
             }
@@ -65,7 +68,7 @@
     /// with its own first exchange. Returns the peers that did not respond.
     pub(crate) async fn exchange_spend(&self, program: &Arc<str>) -> Vec<Arc<str>> {
         let peers: Vec<QueriedPeer> = {
-            let ledger = self.ledger.lock();
+            let ledger = self.state.ledger.lock();
             let peers = self.peers.lock();
             let is_same_region = |peer: &MeshPeer| peer.region == self.identity.region;
             let is_first = !ledger.is_announced(program);
@@ -94,12 +97,12 @@
         let query = PeerMessage::SpendQuery {
             writer: Arc::clone(&self.identity.writer),
             sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
-            note: self.ledger.lock().local_note(program),
+            note: self.state.ledger.lock().local_note(program),
         };
 
         let queries = peers.into_iter().map(|peer| self.query_spend(peer, &query));
         let unresponsive = join_all(queries).await.into_iter().flatten().collect();
-        self.ledger.lock().mark_announced(program);
+        self.state.ledger.lock().mark_announced(program);
         unresponsive
     }
 
@@ -121,6 +124,25 @@
         }
     }
 
+    /// Queries all peers for the software version that has begun a stream, and returns the first answer that names one.
+    pub(crate) async fn find_stream_version(&self, request: &Arc<str>) -> Option<Arc<str>> {
+        let query = PeerMessage::StreamQuery { request: Arc::clone(request) };
+        let addresses: Vec<SocketAddr> =
+            self.peers.lock().values().map(|peer| peer.address).collect();
+        let mut responses: FuturesUnordered<_> = addresses
+            .into_iter()
+            .map(|address| timeout(STREAM_QUERY_TIMEOUT, self.connector.exchange(address, &query)))
+            .collect();
+
+        while let Some(response) = responses.next().await {
+            if let Ok(Ok(PeerMessage::StreamVersion { version: Some(version) })) = response {
+                return Some(version);
+            }
+        }
+
+        None
+    }
+
     /// Queries all peers that are not in backoff for a turn. Returns the turn and those before it from a peer that has
     /// them, or nothing.
     pub(crate) async fn find_turns(&self, turn: &Arc<str>) -> Vec<HistoryTurn> {
--- /dev/null
+++ b/src/entry/mesh_state.rs
@@ -0,0 +1,24 @@
+//! What the entry hosts tell each other.
+
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+
+use crate::{
+    CrashTracker,
+    entry::{
+        BudgetLedger, batch_index::BatchIndex, leaving_upstreams::LeavingUpstreams,
+        stream_versions::StreamVersions, turn_history::TurnHistory,
+    },
+};
+
+/// State that the mesh of entry hosts shares with the other parts of this host. Each lock is taken on its own.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct MeshState {
+    pub(crate) ledger: Arc<Mutex<BudgetLedger>>,
+    pub(crate) history: Arc<Mutex<TurnHistory>>,
+    pub(crate) crashes: Arc<Mutex<CrashTracker>>,
+    pub(crate) index: Arc<Mutex<BatchIndex>>,
+    pub(crate) leaving: Arc<Mutex<LeavingUpstreams>>,
+    pub(crate) streams: Arc<Mutex<StreamVersions>>,
+}
--- a/src/entry/peer_mesh.rs
+++ b/src/entry/peer_mesh.rs
@@ -13,15 +13,14 @@
 use tokio::time::{Duration, Instant, sleep, timeout};
 
 use crate::{
-    CrashNote, CrashTracker, PeerMessage, PeerTransport,
+    CrashNote, PeerMessage, PeerTransport,
     entry::{
-        BudgetLedger,
-        batch_index::BatchIndex,
         budget_ledger::SpendNote,
-        leaving_upstreams::{LeavingUpstreams, UpstreamInstance},
+        leaving_upstreams::UpstreamInstance,
         mesh_connector::MeshConnector,
         mesh_peer::{MeshIdentity, MeshPeer},
-        turn_history::TurnHistory,
+        mesh_state::MeshState,
+        stream_versions::BegunStream,
         turn_journal::TurnJournal,
     },
     gateway::{SchedulerEntry, role_policy::has_owners},
@@ -60,11 +59,15 @@
     notes: Vec<SpendNote>,
     crashes: Vec<CrashNote>,
     leaving: Vec<UpstreamInstance>,
+    streams: Vec<BegunStream>,
 }
 
 impl MeshChanges {
     fn is_empty(&self) -> bool {
-        self.notes.is_empty() && self.crashes.is_empty() && self.leaving.is_empty()
+        self.notes.is_empty()
+            && self.crashes.is_empty()
+            && self.leaving.is_empty()
+            && self.streams.is_empty()
     }
 }
 
@@ -74,11 +77,7 @@
     pub(super) identity: MeshIdentity,
     pub(super) journal: OnceLock<Arc<TurnJournal>>,
     pub(super) connector: MeshConnector,
-    pub(super) ledger: Arc<Mutex<BudgetLedger>>,
-    pub(super) history: Arc<Mutex<TurnHistory>>,
-    pub(super) crashes: Arc<Mutex<CrashTracker>>,
-    pub(super) index: Arc<Mutex<BatchIndex>>,
-    pub(super) leaving: Arc<Mutex<LeavingUpstreams>>,
+    pub(super) state: MeshState,
     /// Whether this host has loaded the recorded spends and turns, so that it may respond to other hosts' queries for
     /// them.
     pub(super) has_loaded_records: AtomicBool,
@@ -102,21 +101,13 @@
     pub(crate) fn new(
         identity: MeshIdentity,
         transport: Arc<dyn PeerTransport>,
-        ledger: Arc<Mutex<BudgetLedger>>,
-        history: Arc<Mutex<TurnHistory>>,
-        crashes: Arc<Mutex<CrashTracker>>,
-        index: Arc<Mutex<BatchIndex>>,
-        leaving: Arc<Mutex<LeavingUpstreams>>,
+        state: MeshState,
     ) -> Self {
         Self {
             identity,
             journal: OnceLock::new(),
             connector: MeshConnector::new(transport),
-            ledger,
-            history,
-            crashes,
-            index,
-            leaving,
+            state,
             has_loaded_records: AtomicBool::new(false),
             peers: Mutex::default(),
             last_sequences: Mutex::default(),
@@ -315,11 +306,12 @@
     }
 
     fn send_updates(self: &Arc<Self>) {
-        let notes = self.ledger.lock().take_unreported();
-        let crashes = self.crashes.lock().take_pending_notes();
-        let leaving = self.leaving.lock().take_unreported();
+        let notes = self.state.ledger.lock().take_unreported();
+        let crashes = self.state.crashes.lock().take_pending_notes();
+        let leaving = self.state.leaving.lock().take_unreported();
+        let streams = self.state.streams.lock().take_unreported();
         let is_drain_unannounced = self.is_drain_unannounced.swap(false, Ordering::Relaxed);
-        let changes = MeshChanges { notes, crashes, leaving };
+        let changes = MeshChanges { notes, crashes, leaving, streams };
         let has_changes = is_drain_unannounced || !changes.is_empty();
         let now = Instant::now();
         let mut targets = Vec::new();
@@ -360,13 +352,14 @@
             peer.is_synced = true;
         }
 
-        let MeshChanges { notes, crashes, leaving } = if is_synced {
+        let MeshChanges { notes, crashes, leaving, streams } = if is_synced {
             new_changes
         } else {
             MeshChanges {
-                notes: self.ledger.lock().local_notes(),
-                crashes: self.crashes.lock().notes(),
-                leaving: self.leaving.lock().all(),
+                notes: self.state.ledger.lock().local_notes(),
+                crashes: self.state.crashes.lock().notes(),
+                leaving: self.state.leaving.lock().all(),
+                streams: self.state.streams.lock().local_streams(Instant::now()),
             }
         };
 
@@ -379,6 +372,7 @@
             sequence,
             is_draining: self.is_draining(),
             notes,
+            streams,
         }];
 
         if !crashes.is_empty() {
@@ -446,7 +440,7 @@
         };
 
         if is_latest {
-            self.ledger.lock().merge_reported(writer, notes);
+            self.state.ledger.lock().merge_reported(writer, notes);
         }
     }
 }
--- a/src/entry/placement_pool.rs
+++ b/src/entry/placement_pool.rs
@@ -62,6 +62,10 @@
 /// expired during the outage; an upstream that still runs writes it again within two seconds.
 const EXPIRY_GRACE_PERIOD: Duration = Duration::from_millis(2_100);
 
+/// Time for which a software version counts after its last upstream has left, as clients may still take up streams that
+/// it has begun.
+const VERSION_MEMORY: Duration = Duration::from_secs(30);
+
 /// Sort key of a waiting request: by priority, then continuations of earlier work before new work, then by the time at
 /// which the program should finish, then by arrival.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -90,11 +94,18 @@
     keys: Vec<UpstreamKey>,
     waiting: BTreeMap<QueuePosition, WaitingRequest>,
     mean_lease_time: Duration,
+    /// Software versions of upstreams that are gone, and when the last of each left.
+    past_versions: HashMap<Arc<str>, Instant>,
 }
 
 impl Default for ServicePool {
     fn default() -> Self {
-        Self { keys: Vec::new(), waiting: BTreeMap::new(), mean_lease_time: INITIAL_LEASE_TIME }
+        Self {
+            keys: Vec::new(),
+            waiting: BTreeMap::new(),
+            mean_lease_time: INITIAL_LEASE_TIME,
+            past_versions: HashMap::new(),
+        }
     }
 }
 
@@ -183,6 +194,10 @@
                 );
             }
 
+            if old.software_version != record.software_version {
+                state.record_past_version(&old);
+            }
+
             state.upstreams[key].update(record);
             if old.service != service {
                 state.remove_from_service(&old.service, key);
@@ -254,6 +269,19 @@
         services.iter().for_each(|service| self.serve_queue(&mut state, service));
     }
 
+    /// Returns the software version of a service's upstreams if they have had only one for [`VERSION_MEMORY`], and if the
+    /// store, which lists them, is available.
+    pub(crate) fn sole_version(&self, service: &str, now: Instant) -> Option<Arc<str>> {
+        let state = self.state.lock();
+        let pool = state.services.get(service).filter(|_| !state.is_store_unavailable)?;
+        let current = pool.keys.iter().map(|key| &state.upstreams[*key].record.software_version);
+        let past =
+            pool.past_versions.iter().filter(|(_, left_at)| now - **left_at < VERSION_MEMORY);
+        let mut versions = current.chain(past.map(|(version, _)| version));
+        let first = versions.next()?;
+        versions.all(|it| it == first).then(|| Arc::clone(first))
+    }
+
     /// Waits for a slot on an upstream. Fails at once if no slot is to be expected in time, and else when the request's
     /// deadline passes.
     pub(crate) async fn acquire(
@@ -474,8 +502,15 @@
         }
     }
 
+    fn record_past_version(&mut self, record: &UpstreamRecord) {
+        if let Some(pool) = self.services.get_mut(&record.service) {
+            pool.past_versions.insert(Arc::clone(&record.software_version), Instant::now());
+        }
+    }
+
     fn remove_upstream(&mut self, key: UpstreamKey) {
         if let Some(upstream) = self.upstreams.remove(key) {
+            self.record_past_version(&upstream.record);
             self.by_id.remove(&upstream.record.id);
             self.remove_from_service(&upstream.record.service, key);
         }
--- a/src/entry/request_runner.rs
+++ b/src/entry/request_runner.rs
@@ -23,6 +23,7 @@
         placement_request::{PlacementRefusal, PlacementRequest},
         pooled_upstream::LeaseOutcome,
         stream_relay::{StreamRelay, StreamSource},
+        stream_versions::{BegunStream, StreamVersions},
         turn_budget::TurnBudget,
         turn_history::TurnHistory,
         turn_journal::TurnJournal,
@@ -37,6 +38,9 @@
 /// latency objective.
 pub(super) const RETRY_TIMEOUT_FACTOR: u32 = 4;
 
+/// Time for which a client may take up a stream, as a multiple of the time limit of the attempt that has begun it.
+const STREAM_LIFETIME_FACTOR: u32 = 2;
+
 /// Largest body of a response that is not a stream, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 
@@ -51,6 +55,7 @@
     pub(crate) journal: Arc<TurnJournal>,
     pub(crate) history: Arc<Mutex<TurnHistory>>,
     pub(crate) crashes: Arc<Mutex<CrashTracker>>,
+    pub(crate) streams: Arc<Mutex<StreamVersions>>,
     pub(crate) metrics: Arc<EntryMetrics>,
 }
 
@@ -397,8 +402,27 @@
         }
     }
 
+    /// Records where a stream begins before its first event is sent, so that each host knows where it may go on.
+    fn record_stream(&mut self, software_version: &Arc<str>) {
+        let routed = &mut self.routed;
+        routed.software_version = Some(Arc::clone(software_version));
+
+        if !routed.route.kind.is_retryable() {
+            return;
+        }
+
+        let request = &routed.request;
+        let time_limit = routed.deadline.saturating_duration_since(request.received);
+        let stream = BegunStream {
+            request: Arc::clone(request.resumed_request.as_ref().unwrap_or(&request.id)),
+            software_version: Arc::clone(software_version),
+            lifetime: time_limit * STREAM_LIFETIME_FACTOR,
+        };
+        self.context.streams.lock().add(Instant::now(), stream);
+    }
+
     fn relay_stream(mut self, source: StreamSource) -> EntryResponse {
-        self.routed.software_version = Some(Arc::clone(&source.lease.record.software_version));
+        self.record_stream(&source.lease.record.software_version);
         self.context.metrics.record_first_event_time(self.routed.request.received.elapsed());
         let (sender, receiver) = mpsc::channel(MAX_BUFFERED_ITEMS);
         let (status, headers) = (source.status, source.headers.clone());
--- /dev/null
+++ b/src/entry/version_finder.rs
@@ -0,0 +1,81 @@
+//! Finds the software version at which a stream that a client takes up has to go on.
+//!
+//! See docs/design/platform.md, "Software versions".
+
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use tokio::time::Instant;
+
+use crate::entry::{
+    EntryRequest, PlacementPool, RequestKind, ServiceRoute, peer_mesh::PeerMesh,
+    stream_versions::StreamVersions,
+};
+
+/// Version of the upstreams on which a request may run.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum RequiredVersion {
+    /// The request begins a stream, or has none.
+    Any,
+    /// The request goes on with a stream that this version has begun.
+    Only(Arc<str>),
+    /// The request goes on with a stream that no host knows, and upstreams of several versions serve.
+    Unknown,
+}
+
+/// Looks for a stream in this host's memory, then at the other hosts, and last among the versions that serve.
+#[derive(Debug)]
+pub(crate) struct VersionFinder {
+    pub(crate) streams: Arc<Mutex<StreamVersions>>,
+    pub(crate) mesh: Arc<PeerMesh>,
+    pub(crate) pool: Arc<PlacementPool>,
+}
+
+impl VersionFinder {
+    /// Returns the version on which a request may run.
+    pub(crate) async fn find(
+        &self,
+        request: &EntryRequest,
+        route: &ServiceRoute,
+        service: &str,
+    ) -> RequiredVersion {
+        let is_stream = matches!(route.kind, RequestKind::Stream { .. });
+
+        if !is_stream || request.last_event_id.is_none() {
+            return RequiredVersion::Any;
+        }
+
+        let (version, source) = match self.find_origin(request, service).await {
+            Some((version, source)) => (RequiredVersion::Only(version), source),
+            None => (RequiredVersion::Unknown, "nowhere"),
+        };
+        log::info!(
+            request:% = request.id, resumed_request:? = request.resumed_request,
+            after_event:? = request.last_event_id, version:?, found = source,
+            took_ms = request.received.elapsed().as_millis() as u64;
+            "a client takes up a stream"
+        );
+        version
+    }
+
+    /// Returns the version that has begun the stream, and where it was found.
+    async fn find_origin(
+        &self,
+        request: &EntryRequest,
+        service: &str,
+    ) -> Option<(Arc<str>, &'static str)> {
+        if let Some(origin) = &request.resumed_request {
+            let known = self.streams.lock().get(origin);
+
+            if let Some(version) = known {
+                return Some((version, "here"));
+            }
+            if let Some(version) = self.mesh.find_stream_version(origin).await {
+                return Some((version, "peer"));
+            }
+        }
+
+        let version = self.pool.sole_version(service, Instant::now())?;
+        Some((version, "sole version"))
+    }
+}
--- a/src/membership/peer_message.rs
+++ b/src/membership/peer_message.rs
@@ -13,6 +13,7 @@
         batch_index::IndexedBatch,
         budget_ledger::{SpendNote, SpendRecord, WriterSpends},
         leaving_upstreams::UpstreamInstance,
+        stream_versions::BegunStream,
         turn_history::HistoryTurn,
     },
     gateway::{DeclineReason, ForwardedHead, ForwardedRequest, SchedulerEntry},
@@ -123,7 +124,8 @@
         notes: Vec<CrashNote>,
     },
 
-    /// Entry: current totals of the tokens that programs have spent through the sender. The response is `Done`.
+    /// Entry: current totals of the tokens that programs have spent through the sender, and what else the receiver has to
+    /// know of its requests. The response is `Done`.
     SpendsNoted {
         /// Name of the sender, which the receiver may not have found in the host registry yet.
         host: Arc<str>,
@@ -135,6 +137,8 @@
         /// Whether the sender is about to stop, so that its clients will connect to other hosts.
         is_draining: bool,
         notes: Vec<SpendNote>,
+        /// Streams that the sender has begun.
+        streams: Vec<BegunStream>,
     },
     /// Entry: what a program has spent or reserved through the sender, and a query for the same of the receiver. The
     /// response is [`PeerMessage::Spend`].
@@ -227,6 +231,15 @@
     UpstreamsLeaving {
         instances: Vec<UpstreamInstance>,
     },
+    /// Entry: request for the software version that has begun a client's stream. The response is `StreamVersion`.
+    StreamQuery {
+        /// Id of the attempt that has brought the stream's first event.
+        request: Arc<str>,
+    },
+    /// Entry: the version, if the sender knows the stream.
+    StreamVersion {
+        version: Option<Arc<str>>,
+    },
 }
 
 impl PeerMessage {
@@ -248,6 +261,8 @@
                 | Self::Knowledge { .. }
                 | Self::TurnQuery { .. }
                 | Self::Turns { .. }
+                | Self::StreamQuery { .. }
+                | Self::StreamVersion { .. }
                 | Self::ForwardOffer { .. }
                 | Self::ForwardAccepted { .. }
                 | Self::ForwardDeclined { .. }
--- a/src/tests/entry_journal.rs
+++ b/src/tests/entry_journal.rs
@@ -9,13 +9,14 @@
 
 use super::entry_fakes::{MemoryStore, StoreFault};
 use crate::{
-    CrashTracker, PeerError, PeerMessage, PeerStream, PeerTransport,
+    PeerError, PeerMessage, PeerStream, PeerTransport,
     entry::{
         BudgetLedger, ObjectStore,
         batch_index::BatchIndex,
         budget_ledger::{SpendNote, SpendRecord},
         entry_metrics::EntryMetrics,
         mesh_peer::MeshIdentity,
+        mesh_state::MeshState,
         peer_mesh::PeerMesh,
         segment_index::INDEX_KIND,
         turn_history::{HistoryTurn, TurnHistory},
@@ -125,11 +126,12 @@
                 writer: writer.into(),
             },
             Arc::new(NoTransport),
-            Arc::clone(&ledger),
-            Arc::clone(&history),
-            Arc::new(Mutex::new(CrashTracker::default())),
-            Arc::clone(&index),
-            Arc::default(),
+            MeshState {
+                ledger: Arc::clone(&ledger),
+                history: Arc::clone(&history),
+                index: Arc::clone(&index),
+                ..MeshState::default()
+            },
         ));
         let locator = TurnLocator::new(store, Arc::clone(&history), ledger, mesh, index);
         tokio::spawn(Arc::clone(&journal).run(Arc::clone(recorder) as Arc<_>, RETENTION));
--- a/src/tests/entry_runner.rs
+++ b/src/tests/entry_runner.rs
@@ -91,6 +91,7 @@
         channel: Arc::clone(&channel) as Arc<_>,
         journal: Arc::new(TurnJournal::new(store, ledger, Arc::clone(&metrics), "host-a.1".into())),
         history: Arc::default(),
+        streams: Arc::default(),
         crashes: Arc::new(Mutex::new(CrashTracker::default())),
         metrics,
     });
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -28,4 +28,5 @@
 mod shard_state;
 mod shared_connections;
 mod small_parts;
+mod stream_versions;
 mod transport;
--- a/src/tests/peer_mesh.rs
+++ b/src/tests/peer_mesh.rs
@@ -9,7 +9,7 @@
 use super::entry_fakes::ResponseStream;
 use crate::{
     PeerError, PeerHandler, PeerMessage, PeerStream, PeerTransport,
-    entry::{mesh_peer::MeshIdentity, peer_mesh::PeerMesh},
+    entry::{mesh_peer::MeshIdentity, mesh_state::MeshState, peer_mesh::PeerMesh},
 };
 
 /// Time after which a membership change, such as the start of a host, no longer makes failover possible.
@@ -67,11 +67,7 @@
     let mesh = Arc::new(PeerMesh::new(
         identity,
         Arc::clone(transport) as Arc<dyn PeerTransport>,
-        Arc::default(),
-        Arc::new(Mutex::new(crate::entry::turn_history::TurnHistory::default())),
-        Arc::default(),
-        Arc::default(),
-        Arc::default(),
+        MeshState::default(),
     ));
 
     mesh.add_peer("host-b".into(), address(2), "north".into());
@@ -97,6 +93,7 @@
         sequence,
         is_draining,
         notes: Vec::new(),
+        streams: Vec::new(),
     }
 }
 
--- a/src/tests/shared_connections.rs
+++ b/src/tests/shared_connections.rs
@@ -5,7 +5,6 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use hyper::{HeaderMap, Method};
-use parking_lot::Mutex;
 use tokio::{
     sync::Notify,
     time::{Duration, Instant, sleep, timeout},
@@ -18,8 +17,8 @@
     PlatformClient, QuicTransport, WriterId,
     entry::{
         EntryRequest, EntryResponse, RelayedBody, StreamItem, entry_metrics::EntryMetrics,
-        mesh_connector::MeshConnector, mesh_peer::MeshIdentity, peer_mesh::PeerMesh,
-        turn_history::TurnHistory,
+        mesh_connector::MeshConnector, mesh_peer::MeshIdentity, mesh_state::MeshState,
+        peer_mesh::PeerMesh,
     },
     gateway::{ForwardedHead, RequestForwarder, SchedulerDirectory, SchedulerEntry},
     membership::key_files::CertificateAuthority,
@@ -100,15 +99,7 @@
             region: "north".into(),
             writer: "one.1".into(),
         };
-        let mesh = Arc::new(PeerMesh::new(
-            identity,
-            Arc::clone(&transport),
-            Arc::default(),
-            Arc::new(Mutex::new(TurnHistory::default())),
-            Arc::default(),
-            Arc::default(),
-            Arc::default(),
-        ));
+        let mesh = Arc::new(PeerMesh::new(identity, Arc::clone(&transport), MeshState::default()));
         let forwarder = RequestForwarder {
             connector: Arc::new(MeshConnector::new(Arc::clone(&transport))),
             directory: Arc::new(SchedulerDirectory::new("north".into())),
