LOST: tell a stream that its scheduler ended early from one that was lost with it

Callers saw: nothing new; operators would read `scheduler` in streams_broken_total, which alerts, for streams whose upstream broke off, whose deadline passed or whose turn could not be recorded. Cause: ForwardedStream counted the cause "scheduler" also when the scheduler finished the exchange without ForwardEnd. It does so in these three cases, and counts each of them itself. Evidence: relay_tells_a_lost_scheduler_from_one_that_ends_the_stream failed: cause "scheduler" instead of "relayed".

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -7,7 +7,7 @@
 pub(crate) mod forwarded_request;
 mod forwarded_requests;
 pub(crate) mod forwarded_response;
-mod forwarded_stream;
+pub(crate) mod forwarded_stream;
 mod host_network;
 pub(crate) mod request_forwarder;
 pub(crate) mod role_policy;
--- a/src/gateway/forwarded_stream.rs
+++ b/src/gateway/forwarded_stream.rs
@@ -40,6 +40,11 @@
             let item = match received {
                 Ok(Some(PeerMessage::ForwardBytes { bytes })) => StreamItem::Bytes(bytes),
                 Ok(Some(PeerMessage::ForwardEnd)) => StreamItem::End,
+                // The scheduler counts the cause; see docs/METRICS.md.
+                Ok(None) => {
+                    let reason = "the scheduler has ended the stream early".to_owned();
+                    return self.report_break("relayed", reason);
+                }
                 Ok(other) => {
                     let reason = unexpected_message(other).to_string();
                     return self.report_break("scheduler", reason);
--- a/src/tests/gateway_forwarding.rs
+++ b/src/tests/gateway_forwarding.rs
@@ -10,7 +10,10 @@
 use bytes::Bytes;
 use hyper::{HeaderMap, Method};
 use parking_lot::Mutex;
-use tokio::time::{Duration, Instant};
+use tokio::{
+    sync::mpsc,
+    time::{Duration, Instant},
+};
 
 use crate::{
     PeerError, PeerMessage, PeerStream, PeerTransport,
@@ -20,13 +23,22 @@
     },
     gateway::{
         DeclineReason, ForwardedHead, ForwardedRequest, RequestForwarder, SchedulerDirectory,
-        SchedulerEntry,
+        SchedulerEntry, forwarded_stream::ForwardedStream,
     },
 };
 
-/// What a scheduler sends, in order. Once nothing is left, the exchange breaks.
+/// What a scheduler sends, in order. Once nothing is left, the exchange ends.
 type Script = VecDeque<PeerMessage>;
 
+/// How an exchange ends after its script.
+#[derive(Clone, Copy, Debug)]
+enum ScriptEnd {
+    /// The scheduler finishes its side of the stream.
+    Finished,
+    /// The connection is lost.
+    Reset,
+}
+
 /// Transport to schedulers with scripts; one without a script never responds. It records the messages sent to each.
 #[derive(Debug, Default)]
 struct ScriptedTransport {
@@ -38,6 +50,7 @@
 struct ScriptedStream {
     peer: SocketAddr,
     script: Option<Script>,
+    end: ScriptEnd,
     sent: Arc<Mutex<Vec<(SocketAddr, &'static str)>>>,
 }
 
@@ -47,7 +60,10 @@
         match &mut self.script {
             Some(script) => match script.pop_front() {
                 Some(message) => Ok(Some(message)),
-                None => Err(PeerError::Lost { reason: "reset".into() }),
+                None => match self.end {
+                    ScriptEnd::Finished => Ok(None),
+                    ScriptEnd::Reset => Err(PeerError::Lost { reason: "reset".into() }),
+                },
             },
             None => std::future::pending().await,
         }
@@ -84,7 +100,8 @@
     ) -> Result<Box<dyn PeerStream>, PeerError> {
         self.sent.lock().push((peer, "offered"));
         let script = self.scripts.lock().remove(&peer);
-        Ok(Box::new(ScriptedStream { peer, script, sent: Arc::clone(&self.sent) }))
+        let (end, sent) = (ScriptEnd::Reset, Arc::clone(&self.sent));
+        Ok(Box::new(ScriptedStream { peer, script, end, sent }))
     }
 }
 
@@ -224,6 +241,36 @@
     }
 }
 
+/// Relays a stream that ends after its first event, and returns the lines of the counter of broken streams.
+async fn broken_stream_lines(end: ScriptEnd) -> Vec<String> {
+    let event = PeerMessage::ForwardBytes { bytes: Bytes::from_static(b"data: 1\n\n") };
+    let script = Some(Script::from([event]));
+    let metrics = Arc::new(EntryMetrics::new().expect("metrics"));
+    let forwarded = ForwardedStream {
+        request: "r1".into(),
+        scheduler: "host-1".into(),
+        stream: Box::new(ScriptedStream { peer: address(1), script, end, sent: Arc::default() }),
+        deadline: Instant::now() + Duration::from_secs(3),
+        metrics: Arc::clone(&metrics),
+    };
+    let (sender, mut events) = mpsc::channel(2);
+    forwarded.relay(sender).await;
+    assert!(matches!(events.recv().await, Some(StreamItem::Bytes(_))), "the event is relayed");
+    assert!(events.recv().await.is_none(), "the stream is not complete");
+    let text = metrics.text().expect("metrics");
+    let lines = text.lines().filter(|it| it.contains("streams_broken_total{"));
+    lines.map(str::to_owned).collect()
+}
+
+#[tokio::test(start_paused = true)]
+async fn relay_tells_a_lost_scheduler_from_one_that_ends_the_stream() {
+    for (end, cause) in [(ScriptEnd::Reset, "scheduler"), (ScriptEnd::Finished, "relayed")] {
+        let lines = broken_stream_lines(end).await;
+        let expected = format!("cause=\"{cause}\"");
+        assert!(lines.len() == 1 && lines[0].contains(&expected), "{end:?}: {lines:?}");
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn forwarded_request_keeps_what_the_client_sent() {
     let original = request();
