CONFIG: a scheduler never forwards turns to an owner with an older configuration

Callers would see: the configuration goes back. A scheduler in force of version 2 forwards a turn to its owner at version 1, which answers 404 for a new route although requests of the same client on that host have used it. Cause: the offer names the highest version that other schedulers have reported. A gateway learns it with each list; a scheduler asks for no list, and its own version did not count. Change: a scheduler records its own version before it offers a turn, so that an older owner declines and the turn runs where it arrived.

--- a/src/gateway/entry_node.rs
+++ b/src/gateway/entry_node.rs
@@ -265,8 +265,11 @@
             return Vec::new();
         }
 
-        self.forwarder.directory.set_schedulers(host.schedulers());
-        let candidates = self.forwarder.directory.candidates(routing_key(request));
+        let directory = &self.forwarder.directory;
+        directory.set_schedulers(host.schedulers());
+        // Clients have seen this host's configuration, and must not see an owner's older one.
+        directory.record_config_version(host.routes().version);
+        let candidates = directory.candidates(routing_key(request));
         candidates.into_iter().take_while(|it| it.host != self.settings.host).collect()
     }
 
--- a/src/gateway/scheduler_directory.rs
+++ b/src/gateway/scheduler_directory.rs
@@ -20,7 +20,7 @@
     /// When a ready scheduler last responded.
     last_contact: Option<Instant>,
     limits: RouteLimits,
-    /// Highest version of the configuration that a scheduler has reported.
+    /// Highest version of the configuration that a scheduler has used or reported; on a scheduler, its own one counts.
     config_version: u64,
 }
 
@@ -100,14 +100,14 @@
         }
     }
 
-    /// Records that a scheduler has used a version of the configuration for a request of this host.
+    /// Records that a scheduler, which may be this host, uses a version of the configuration for requests of this host.
     pub(crate) fn record_config_version(&self, version: u64) {
         let mut state = self.state.lock();
         state.config_version = state.config_version.max(version);
     }
 
-    /// Highest version of the configuration that a scheduler has reported. A scheduler with an older one must not serve
-    /// this host's requests, as the host's clients would see the configuration go back.
+    /// Highest version of the configuration that was recorded. A scheduler with an older one must not serve this host's
+    /// requests, as the host's clients would see the configuration go back.
     pub(crate) fn config_version(&self) -> u64 {
         self.state.lock().config_version
     }
--- /dev/null
+++ b/src/tests/entry_node.rs
@@ -0,0 +1,134 @@
+//! Entry hosts as nodes with real connections between them, over a store in memory.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use bytes::Bytes;
+use hyper::{HeaderMap, Method};
+use tokio::time::{Duration, Instant, sleep, timeout};
+
+use super::entry_fakes::{MemoryStore, ScriptedChannel};
+use crate::{
+    entry::{
+        EntryBackends, EntryHost, EntryRefusal, EntryRequest, EntryResponse, EntrySettings,
+        ObjectStore, ProgramContext, RequestKind, RouteLimits, RouteTable, ServiceRoute,
+        UpstreamChannel,
+    },
+    gateway::{EntryNode, SchedulerStarter},
+};
+
+/// Time for all nodes to become ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Time between two checks whether a node is ready.
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Programs whose turns are sent to one node, most of which other nodes own.
+const PROGRAM_COUNT: usize = 16;
+
+/// Puts a configuration in force on a node when it becomes a scheduler.
+#[derive(Debug)]
+struct ConfigStarter {
+    table: RouteTable,
+}
+
+impl SchedulerStarter for ConfigStarter {
+    fn start(&self, host: &Arc<EntryHost>) {
+        host.apply_routes(self.table.clone());
+    }
+}
+
+/// A configuration with one route, which has no service.
+fn route_table(version: u64, path_prefix: &str) -> RouteTable {
+    let route = ServiceRoute {
+        name: "chat".into(),
+        host: "a.example".into(),
+        path_prefix: path_prefix.into(),
+        kind: RequestKind::Idempotent,
+        timeout: Duration::from_secs(1),
+        latency_objective: Duration::from_millis(150),
+        event_gap_objective: None,
+        priority: 0,
+        attempt_limit: 1,
+        history_retention: None,
+        targets: Vec::new(),
+    };
+    RouteTable::new(version, RouteLimits::default(), vec![route], Vec::new())
+}
+
+async fn start_node(store: &Arc<MemoryStore>, host: &str, table: RouteTable) -> Arc<EntryNode> {
+    let settings = EntrySettings {
+        host: host.into(),
+        data_centre: "north".into(),
+        regions: BTreeMap::new(),
+        peers_address: ([127, 0, 0, 1], 0).into(),
+        processor_share: 1.0,
+    };
+    let backends = EntryBackends {
+        store: Arc::clone(store) as Arc<dyn ObjectStore>,
+        channel: Arc::new(ScriptedChannel::default()) as Arc<dyn UpstreamChannel>,
+    };
+    let starter = Arc::new(ConfigStarter { table });
+    EntryNode::start(settings, backends, starter).await.expect("the node starts")
+}
+
+async fn wait_until_ready(node: &EntryNode) {
+    let ready = async {
+        while !node.is_ready() {
+            sleep(POLL_INTERVAL).await;
+        }
+    };
+    timeout(READY_TIMEOUT, ready).await.expect("the node becomes ready");
+}
+
+fn turn(program: &str) -> EntryRequest {
+    let now = Instant::now();
+
+    EntryRequest {
+        id: format!("turn-of-{program}").into(),
+        method: Method::POST,
+        host: "a.example".into(),
+        path: "/new/1".into(),
+        target: "/new/1".into(),
+        headers: HeaderMap::new(),
+        body: Bytes::from_static(b"input"),
+        received: now,
+        deadline: Some(now + Duration::from_secs(3)),
+        program: Some(ProgramContext {
+            id: program.into(),
+            session: None,
+            finish_by: None,
+            token_budget: Some(400),
+            previous_turn: None,
+        }),
+        prompt_tokens: 10,
+        max_completion_tokens: 92,
+        prompt_parts: Vec::new(),
+        last_event_id: None,
+    }
+}
+
+#[tokio::test]
+async fn handle_never_forwards_turns_to_owners_with_an_older_configuration() {
+    let store = Arc::new(MemoryStore::default());
+    let mut owners = Vec::new();
+    for host in ["one", "two", "three"] {
+        owners.push(start_node(&store, host, route_table(1, "/old/")).await);
+    }
+    for owner in &owners {
+        wait_until_ready(owner).await;
+    }
+    // The store reports no changes, so only the last node knows all others.
+    let node = start_node(&store, "four", route_table(2, "/new/")).await;
+    wait_until_ready(&node).await;
+    let mut missing_count = 0;
+
+    for number in 0..PROGRAM_COUNT {
+        let response = node.handle(turn(&number.to_string())).await;
+        let EntryResponse::Refused { refusal, .. } = response else {
+            panic!("expected a refusal, received {response:?}");
+        };
+        missing_count += usize::from(matches!(refusal, EntryRefusal::NoRoute));
+    }
+
+    assert_eq!(missing_count, 0, "turns of {PROGRAM_COUNT} for which the route is missing");
+}
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -7,6 +7,7 @@
 mod entry_fakes;
 mod entry_journal;
 mod entry_metrics;
+mod entry_node;
 mod entry_placement;
 mod entry_routes;
 mod entry_runner;
