Move the streams of the transport to a file of their own

Change: code is moved, none is altered. Measured: the tests of the transport and of shared connections pass.

--- a/src/membership.rs
+++ b/src/membership.rs
@@ -11,5 +11,6 @@
 pub(crate) mod peer_message;
 pub(crate) mod peer_service;
 pub(crate) mod peer_transport;
+mod quic_stream;
 pub(crate) mod quic_transport;
 pub(crate) mod rendezvous;
--- a/src/membership/quic_transport.rs
+++ b/src/membership/quic_transport.rs
@@ -8,7 +8,6 @@
 };
 
 use async_trait::async_trait;
-use bytes::Bytes;
 use eyre::{Result, WrapErr};
 use futures_util::{
     FutureExt,
@@ -16,8 +15,8 @@
 };
 use parking_lot::Mutex;
 use quinn::{
-    ClientConfig, Connection, Endpoint, EndpointConfig, Incoming, RecvStream, SendStream,
-    ServerConfig, TransportConfig, VarInt,
+    ClientConfig, Connection, Endpoint, EndpointConfig, Incoming, ServerConfig, TransportConfig,
+    VarInt,
     crypto::rustls::{QuicClientConfig, QuicServerConfig},
 };
 use rustls::server::WebPkiClientVerifier;
@@ -25,15 +24,12 @@
 
 use crate::{
     KeyFiles, NodeMetrics, PeerError, PeerHandler, PeerMessage, PeerStream, PeerTransport,
-    decode_frame, encode_frame, membership::key_files::PEER_SERVER_NAME,
+    membership::{key_files::PEER_SERVER_NAME, quic_stream::QuicStream},
 };
 
 /// Name and version of the protocol between hosts, as negotiated in the TLS handshake (ALPN).
 const ALPN_PROTOCOL: &[u8] = b"ragwortknot/1";
 
-/// Largest message that is received, in bytes. The longest kind is the history of a program.
-const MAX_MESSAGE_BYTES: u32 = 64 << 20;
-
 /// Number of exchanges that a peer may have open at once on a new connection. quinn allocates two table entries for
 /// each of them when a connection is made: 128 take 17 kB at each end, [`MAX_STREAM_LIMIT`] more than 1 MB.
 const INITIAL_STREAM_LIMIT: u32 = 128;
@@ -333,66 +329,6 @@
     }
 }
 
-/// A bidirectional stream. Each frame is preceded by its length: 4 bytes, little-endian.
-#[derive(Debug)]
-struct QuicStream {
-    send: SendStream,
-    receive: RecvStream,
-    metrics: Arc<NodeMetrics>,
-    /// Keeps the connection of an exchange that this host has started, even if the connection is retired.
-    _connection: Option<Arc<Connection>>,
-}
-
-#[async_trait]
-impl PeerStream for QuicStream {
-    async fn receive(&mut self) -> Result<Option<PeerMessage>, PeerError> {
-        let lost = |reason: String| PeerError::Lost { reason };
-        let mut length = [0; 4];
-
-        match self.receive.read_exact(&mut length).await {
-            Ok(()) => (),
-            Err(quinn::ReadExactError::FinishedEarly(0)) => return Ok(None),
-            Err(error) => return Err(lost(error.to_string())),
-        }
-
-        let length = u32::from_le_bytes(length);
-
-        if length > MAX_MESSAGE_BYTES {
-            let reason = format!("a message of {length} bytes is too large");
-            return Err(PeerError::Refused { reason });
-        }
-
-        let mut frame = vec![0; length as usize];
-
-        self.receive.read_exact(&mut frame).await.map_err(|error| match error {
-            quinn::ReadExactError::FinishedEarly(read) => {
-                let reason = format!("{read} of {length} bytes came");
-                PeerError::Frame(crate::FrameError::Malformed { reason })
-            }
-            quinn::ReadExactError::ReadError(error) => lost(error.to_string()),
-        })?;
-
-        let message: PeerMessage = decode_frame(&frame)?;
-        self.metrics.count_peer_bytes(message.is_control(), "received", frame.len() as u64 + 4);
-        Ok(Some(message))
-    }
-
-    async fn send(&mut self, message: &PeerMessage) -> Result<(), PeerError> {
-        let frame = encode_frame(message);
-        let length = Bytes::copy_from_slice(&(frame.len() as u32).to_le_bytes());
-        self.metrics.count_peer_bytes(message.is_control(), "sent", frame.len() as u64 + 4);
-
-        self.send
-            .write_all_chunks(&mut [length, frame])
-            .await
-            .map_err(|error| PeerError::Lost { reason: error.to_string() })
-    }
-
-    fn finish(&mut self) {
-        let _ = self.send.finish();
-    }
-}
-
 #[cfg(test)]
 impl QuicTransport {
     /// Sends bytes that need not be a valid message under a given length, and returns the reason for which the peer
