LOST: a retired connection delivers the last message of its last exchange

Callers would see: a program or a request that waits for a grant longer than needed, as a report (PeerPermit::finish) that ends the last exchange on a retired connection never reaches the dispatcher. Cause: quinn closes a connection with its last handle, and discards what is not sent yet. The exchange, or the transport if no exchange runs when the connection is retired, dropped it right after the send. Evidence: retire_keeps_the_last_message_of_an_exchange, over real connections: the message did not arrive within 1 s, neither when the connection is retired before the send nor when it is retired after it.

--- a/src/membership.rs
+++ b/src/membership.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod cluster_view;
 pub(crate) mod frame_codec;
+mod held_connection;
 pub(crate) mod host_record;
 pub(crate) mod key_files;
 pub(crate) mod member_rumor;
--- a/src/membership/quic_stream.rs
+++ b/src/membership/quic_stream.rs
@@ -4,10 +4,11 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use quinn::{Connection, RecvStream, SendStream};
+use quinn::{RecvStream, SendStream};
 
 use crate::{
     FrameError, NodeMetrics, PeerError, PeerMessage, PeerStream, decode_frame, encode_frame,
+    membership::held_connection::HeldConnection,
 };
 
 /// Largest message that is received, in bytes. The longest kind is the history of a program.
@@ -20,7 +21,7 @@
     pub(super) receive: RecvStream,
     pub(super) metrics: Arc<NodeMetrics>,
     /// Keeps the connection of an exchange that this host has started, even if the connection is retired.
-    pub(super) _connection: Option<Arc<Connection>>,
+    pub(super) _connection: Option<Arc<HeldConnection>>,
 }
 
 #[async_trait]
--- a/src/membership/quic_transport.rs
+++ b/src/membership/quic_transport.rs
@@ -15,8 +15,7 @@
 };
 use parking_lot::Mutex;
 use quinn::{
-    ClientConfig, Connection, Endpoint, EndpointConfig, Incoming, ServerConfig, TransportConfig,
-    VarInt,
+    ClientConfig, Endpoint, EndpointConfig, Incoming, ServerConfig, TransportConfig, VarInt,
     crypto::rustls::{QuicClientConfig, QuicServerConfig},
 };
 use rustls::server::WebPkiClientVerifier;
@@ -24,7 +23,9 @@
 
 use crate::{
     KeyFiles, NodeMetrics, PeerError, PeerHandler, PeerMessage, PeerStream, PeerTransport,
-    membership::{key_files::PEER_SERVER_NAME, quic_stream::QuicStream},
+    membership::{
+        held_connection::HeldConnection, key_files::PEER_SERVER_NAME, quic_stream::QuicStream,
+    },
 };
 
 /// Name and version of the protocol between hosts, as negotiated in the TLS handshake (ALPN).
@@ -77,14 +78,14 @@
 const CLOSE_CODE: VarInt = VarInt::from_u32(0);
 
 /// Attempt to connect to a peer. An error is the reason for which it failed.
-type ConnectAttempt = Shared<BoxFuture<'static, Result<Arc<Connection>, Arc<str>>>>;
+type ConnectAttempt = Shared<BoxFuture<'static, Result<Arc<HeldConnection>, Arc<str>>>>;
 
 /// Connections and attempts to connect, by the peer's address.
 #[derive(Debug, Default)]
 struct PeerConnections {
-    open: HashMap<SocketAddr, Arc<Connection>>,
-    /// Connections that get no new exchange. Only their exchanges hold them, so each is closed with its last exchange.
-    retired: HashMap<SocketAddr, Vec<Weak<Connection>>>,
+    open: HashMap<SocketAddr, Arc<HeldConnection>>,
+    /// Connections that get no new exchange. Only their exchanges hold them, so each is closed after its last exchange.
+    retired: HashMap<SocketAddr, Vec<Weak<HeldConnection>>>,
     attempts: HashMap<SocketAddr, ConnectAttempt>,
 }
 
@@ -199,15 +200,15 @@
     }
 
     /// Returns the connection to a peer, if there is one that is not closed.
-    fn open_connection(&self, peer: SocketAddr) -> Option<Arc<Connection>> {
+    fn open_connection(&self, peer: SocketAddr) -> Option<Arc<HeldConnection>> {
         let connection = self.connections.lock().open.get(&peer).cloned();
-        connection.filter(|it| it.close_reason().is_none())
+        connection.filter(|it| it.inner.close_reason().is_none())
     }
 
     /// Returns the open connection to a peer, or a new one. At most one attempt to connect runs for each peer, and it
     /// continues if the exchanges that wait for it give up: a handshake that takes longer than they wait would never
     /// succeed otherwise.
-    async fn get_or_connect(&self, peer: SocketAddr) -> Result<Arc<Connection>, PeerError> {
+    async fn get_or_connect(&self, peer: SocketAddr) -> Result<Arc<HeldConnection>, PeerError> {
         if let Some(connection) = self.open_connection(peer) {
             return Ok(connection);
         }
@@ -232,7 +233,9 @@
         let task = tokio::spawn(async move {
             let result = match connecting {
                 Ok(connecting) => match timeout(HANDSHAKE_TIMEOUT, connecting).await {
-                    Ok(result) => result.map(Arc::new).map_err(|error| error.to_string().into()),
+                    Ok(result) => result
+                        .map(|inner| Arc::new(HeldConnection { inner }))
+                        .map_err(|error| error.to_string().into()),
                     Err(_) => Err("the handshake timed out".into()),
                 },
                 Err(error) => Err(error.to_string().into()),
@@ -286,7 +289,7 @@
         let retired = retired.iter().filter_map(Weak::upgrade);
 
         for connection in connections.open.remove(&peer).into_iter().chain(retired) {
-            connection.close(CLOSE_CODE, b"given up");
+            connection.inner.close(CLOSE_CODE, b"given up");
         }
     }
 
@@ -317,7 +320,7 @@
         let connection = self.get_or_connect(peer).await?;
         let lost = |reason: String| PeerError::Lost { reason };
 
-        let (send, receive) = timeout(CONNECT_TIMEOUT, connection.open_bi())
+        let (send, receive) = timeout(CONNECT_TIMEOUT, connection.inner.open_bi())
             .await
             .map_err(|_| PeerError::Overdue)?
             .map_err(|error| lost(error.to_string()))?;
@@ -335,7 +338,8 @@
     /// refuses them.
     pub(crate) async fn send_raw(&self, peer: SocketAddr, length: u32, bytes: &[u8]) -> String {
         let connection = self.get_or_connect(peer).await.expect("failed to connect");
-        let (mut send, receive) = connection.open_bi().await.expect("failed to open a stream");
+        let (mut send, receive) =
+            connection.inner.open_bi().await.expect("failed to open a stream");
         send.write_all(&length.to_le_bytes()).await.expect("failed to send the length");
         send.write_all(bytes).await.expect("failed to send the bytes");
         send.finish().expect("failed to finish the stream");
--- a/src/tests/transport.rs
+++ b/src/tests/transport.rs
@@ -7,6 +7,7 @@
 use parking_lot::Mutex;
 use tokio::{
     net::UdpSocket,
+    sync::mpsc,
     time::{Duration, sleep, timeout},
 };
 
@@ -261,3 +262,40 @@
         assert!(attempts < 20, "the handshake never ends");
     }
 }
+
+/// Passes on what arrives in each exchange after its first message.
+#[derive(Debug)]
+struct ForwardingHandler {
+    received: mpsc::UnboundedSender<Result<Option<PeerMessage>, PeerError>>,
+}
+
+#[async_trait]
+impl PeerHandler for ForwardingHandler {
+    async fn handle(self: Arc<Self>, _first: PeerMessage, mut stream: Box<dyn PeerStream>) {
+        self.received.send(stream.receive().await).expect("the test waits");
+    }
+}
+
+#[tokio::test]
+async fn retire_keeps_the_last_message_of_an_exchange() {
+    let authority = CertificateAuthority::generate().expect("failed to generate an authority");
+    let server = transport(&authority, "one");
+    let (sender, mut received) = mpsc::unbounded_channel();
+    tokio::spawn(Arc::clone(&server).serve(Arc::new(ForwardingHandler { received: sender })));
+    let address = server.address().expect("the endpoint is bound");
+    let client = transport(&authority, "two");
+
+    for is_retired_first in [true, false] {
+        let mut stream = client.open(address, &REQUEST).await.expect("failed to open a stream");
+        if is_retired_first {
+            client.retire(address);
+        }
+        stream.send(&PeerMessage::Done).await.expect("failed to send a message");
+        stream.finish();
+        drop(stream);
+        client.retire(address);
+        let message = timeout(Duration::from_secs(1), received.recv()).await;
+        let is_received = matches!(message, Ok(Some(Ok(Some(PeerMessage::Done)))));
+        assert!(is_received, "is_retired_first={is_retired_first}: {message:?}");
+    }
+}
