LOST: a host that stops closes its connections to other hosts

Callers would see: a request that waits for up to 2 s for a host that has already ended, before it is answered 502 or runs elsewhere. Cause: the entry hosts never closed their transport, so peers found the end of a process by the idle timeout of 2 s. Evidence: finish_closes_connections_to_peers: a peer had not noticed 0.5 s after the end. Change: EntryNode::finish closes the transport beside the removal of the registry entry, so the end of a process takes no longer than the time that is reserved for it.

--- a/src/gateway/entry_node.rs
+++ b/src/gateway/entry_node.rs
@@ -308,14 +308,24 @@
         }
     }
 
-    /// Records what is not recorded, and removes this host from the registry. Each step takes at most `max_wait`.
+    /// Records what is not recorded, then removes this host from the registry and closes its connections to other
+    /// hosts. Each of the two steps takes at most `max_wait`.
     pub async fn finish(&self, max_wait: Duration) {
-        let Some(host) = self.host.get() else {
-            return;
-        };
+        let host = self.host.get();
+
+        if let Some(host) = host {
+            host.flush(max_wait).await;
+        }
 
-        host.flush(max_wait).await;
-        let _ = timeout(max_wait, host.deregister()).await;
+        let deregister = async {
+            if let Some(host) = host {
+                host.deregister().await;
+            }
+        };
+        // Peers that are not notified wait for the idle timeout of their connections.
+        let leave = async { tokio::join!(deregister, self.network.transport.close()) };
+        let has_left = timeout(max_wait, leave).await.is_ok();
+        log::info!(has_left; "the removal of the host's entry and the close of its connections have ended");
     }
 
     /// Metrics in the Prometheus text format.
--- a/src/tests/entry_node.rs
+++ b/src/tests/entry_node.rs
@@ -1,6 +1,6 @@
 //! Entry hosts as nodes with real connections between them, over a store in memory.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use bytes::Bytes;
 use hyper::{HeaderMap, Method};
@@ -8,10 +8,11 @@
 
 use super::entry_fakes::{MemoryStore, ScriptedChannel};
 use crate::{
+    IdlePolicy, NodeMetrics, PeerTransport, QuicTransport,
     entry::{
         EntryBackends, EntryHost, EntryRefusal, EntryRequest, EntryResponse, EntrySettings,
-        ObjectStore, ProgramContext, RequestKind, RouteLimits, RouteTable, ServiceRoute,
-        UpstreamChannel,
+        HostRegistry, ObjectStore, ProgramContext, RequestKind, RouteLimits, RouteTable,
+        ServiceRoute, UpstreamChannel,
     },
     gateway::{EntryNode, SchedulerStarter},
 };
@@ -19,6 +20,12 @@
 /// Time for all nodes to become ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Time for each step of the end of a node.
+const STEP_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Time for a peer to notice that a node has ended.
+const NOTICE_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Time between two checks whether a node is ready.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -132,3 +139,45 @@
 
     assert_eq!(missing_count, 0, "turns of {PROGRAM_COUNT} for which the route is missing");
 }
+
+/// Connects to the hosts with the keys that they share.
+async fn peer_transport(store: &Arc<MemoryStore>) -> QuicTransport {
+    let registry = HostRegistry {
+        store: Arc::clone(store) as Arc<dyn ObjectStore>,
+        host: "peer".into(),
+        region: "north".into(),
+    };
+    let keys = registry.load_or_create_keys().await;
+    let address = ([127, 0, 0, 1], 0).into();
+    let metrics = Arc::new(NodeMetrics::new().expect("metrics"));
+    let secret = &keys.private_key;
+    QuicTransport::bind(address, &keys, secret, IdlePolicy::KeptAlive, metrics)
+        .expect("failed to bind a port")
+}
+
+/// Address on which a registered host reaches its peers.
+async fn registered_address(store: &Arc<MemoryStore>, host: &str) -> SocketAddr {
+    let object = store.get("entry-hosts", host).await.expect("the store answers");
+    let content = object.and_then(|it| it.content).expect("the host is registered");
+    let entry: serde_json::Value = serde_json::from_str(content.get()).expect("valid JSON");
+    entry["address"].as_str().expect("an address").parse().expect("a valid address")
+}
+
+#[tokio::test]
+async fn finish_closes_connections_to_peers() {
+    let store = Arc::new(MemoryStore::default());
+    let node = start_node(&store, "one", route_table(1, "/new/")).await;
+    wait_until_ready(&node).await;
+    let address = registered_address(&store, "one").await;
+    let peer = peer_transport(&store).await;
+    peer.connect(address).await.expect("the node listens");
+    node.finish(STEP_TIMEOUT).await;
+
+    let closed = async {
+        while peer.is_connected(address) {
+            sleep(POLL_INTERVAL).await;
+        }
+    };
+    let notified = timeout(NOTICE_TIMEOUT, closed).await;
+    assert!(notified.is_ok(), "the peer finds a silent connection only after its idle timeout");
+}
