LOST: a scheduler that stops waits until the end of a response has arrived

Callers would see: a forwarded request without the end of its response, or 502, beside the stop of a scheduler. Cause: a request counted as finished when its last message was in the send buffer. The process then ended, and nothing sent lost datagrams again. Evidence: stopping_scheduler_delivers_a_response_that_is_lost_at_first, over a link that loses the datagrams of the first 150 ms: no response arrived within 0.5 s after the end of the node. The link of the tests has a file of its own.

--- a/src/gateway/forward_server.rs
+++ b/src/gateway/forward_server.rs
@@ -54,7 +54,10 @@
         }
     };
 
-    send_response(response, stream).await
+    send_response(response, stream).await?;
+    stream.finish();
+    // A host that stops ends its process once no guard is held.
+    stream.wait_until_received().await
 }
 
 /// Why this host can't take a request now, if so.
--- a/src/membership/peer_transport.rs
+++ b/src/membership/peer_transport.rs
@@ -17,6 +17,10 @@
 
     /// Finishes this side of the stream: no more messages will be sent.
     fn finish(&mut self);
+
+    /// Waits until the peer has received all messages of a finished stream, or needs no more of them. Nothing sends lost
+    /// ones again once the process ends. Fails if that takes long.
+    async fn wait_until_received(&mut self) -> Result<(), PeerError>;
 }
 
 /// Connections to other hosts, by their addresses.
--- a/src/membership/quic_stream.rs
+++ b/src/membership/quic_stream.rs
@@ -5,10 +5,11 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use quinn::{RecvStream, SendStream};
+use tokio::time::timeout;
 
 use crate::{
     FrameError, NodeMetrics, PeerError, PeerMessage, PeerStream, decode_frame, encode_frame,
-    membership::held_connection::HeldConnection,
+    membership::held_connection::{DELIVERY_TIMEOUT, HeldConnection},
 };
 
 /// Largest message that is received, in bytes. The longest kind is the history of a program.
@@ -72,4 +73,12 @@
     fn finish(&mut self) {
         let _ = self.send.finish();
     }
+
+    async fn wait_until_received(&mut self) -> Result<(), PeerError> {
+        match timeout(DELIVERY_TIMEOUT, self.send.stopped()).await {
+            Ok(Ok(_)) => Ok(()),
+            Ok(Err(error)) => Err(PeerError::Lost { reason: error.to_string() }),
+            Err(_) => Err(PeerError::Overdue),
+        }
+    }
 }
--- a/src/tests/entry_fakes.rs
+++ b/src/tests/entry_fakes.rs
@@ -357,4 +357,8 @@
     }
 
     fn finish(&mut self) {}
+
+    async fn wait_until_received(&mut self) -> Result<(), PeerError> {
+        Ok(())
+    }
 }
--- a/src/tests/entry_node.rs
+++ b/src/tests/entry_node.rs
@@ -6,15 +6,18 @@
 use hyper::{HeaderMap, Method};
 use tokio::time::{Duration, Instant, sleep, timeout};
 
-use super::entry_fakes::{MemoryStore, ScriptedChannel};
+use super::{
+    entry_fakes::{MemoryStore, ScriptedChannel},
+    test_link::TestLink,
+};
 use crate::{
-    IdlePolicy, NodeMetrics, PeerTransport, QuicTransport,
+    IdlePolicy, NodeMetrics, PeerMessage, PeerTransport, QuicTransport,
     entry::{
         EntryBackends, EntryHost, EntryRefusal, EntryRequest, EntryResponse, EntrySettings,
         HostRegistry, ObjectStore, ProgramContext, RequestKind, RouteLimits, RouteTable,
         ServiceRoute, UpstreamChannel,
     },
-    gateway::{EntryNode, SchedulerStarter},
+    gateway::{EntryNode, ForwardedRequest, SchedulerStarter},
 };
 
 /// Time for all nodes to become ready.
@@ -26,6 +29,12 @@
 /// Time for a peer to notice that a node has ended.
 const NOTICE_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time for which a link loses what a node sends while it ends.
+const CUT_TIME: Duration = Duration::from_millis(100);
+
+/// Time for a forwarded request to run.
+const RUN_TIME: Duration = Duration::from_millis(50);
+
 /// Time between two checks whether a node is ready.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -181,3 +190,47 @@
     let notified = timeout(NOTICE_TIMEOUT, closed).await;
     assert!(notified.is_ok(), "the peer finds a silent connection only after its idle timeout");
 }
+
+#[test]
+fn stopping_scheduler_delivers_a_response_that_is_lost_at_first() {
+    let mut builder = tokio::runtime::Builder::new_multi_thread();
+    let runtime = builder.worker_threads(1).enable_all().build().expect("the runtime starts");
+    let store = Arc::new(MemoryStore::default());
+    let node = runtime.block_on(async {
+        let node = start_node(&store, "one", route_table(1, "/new/")).await;
+        wait_until_ready(&node).await;
+        node
+    });
+
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    let peer_runtime = builder.enable_all().build().expect("the runtime starts");
+    peer_runtime.block_on(async {
+        let link = TestLink::start(registered_address(&store, "one").await, Duration::ZERO).await;
+        let peer = peer_transport(&store).await;
+        let request = Box::new(ForwardedRequest::encode(&turn("program"), Instant::now()));
+        let offer = PeerMessage::ForwardOffer { min_config_version: 1, request };
+        let mut stream = peer.open(link.address, &offer).await.expect("failed to open a stream");
+        let accepted = stream.receive().await;
+        assert!(matches!(accepted, Ok(Some(PeerMessage::ForwardAccepted { .. }))), "{accepted:?}");
+        link.cut();
+        stream.send(&PeerMessage::ForwardConfirmed).await.expect("failed to send a message");
+        sleep(RUN_TIME).await;
+
+        let stop = runtime.spawn(async move {
+            node.wait_until_idle().await;
+            node.finish(STEP_TIMEOUT).await;
+        });
+        let exit = async move {
+            stop.await.expect("no panic");
+            runtime.shutdown_background();
+        };
+        let restore = async {
+            sleep(CUT_TIME).await;
+            link.restore();
+        };
+        tokio::join!(exit, restore);
+        let response = timeout(NOTICE_TIMEOUT, stream.receive()).await;
+        let is_received = matches!(response, Ok(Ok(Some(PeerMessage::ForwardRefused { .. }))));
+        assert!(is_received, "{response:?}");
+    });
+}
--- a/src/tests/gateway_forwarding.rs
+++ b/src/tests/gateway_forwarding.rs
@@ -77,6 +77,10 @@
     }
 
     fn finish(&mut self) {}
+
+    async fn wait_until_received(&mut self) -> Result<(), PeerError> {
+        Ok(())
+    }
 }
 
 #[async_trait]
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -29,4 +29,5 @@
 mod shard_state;
 mod shared_connections;
 mod small_parts;
+mod test_link;
 mod transport;
--- a/src/tests/transport.rs
+++ b/src/tests/transport.rs
@@ -4,13 +4,12 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use async_trait::async_trait;
-use parking_lot::Mutex;
 use tokio::{
-    net::UdpSocket,
     sync::mpsc,
-    time::{Duration, sleep, timeout},
+    time::{Duration, timeout},
 };
 
+use super::test_link::TestLink;
 use crate::{
     IdlePolicy, NodeMetrics, PeerError, PeerHandler, PeerMessage, PeerStream, PeerTransport,
     QuicTransport, encode_frame,
@@ -216,42 +215,11 @@
 /// Time that an exchange over the slow link waits, which is less than its round trip.
 const SHORT_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Relays datagrams between one client and a server, each after [`LINK_DELAY`]. Returns the address for the client.
-async fn start_slow_link(server: SocketAddr) -> SocketAddr {
-    let bind = async || Arc::new(UdpSocket::bind("127.0.0.1:0").await.expect("a free port"));
-    let (outer, inner) = (bind().await, bind().await);
-    let address = outer.local_addr().expect("the socket is bound");
-    let client = Arc::new(Mutex::new(None));
-
-    let relay = |from: Arc<UdpSocket>, to: Arc<UdpSocket>, client: Arc<Mutex<_>>, is_up: bool| async move {
-        let mut buffer = vec![0; 65_536];
-        while let Ok((length, sender)) = from.recv_from(&mut buffer).await {
-            let target = if is_up {
-                *client.lock() = Some(sender);
-                Some(server)
-            } else {
-                *client.lock()
-            };
-            let (to, datagram) = (Arc::clone(&to), buffer[..length].to_vec());
-            tokio::spawn(async move {
-                sleep(LINK_DELAY).await;
-                if let Some(target) = target {
-                    let _ = to.send_to(&datagram, target).await;
-                }
-            });
-        }
-    };
-
-    tokio::spawn(relay(Arc::clone(&outer), Arc::clone(&inner), Arc::clone(&client), true));
-    tokio::spawn(relay(inner, outer, client, false));
-    address
-}
-
 #[tokio::test]
 async fn connect_succeeds_although_each_exchange_gives_up_sooner() {
     let authority = CertificateAuthority::generate().expect("failed to generate an authority");
     let server = transport(&authority, "one");
-    let address = start_slow_link(serve(&server)).await;
+    let address = TestLink::start(serve(&server), LINK_DELAY).await.address;
     let client = transport(&authority, "two");
     let mut attempts = 0;
 
