--- a/src/membership/quic_transport.rs
+++ b/src/membership/quic_transport.rs
@@ -8,7 +8,6 @@
 };
 
 use async_trait::async_trait;
-use bytes::Bytes;
 use eyre::{Result, WrapErr};
 use futures_util::{
     FutureExt,
@@ -16,8 +15,7 @@
 };
 use parking_lot::Mutex;
 use quinn::{
-    ClientConfig, Connection, Endpoint, EndpointConfig, Incoming, RecvStream, SendStream,
-    ServerConfig, TransportConfig, VarInt,
+    ClientConfig, Endpoint, EndpointConfig, Incoming, ServerConfig, TransportConfig, VarInt,
     crypto::rustls::{QuicClientConfig, QuicServerConfig},
 };
 use rustls::server::WebPkiClientVerifier;
@@ -25,15 +23,14 @@
 
 use crate::{
     KeyFiles, NodeMetrics, PeerError, PeerHandler, PeerMessage, PeerStream, PeerTransport,
-    decode_frame, encode_frame, membership::key_files::PEER_SERVER_NAME,
+    membership::{
+        held_connection::HeldConnection, key_files::PEER_SERVER_NAME, quic_stream::QuicStream,
+    },
 };
 
 /// Name and version of the protocol between hosts, as negotiated in the TLS handshake (ALPN).
 const ALPN_PROTOCOL: &[u8] = b"ragwortknot/1";
 
-/// Largest message that is received, in bytes. The longest kind is the history of a program.
-const MAX_MESSAGE_BYTES: u32 = 64 << 20;
-
 /// Number of exchanges that a peer may have open at once on a new connection. quinn allocates two table entries for
 /// each of them when a connection is made: 128 take 17 kB at each end, [`MAX_STREAM_LIMIT`] more than 1 MB.
 const INITIAL_STREAM_LIMIT: u32 = 128;
@@ -81,14 +78,14 @@
 const CLOSE_CODE: VarInt = VarInt::from_u32(0);
 
 /// Attempt to connect to a peer. An error is the reason for which it failed.
-type ConnectAttempt = Shared<BoxFuture<'static, Result<Arc<Connection>, Arc<str>>>>;
+type ConnectAttempt = Shared<BoxFuture<'static, Result<Arc<HeldConnection>, Arc<str>>>>;
 
 /// Connections and attempts to connect, by the peer's address.
 #[derive(Debug, Default)]
 struct PeerConnections {
-    open: HashMap<SocketAddr, Arc<Connection>>,
-    /// Connections that get no new exchange. Only their exchanges hold them, so each is closed with its last exchange.
-    retired: HashMap<SocketAddr, Vec<Weak<Connection>>>,
+    open: HashMap<SocketAddr, Arc<HeldConnection>>,
+    /// Connections that get no new exchange. Only their exchanges hold them, so each is closed after its last exchange.
+    retired: HashMap<SocketAddr, Vec<Weak<HeldConnection>>>,
     attempts: HashMap<SocketAddr, ConnectAttempt>,
 }
 
@@ -203,15 +200,15 @@
     }
 
     /// Returns the connection to a peer, if there is one that is not closed.
-    fn open_connection(&self, peer: SocketAddr) -> Option<Arc<Connection>> {
+    fn open_connection(&self, peer: SocketAddr) -> Option<Arc<HeldConnection>> {
         let connection = self.connections.lock().open.get(&peer).cloned();
-        connection.filter(|it| it.close_reason().is_none())
+        connection.filter(|it| it.inner.close_reason().is_none())
     }
 
     /// Returns the open connection to a peer, or a new one. At most one attempt to connect runs for each peer, and it
     /// continues if the exchanges that wait for it give up: a handshake that takes longer than they wait would never
     /// succeed otherwise.
-    async fn get_or_connect(&self, peer: SocketAddr) -> Result<Arc<Connection>, PeerError> {
+    async fn get_or_connect(&self, peer: SocketAddr) -> Result<Arc<HeldConnection>, PeerError> {
         if let Some(connection) = self.open_connection(peer) {
             return Ok(connection);
         }
@@ -236,7 +233,9 @@
         let task = tokio::spawn(async move {
             let result = match connecting {
                 Ok(connecting) => match timeout(HANDSHAKE_TIMEOUT, connecting).await {
-                    Ok(result) => result.map(Arc::new).map_err(|error| error.to_string().into()),
+                    Ok(result) => result
+                        .map(|inner| Arc::new(HeldConnection { inner }))
+                        .map_err(|error| error.to_string().into()),
                     Err(_) => Err("the handshake timed out".into()),
                 },
                 Err(error) => Err(error.to_string().into()),
@@ -290,7 +289,7 @@
         let retired = retired.iter().filter_map(Weak::upgrade);
 
         for connection in connections.open.remove(&peer).into_iter().chain(retired) {
-            connection.close(CLOSE_CODE, b"given up");
+            connection.inner.close(CLOSE_CODE, b"given up");
         }
     }
 
@@ -321,7 +320,7 @@
         let connection = self.get_or_connect(peer).await?;
         let lost = |reason: String| PeerError::Lost { reason };
 
-        let (send, receive) = timeout(CONNECT_TIMEOUT, connection.open_bi())
+        let (send, receive) = timeout(CONNECT_TIMEOUT, connection.inner.open_bi())
             .await
             .map_err(|_| PeerError::Overdue)?
             .map_err(|error| lost(error.to_string()))?;
@@ -333,73 +332,14 @@
     }
 }
 
-/// A bidirectional stream. Each frame is preceded by its length: 4 bytes, little-endian.
-#[derive(Debug)]
-struct QuicStream {
-    send: SendStream,
-    receive: RecvStream,
-    metrics: Arc<NodeMetrics>,
-    /// Keeps the connection of an exchange that this host has started, even if the connection is retired.
-    _connection: Option<Arc<Connection>>,
-}
-
-#[async_trait]
-impl PeerStream for QuicStream {
-    async fn receive(&mut self) -> Result<Option<PeerMessage>, PeerError> {
-        let lost = |reason: String| PeerError::Lost { reason };
-        let mut length = [0; 4];
-
-        match self.receive.read_exact(&mut length).await {
-            Ok(()) => (),
-            Err(quinn::ReadExactError::FinishedEarly(0)) => return Ok(None),
-            Err(error) => return Err(lost(error.to_string())),
-        }
-
-        let length = u32::from_le_bytes(length);
-
-        if length > MAX_MESSAGE_BYTES {
-            let reason = format!("a message of {length} bytes is too large");
-            return Err(PeerError::Refused { reason });
-        }
-
-        let mut frame = vec![0; length as usize];
-
-        self.receive.read_exact(&mut frame).await.map_err(|error| match error {
-            quinn::ReadExactError::FinishedEarly(read) => {
-                let reason = format!("{read} of {length} bytes came");
-                PeerError::Frame(crate::FrameError::Malformed { reason })
-            }
-            quinn::ReadExactError::ReadError(error) => lost(error.to_string()),
-        })?;
-
-        let message: PeerMessage = decode_frame(&frame)?;
-        self.metrics.count_peer_bytes(message.is_control(), "received", frame.len() as u64 + 4);
-        Ok(Some(message))
-    }
-
-    async fn send(&mut self, message: &PeerMessage) -> Result<(), PeerError> {
-        let frame = encode_frame(message);
-        let length = Bytes::copy_from_slice(&(frame.len() as u32).to_le_bytes());
-        self.metrics.count_peer_bytes(message.is_control(), "sent", frame.len() as u64 + 4);
-
-        self.send
-            .write_all_chunks(&mut [length, frame])
-            .await
-            .map_err(|error| PeerError::Lost { reason: error.to_string() })
-    }
-
-    fn finish(&mut self) {
-        let _ = self.send.finish();
-    }
-}
-
 #[cfg(test)]
 impl QuicTransport {
     /// Sends bytes that need not be a valid message under a given length, and returns the reason for which the peer
     /// refuses them.
     pub(crate) async fn send_raw(&self, peer: SocketAddr, length: u32, bytes: &[u8]) -> String {
         let connection = self.get_or_connect(peer).await.expect("failed to connect");
-        let (mut send, receive) = connection.open_bi().await.expect("failed to open a stream");
+        let (mut send, receive) =
+            connection.inner.open_bi().await.expect("failed to open a stream");
         send.write_all(&length.to_le_bytes()).await.expect("failed to send the length");
         send.write_all(bytes).await.expect("failed to send the bytes");
         send.finish().expect("failed to finish the stream");
