LOST: a waiting request is refused when its last upstream leaves the configuration

Callers would see (own interface): a turn or call that waits for a place gets neither an answer nor a refusal, if a change of the configuration removes the last upstream of its cell and the program has no deadline. Cause: a cell without an upstream for a request was looked at on the request's arrival only. Afterwards only a deadline ended it, and deadlines are optional. Evidence, before: left_refuses_waiting_requests_without_upstream got no decision; left_keeps_waiting_requests_with_other_upstream none for the request that excludes the remaining upstream; sync_upstreams_without_upstream_refuses_waiting_request waited for 1 s in vain; read_refusals_after_last_upstream_left found no refusal. Change: when an upstream leaves, the queued requests that exclude all that remain are refused as no_upstream. They still wait for configured upstreams that have only stopped serving. Upstreams that join are now applied before those that leave: in the old order sync_upstreams_with_other_upstream_grants_waiting_request is refused (trial), in the new one and before it is granted.

--- a/src/dispatch/cell_dispatcher.rs
+++ b/src/dispatch/cell_dispatcher.rs
@@ -138,10 +138,6 @@
         let mut state = self.state.lock();
         let previous = std::mem::replace(&mut state.upstreams, configured.clone());
 
-        for upstream in previous.keys().filter(|name| !configured.contains_key(*name)) {
-            self.apply_event(&mut state, CellEvent::Left { upstream: upstream.clone() });
-        }
-
         for (upstream, terms) in configured {
             if previous.get(upstream) != Some(terms) {
                 let event = CellEvent::Joined {
@@ -153,6 +149,11 @@
                 self.apply_event(&mut state, event);
             }
         }
+
+        // After the upstreams that join, so that a change of all upstreams refuses no request.
+        for upstream in previous.keys().filter(|name| !configured.contains_key(*name)) {
+            self.apply_event(&mut state, CellEvent::Left { upstream: upstream.clone() });
+        }
     }
 
     /// Retires the dispatcher: queued requests move to the next one. Granted requests may still be reported.
--- a/src/dispatch/cell_queue.rs
+++ b/src/dispatch/cell_queue.rs
@@ -507,6 +507,26 @@
         if let Some(key) = self.upstream_keys.remove(upstream) {
             self.upstreams.remove(key);
             self.prefixes.remove_upstream(key);
+            self.refuse_stranded();
+        }
+    }
+
+    /// Refuses the queued requests that exclude all upstreams that remain, since nothing else would end those without a
+    /// deadline. An upstream that has only stopped serving may start again, so requests still wait for it.
+    fn refuse_stranded(&mut self) {
+        let has_upstream = |request: &CellRequest| {
+            self.upstreams.values().any(|state| !request.excluded.contains(&state.name))
+        };
+
+        let stranded: Vec<RequestKey> = self
+            .requests
+            .iter()
+            .filter(|(_, queued)| queued.grant.is_none() && !has_upstream(&queued.request))
+            .map(|(key, _)| key)
+            .collect();
+
+        for key in stranded {
+            self.refuse(key, RefusalReason::NoUpstream, MIN_RETRY_AFTER_MS);
         }
     }
 
--- a/src/tests/cell_queue.rs
+++ b/src/tests/cell_queue.rs
@@ -174,6 +174,41 @@
     assert_eq!(expect_refusal(queue.decide(0)), (9, RefusalReason::NoUpstream));
 }
 
+#[test]
+fn left_refuses_waiting_requests_without_upstream() {
+    let mut queue = queue(&["a"], 1);
+    arrive(&mut queue, 0, 1, request("t", 1, 10));
+    assert_eq!(expect_grant(queue.decide(0)).0, 1);
+
+    for ticket in 2..=3 {
+        arrive(&mut queue, 0, ticket, request("t", ticket, 10));
+        assert_eq!(queue.decide(0), None, "the window is full");
+    }
+
+    queue.handle(1, &CellEvent::Left { upstream: "a".into() });
+    assert_eq!(expect_refusal(queue.decide(1)), (2, RefusalReason::NoUpstream));
+    assert_eq!(expect_refusal(queue.decide(1)), (3, RefusalReason::NoUpstream));
+    assert_eq!((queue.decide(1), queue.waiting()), (None, 0));
+}
+
+#[test]
+fn left_keeps_waiting_requests_with_other_upstream() {
+    let mut queue = queue(&["a", "b"], 1);
+    let excluded = vec!["b".into()];
+    arrive(&mut queue, 0, 1, request("t", 1, 10));
+    arrive(&mut queue, 0, 2, request("t", 2, 10));
+    expect_grant(queue.decide(0));
+    expect_grant(queue.decide(0));
+    arrive(&mut queue, 0, 3, CellRequest { excluded, ..request("t", 3, 10) });
+    arrive(&mut queue, 0, 4, request("t", 4, 10));
+
+    // An upstream that has stopped serving may start again.
+    queue.handle(1, &CellEvent::Serving { upstream: "b".into(), is_serving: false });
+    queue.handle(2, &CellEvent::Left { upstream: "a".into() });
+    assert_eq!(expect_refusal(queue.decide(2)), (3, RefusalReason::NoUpstream));
+    assert_eq!((queue.decide(2), queue.waiting()), (None, 1));
+}
+
 #[test]
 fn decide_refuses_request_that_cannot_meet_deadline() {
     let mut queue = queue(&["a"], 1);
--- a/src/tests/journal_audit.rs
+++ b/src/tests/journal_audit.rs
@@ -5,8 +5,11 @@
 
 use crate::{
     CellEvent, CellId, CellPolicy, CellQueue, CellReport, CellRequest, CellResult, JournalAudit,
-    JournalItem, JournalLine, ProgramId, ShardId, TokenUsage,
-    dispatch::{decision_journal::line_hash, journal_audit::AuditFinding},
+    JournalItem, JournalLine, ProgramId, RefusalReason, ShardId, TicketNumber, TokenUsage,
+    dispatch::{
+        decision_journal::line_hash,
+        journal_audit::{AuditFinding, AuditedRequest},
+    },
 };
 
 /// Writes lines in the format of the decision journal.
@@ -51,35 +54,40 @@
     ProgramId { shard: ShardId(0), serial }
 }
 
+fn request(ticket: TicketNumber) -> CellRequest {
+    CellRequest {
+        team: if ticket.is_multiple_of(3) { "tuul" } else { "ebro" }.into(),
+        weight: 1,
+        program: program(ticket % 7),
+        number: 1,
+        attained_tokens: 0,
+        prompt_tokens: 500,
+        answer_tokens: 50,
+        queued_ms: ticket,
+        deadline_ms: None,
+        fingerprint: ticket,
+        excluded: Vec::new(),
+    }
+}
+
+fn joined(upstream: &str) -> CellEvent {
+    CellEvent::Joined {
+        upstream: upstream.into(),
+        window: 2,
+        cache_tokens: 10_000,
+        prefill_us: 100,
+    }
+}
+
 fn journal() -> Vec<String> {
     let mut writer = JournalWriter::new();
 
     for upstream in ["a", "b"] {
-        writer.handle_event(
-            0,
-            CellEvent::Joined {
-                upstream: upstream.into(),
-                window: 2,
-                cache_tokens: 10_000,
-                prefill_us: 100,
-            },
-        );
+        writer.handle_event(0, joined(upstream));
     }
 
     for ticket in 0..40 {
-        let request = CellRequest {
-            team: if ticket % 3 == 0 { "tuul" } else { "ebro" }.into(),
-            weight: 1,
-            program: program(ticket % 7),
-            number: 1,
-            attained_tokens: 0,
-            prompt_tokens: 500,
-            answer_tokens: 50,
-            queued_ms: ticket,
-            deadline_ms: None,
-            fingerprint: ticket,
-            excluded: Vec::new(),
-        };
+        let request = request(ticket);
         writer.handle_event(ticket, CellEvent::Arrived { ticket, request });
 
         if ticket >= 4 {
@@ -113,6 +121,24 @@
     assert!(requests.iter().any(|it| it.upstream().is_some()));
 }
 
+#[test]
+fn read_refusals_after_last_upstream_left() {
+    let mut writer = JournalWriter::new();
+    writer.handle_event(0, joined("a"));
+
+    for ticket in 0..5 {
+        let request = request(ticket);
+        writer.handle_event(ticket, CellEvent::Arrived { ticket, request });
+    }
+
+    writer.handle_event(5, CellEvent::Left { upstream: "a".into() });
+    let audit = audit(&writer.lines);
+    assert_eq!(audit.findings, []);
+    let requests = (0..5).flat_map(|ticket| audit.requests(program(ticket)));
+    let refusals: Vec<_> = requests.filter_map(AuditedRequest::refusal).collect();
+    assert_eq!(refusals, [RefusalReason::NoUpstream; 3], "two were granted before");
+}
+
 #[test]
 fn read_dropped_line() {
     let mut lines = journal();
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the library's modules, with fakes in place of their dependencies.
 
+mod cell_dispatcher;
 mod cell_queue;
 mod cluster_view;
 mod config_model;
