LOST: a late notice of a restart no longer closes the connection to the host's new run

Callers would see (own interface): an exchange with a host that has just restarted breaks off in the middle. Cause: the rumor that a host has restarted arrives after this host has connected to the new run; disconnect closed whatever connection was open. The same for the open connection to a living host that was declared dead. Evidence, before (IdlePolicy::Probed, real transports): disconnect_from_restarted_peer_ends_exchanges_with_old_run_only lost the exchange with the new run; disconnect_from_live_peer_leaves_exchange_open and disconnect_from_peer_that_dies_later_ends_exchange lost theirs while the peer lived. Change: the open connection is taken out of use and probed with a one-byte datagram each second while an exchange holds it. It is closed when nothing arrives between two probes; a host's new run answers a probe of an old connection with a stateless reset. Retired connections are closed at once, as before. Limits: exchanges on the open connection to a host that is really dead end up to 1 s later than before. Exchanges on retired connections still end when a living host is declared dead.

--- a/src/membership.rs
+++ b/src/membership.rs
@@ -1,5 +1,6 @@
 //! Cluster membership, and the messages and connections between hosts.
 
+pub(crate) mod abandoned_connection;
 pub(crate) mod cluster_view;
 pub(crate) mod frame_codec;
 pub(crate) mod host_record;
--- a/src/membership/quic_transport.rs
+++ b/src/membership/quic_transport.rs
@@ -25,7 +25,8 @@
 
 use crate::{
     KeyFiles, NodeMetrics, PeerError, PeerHandler, PeerMessage, PeerStream, PeerTransport,
-    decode_frame, encode_frame, membership::key_files::PEER_SERVER_NAME,
+    decode_frame, encode_frame,
+    membership::{abandoned_connection::watch_abandoned, key_files::PEER_SERVER_NAME},
 };
 
 /// Name and version of the protocol between hosts, as negotiated in the TLS handshake (ALPN).
@@ -287,11 +288,14 @@
     fn disconnect(&self, peer: SocketAddr) {
         let mut connections = self.connections.lock();
         let retired = connections.retired.remove(&peer).unwrap_or_default();
-        let retired = retired.iter().filter_map(Weak::upgrade);
 
-        for connection in connections.open.remove(&peer).into_iter().chain(retired) {
+        for connection in retired.iter().filter_map(Weak::upgrade) {
             connection.close(CLOSE_CODE, b"given up");
         }
+
+        if let Some(connection) = connections.open.remove(&peer) {
+            tokio::spawn(watch_abandoned(peer, Arc::downgrade(&connection), CLOSE_CODE));
+        }
     }
 
     fn retire(&self, peer: SocketAddr) {
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the library's modules, with fakes in place of their dependencies.
 
+mod abandoned_connections;
 mod cell_dispatcher;
 mod cell_queue;
 mod cluster_view;
