--- a/src/membership/quic_transport.rs
+++ b/src/membership/quic_transport.rs
@@ -24,7 +24,8 @@
 use crate::{
     KeyFiles, NodeMetrics, PeerError, PeerHandler, PeerMessage, PeerStream, PeerTransport,
     membership::{
-        held_connection::HeldConnection, key_files::PEER_SERVER_NAME, quic_stream::QuicStream,
+        abandoned_connection::watch_abandoned, held_connection::HeldConnection,
+        key_files::PEER_SERVER_NAME, quic_stream::QuicStream,
     },
 };
 
@@ -286,11 +287,14 @@
     fn disconnect(&self, peer: SocketAddr) {
         let mut connections = self.connections.lock();
         let retired = connections.retired.remove(&peer).unwrap_or_default();
-        let retired = retired.iter().filter_map(Weak::upgrade);
 
-        for connection in connections.open.remove(&peer).into_iter().chain(retired) {
+        for connection in retired.iter().filter_map(Weak::upgrade) {
             connection.inner.close(CLOSE_CODE, b"given up");
         }
+
+        if let Some(connection) = connections.open.remove(&peer) {
+            tokio::spawn(watch_abandoned(peer, Arc::downgrade(&connection), CLOSE_CODE));
+        }
     }
 
     fn retire(&self, peer: SocketAddr) {
