LOST: exchanges with a host that is wrongly declared dead continue on retired connections too

Callers saw (own interface): an exchange with a living host breaks off once membership has declared the host dead. Cause: the connection to a suspect is retired, and a declaration of death closed retired connections at once. Evidence: disconnect_from_live_peer_leaves_exchanges_open lost the exchange on the retired connection before. Change: retired connections are probed like the open one, and closed once the peer is silent.

--- a/src/membership/peer_transport.rs
+++ b/src/membership/peer_transport.rs
@@ -26,8 +26,8 @@
 /// Connections to other hosts, by their addresses.
 #[async_trait]
 pub(crate) trait PeerTransport: Debug + Send + Sync {
-    /// Gives up a peer that is presumed to be gone. Exchanges on retired connections end, and later ones connect anew.
-    /// Those on the open connection end once the peer is silent: it may have restarted before they began.
+    /// Gives up a peer that is presumed to be gone: later exchanges connect anew, and those in progress end once the peer
+    /// is silent. It may still live, or have restarted before they began.
     fn disconnect(&self, peer: SocketAddr);
 
     /// Makes later exchanges with a peer use a new connection. Exchanges in progress continue on the old one: a peer that
--- a/src/membership/quic_transport.rs
+++ b/src/membership/quic_transport.rs
@@ -287,13 +287,10 @@
     fn disconnect(&self, peer: SocketAddr) {
         let mut connections = self.connections.lock();
         let retired = connections.retired.remove(&peer).unwrap_or_default();
+        let open = connections.open.remove(&peer).map(|it| Arc::downgrade(&it));
 
-        for connection in retired.iter().filter_map(Weak::upgrade) {
-            connection.inner.close(CLOSE_CODE, b"given up");
-        }
-
-        if let Some(connection) = connections.open.remove(&peer) {
-            tokio::spawn(watch_abandoned(peer, Arc::downgrade(&connection), CLOSE_CODE));
+        for connection in open.into_iter().chain(retired) {
+            tokio::spawn(watch_abandoned(peer, connection, CLOSE_CODE));
         }
     }
 
