--- a/src/entry/placement_pool.rs
+++ b/src/entry/placement_pool.rs
@@ -9,7 +9,6 @@
 };
 
 use parking_lot::Mutex;
-use slotmap::{SlotMap, new_key_type};
 use tokio::{
     sync::oneshot,
     time::{Duration, Instant, timeout_at},
@@ -19,16 +18,12 @@
     UpstreamRecord,
     leaving_upstreams::{LeavingUpstreams, UpstreamInstance},
     placement_request::{PlacementRefusal, PlacementRequest},
+    pool_state::{GrantedSlot, PoolState, QueuePosition, UpstreamKey, WaitingRequest},
     pooled_upstream::{LeaseOutcome, PooledUpstream},
     upstream_channel::ReportedLoad,
     upstream_lease::UpstreamLease,
 };
 
-new_key_type! {
-    /// Key of an upstream in its pool's arena.
-    pub(crate) struct UpstreamKey;
-}
-
 /// Prompt tokens that an engine prefills in a millisecond, as the users' specifications state.
 const PREFILL_TOKENS_PER_MS: f64 = 147.0;
 
@@ -43,84 +38,11 @@
 /// Cost of sending a request to another data centre of the same region, as an equivalent wait in milliseconds.
 const CROSS_DATA_CENTRE_COST_MS: f64 = 12.0;
 
-/// Assumed mean lease time of a service until leases have been measured.
-const INITIAL_LEASE_TIME: Duration = Duration::from_millis(300);
-
 /// Reciprocal of the weight of a new sample in the moving average of lease times.
 const MEAN_DIVISOR: u32 = 16;
 
-/// Largest part of its remaining time that a request may be expected to spend in the queue.
-const MAX_WAIT_FRACTION: f64 = 0.5;
-
-/// Longest expected wait with which a request is admitted to the queue.
-const MAX_EXPECTED_WAIT: Duration = Duration::from_millis(1_200);
-
 /// Shortest time after which a refused client is asked to retry.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
-
-/// Time after the end of a store outage for which an upstream is kept without an entry in the store. The entry may have
-/// expired during the outage; an upstream that still runs writes it again within two seconds.
-const EXPIRY_GRACE_PERIOD: Duration = Duration::from_millis(2_100);
-
-/// Time for which a software version counts after its last upstream has left, as clients may still take up streams that
-/// it has begun.
-const VERSION_MEMORY: Duration = Duration::from_secs(30);
-
-/// Sort key of a waiting request: by priority, then continuations of earlier work before new work, then by the time at
-/// which the program should finish, then by arrival.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-struct QueuePosition {
-    priority: u32,
-    is_new: bool,
-    finish_by: Instant,
-    sequence: u64,
-}
-
-#[derive(Debug)]
-struct WaitingRequest {
-    request: PlacementRequest,
-    slot_sender: oneshot::Sender<GrantedSlot>,
-}
-
-#[derive(Clone, Debug)]
-struct GrantedSlot {
-    key: UpstreamKey,
-    record: Arc<UpstreamRecord>,
-    cached_tokens: u64,
-}
-
-#[derive(Debug)]
-struct ServicePool {
-    keys: Vec<UpstreamKey>,
-    waiting: BTreeMap<QueuePosition, WaitingRequest>,
-    mean_lease_time: Duration,
-    /// Software versions of upstreams that are gone, and when the last of each left.
-    past_versions: HashMap<Arc<str>, Instant>,
-}
-
-impl Default for ServicePool {
-    fn default() -> Self {
-        Self {
-            keys: Vec::new(),
-            waiting: BTreeMap::new(),
-            mean_lease_time: INITIAL_LEASE_TIME,
-            past_versions: HashMap::new(),
-        }
-    }
-}
-
-#[derive(Debug, Default)]
-struct PoolState {
-    upstreams: SlotMap<UpstreamKey, PooledUpstream>,
-    by_id: HashMap<Arc<str>, UpstreamKey>,
-    services: HashMap<Arc<str>, ServicePool>,
-    /// Cache capacity of each upstream of a service, in tokens.
-    cache_capacities: HashMap<Arc<str>, u64>,
-    last_sequence: u64,
-    /// When the store was last reported to be available.
-    store_recovered_at: Option<Instant>,
-    is_store_unavailable: bool,
-}
+pub(super) const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
 /// The upstreams of all services, with their load and queues as seen by one entry host.
 #[derive(Debug)]
@@ -269,17 +191,10 @@
         services.iter().for_each(|service| self.serve_queue(&mut state, service));
     }
 
-    /// Returns the software version of a service's upstreams if they have had only one for [`VERSION_MEMORY`], and if the
-    /// store, which lists them, is available.
+    /// Returns the software version of a service's upstreams if they have had only one for a while, and if the store, which
+    /// lists them, is available.
     pub(crate) fn sole_version(&self, service: &str, now: Instant) -> Option<Arc<str>> {
-        let state = self.state.lock();
-        let pool = state.services.get(service).filter(|_| !state.is_store_unavailable)?;
-        let current = pool.keys.iter().map(|key| &state.upstreams[*key].record.software_version);
-        let past =
-            pool.past_versions.iter().filter(|(_, left_at)| now - **left_at < VERSION_MEMORY);
-        let mut versions = current.chain(past.map(|(version, _)| version));
-        let first = versions.next()?;
-        versions.all(|it| it == first).then(|| Arc::clone(first))
+        self.state.lock().sole_version(service, now)
     }
 
     /// Waits for a slot on an upstream. Fails at once if no slot is to be expected in time, and else when the request's
@@ -487,78 +402,6 @@
     }
 }
 
-impl PoolState {
-    /// Whether an entry that is missing now may have expired because of a store outage.
-    fn may_have_expired(&self, now: Instant) -> bool {
-        self.is_store_unavailable
-            || self
-                .store_recovered_at
-                .is_some_and(|at| now.duration_since(at) < EXPIRY_GRACE_PERIOD)
-    }
-
-    fn remove_from_service(&mut self, service: &Arc<str>, key: UpstreamKey) {
-        if let Some(pool) = self.services.get_mut(service) {
-            pool.keys.retain(|it| *it != key);
-        }
-    }
-
-    fn record_past_version(&mut self, record: &UpstreamRecord) {
-        if let Some(pool) = self.services.get_mut(&record.service) {
-            pool.past_versions.insert(Arc::clone(&record.software_version), Instant::now());
-        }
-    }
-
-    fn remove_upstream(&mut self, key: UpstreamKey) {
-        if let Some(upstream) = self.upstreams.remove(key) {
-            self.record_past_version(&upstream.record);
-            self.by_id.remove(&upstream.record.id);
-            self.remove_from_service(&upstream.record.service, key);
-        }
-    }
-
-    /// Refuses a request that can't be expected to get a slot in time.
-    fn check_expected_wait(
-        &self,
-        now: Instant,
-        request: &PlacementRequest,
-        leaving: &LeavingUpstreams,
-    ) -> Result<(), PlacementRefusal> {
-        let Some(pool) = self.services.get(&request.service) else {
-            let retry_after = Duration::from_millis(500);
-            return Err(PlacementRefusal { reason: "the service has no upstream", retry_after });
-        };
-
-        let slots: u32 = pool
-            .keys
-            .iter()
-            .map(|key| &self.upstreams[*key])
-            .filter(|upstream| request.may_use(upstream, leaving) && !upstream.is_in_backoff(now))
-            .map(|upstream| upstream.record.slots)
-            .sum();
-
-        if slots == 0 {
-            let retry_after = Duration::from_millis(300);
-            let reason = "no upstream of the service may take the request";
-            return Err(PlacementRefusal { reason, retry_after });
-        }
-
-        let queue_length = pool.waiting.len() as u32 + 1;
-        let expected_wait = pool.mean_lease_time * queue_length / slots;
-        let max_wait = request
-            .deadline
-            .saturating_duration_since(now)
-            .mul_f64(MAX_WAIT_FRACTION)
-            .min(MAX_EXPECTED_WAIT);
-
-        if expected_wait > max_wait {
-            let retry_after = expected_wait.max(MIN_RETRY_AFTER);
-            return Err(PlacementRefusal { reason: "the queue is too long", retry_after });
-        }
-
-        Ok(())
-    }
-}
-
 /// Removes a request from its queue when the caller stops waiting, and releases a slot that was granted but not taken.
 struct QueueGuard<'a> {
     pool: &'a Arc<PlacementPool>,
--- /dev/null
+++ b/src/entry/pool_state.rs
@@ -0,0 +1,182 @@
+//! The upstreams and queues of all services, behind the lock of the placement pool.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+};
+
+use slotmap::{SlotMap, new_key_type};
+use tokio::{
+    sync::oneshot,
+    time::{Duration, Instant},
+};
+
+use crate::entry::{
+    UpstreamRecord,
+    leaving_upstreams::LeavingUpstreams,
+    placement_pool::MIN_RETRY_AFTER,
+    placement_request::{PlacementRefusal, PlacementRequest},
+    pooled_upstream::PooledUpstream,
+};
+
+new_key_type! {
+    /// Key of an upstream in its pool's arena.
+    pub(crate) struct UpstreamKey;
+}
+
+/// Assumed mean lease time of a service until leases have been measured.
+const INITIAL_LEASE_TIME: Duration = Duration::from_millis(300);
+
+/// Largest part of its remaining time that a request may be expected to spend in the queue.
+const MAX_WAIT_FRACTION: f64 = 0.5;
+
+/// Longest expected wait with which a request is admitted to the queue.
+const MAX_EXPECTED_WAIT: Duration = Duration::from_millis(1_200);
+
+/// Time after the end of a store outage for which an upstream is kept without an entry in the store. The entry may have
+/// expired during the outage; an upstream that still runs writes it again within two seconds.
+const EXPIRY_GRACE_PERIOD: Duration = Duration::from_millis(2_100);
+
+/// Time for which a software version counts after its last upstream has left, as clients may still take up streams that
+/// it has begun.
+const VERSION_MEMORY: Duration = Duration::from_secs(30);
+
+/// Sort key of a waiting request: by priority, then continuations of earlier work before new work, then by the time at
+/// which the program should finish, then by arrival.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) struct QueuePosition {
+    pub(super) priority: u32,
+    pub(super) is_new: bool,
+    pub(super) finish_by: Instant,
+    pub(super) sequence: u64,
+}
+
+#[derive(Debug)]
+pub(super) struct WaitingRequest {
+    pub(super) request: PlacementRequest,
+    pub(super) slot_sender: oneshot::Sender<GrantedSlot>,
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct GrantedSlot {
+    pub(super) key: UpstreamKey,
+    pub(super) record: Arc<UpstreamRecord>,
+    pub(super) cached_tokens: u64,
+}
+
+#[derive(Debug)]
+pub(super) struct ServicePool {
+    pub(super) keys: Vec<UpstreamKey>,
+    pub(super) waiting: BTreeMap<QueuePosition, WaitingRequest>,
+    pub(super) mean_lease_time: Duration,
+    /// Software versions of upstreams that are gone, and when the last of each left.
+    pub(super) past_versions: HashMap<Arc<str>, Instant>,
+}
+
+impl Default for ServicePool {
+    fn default() -> Self {
+        Self {
+            keys: Vec::new(),
+            waiting: BTreeMap::new(),
+            mean_lease_time: INITIAL_LEASE_TIME,
+            past_versions: HashMap::new(),
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+pub(super) struct PoolState {
+    pub(super) upstreams: SlotMap<UpstreamKey, PooledUpstream>,
+    pub(super) by_id: HashMap<Arc<str>, UpstreamKey>,
+    pub(super) services: HashMap<Arc<str>, ServicePool>,
+    /// Cache capacity of each upstream of a service, in tokens.
+    pub(super) cache_capacities: HashMap<Arc<str>, u64>,
+    pub(super) last_sequence: u64,
+    /// When the store was last reported to be available.
+    pub(super) store_recovered_at: Option<Instant>,
+    pub(super) is_store_unavailable: bool,
+}
+
+impl PoolState {
+    /// Whether an entry that is missing now may have expired because of a store outage.
+    pub(super) fn may_have_expired(&self, now: Instant) -> bool {
+        self.is_store_unavailable
+            || self
+                .store_recovered_at
+                .is_some_and(|at| now.duration_since(at) < EXPIRY_GRACE_PERIOD)
+    }
+
+    pub(super) fn remove_from_service(&mut self, service: &Arc<str>, key: UpstreamKey) {
+        if let Some(pool) = self.services.get_mut(service) {
+            pool.keys.retain(|it| *it != key);
+        }
+    }
+
+    /// Returns the software version of a service's upstreams if they have had only one for [`VERSION_MEMORY`], and if the
+    /// store, which lists them, is available.
+    pub(super) fn sole_version(&self, service: &str, now: Instant) -> Option<Arc<str>> {
+        let pool = self.services.get(service).filter(|_| !self.is_store_unavailable)?;
+        let current = pool.keys.iter().map(|key| &self.upstreams[*key].record.software_version);
+        let past =
+            pool.past_versions.iter().filter(|(_, left_at)| now - **left_at < VERSION_MEMORY);
+        let mut versions = current.chain(past.map(|(version, _)| version));
+        let first = versions.next()?;
+        versions.all(|it| it == first).then(|| Arc::clone(first))
+    }
+
+    pub(super) fn record_past_version(&mut self, record: &UpstreamRecord) {
+        if let Some(pool) = self.services.get_mut(&record.service) {
+            pool.past_versions.insert(Arc::clone(&record.software_version), Instant::now());
+        }
+    }
+
+    pub(super) fn remove_upstream(&mut self, key: UpstreamKey) {
+        if let Some(upstream) = self.upstreams.remove(key) {
+            self.record_past_version(&upstream.record);
+            self.by_id.remove(&upstream.record.id);
+            self.remove_from_service(&upstream.record.service, key);
+        }
+    }
+
+    /// Refuses a request that can't be expected to get a slot in time.
+    pub(super) fn check_expected_wait(
+        &self,
+        now: Instant,
+        request: &PlacementRequest,
+        leaving: &LeavingUpstreams,
+    ) -> Result<(), PlacementRefusal> {
+        let Some(pool) = self.services.get(&request.service) else {
+            let retry_after = Duration::from_millis(500);
+            return Err(PlacementRefusal { reason: "the service has no upstream", retry_after });
+        };
+
+        let slots: u32 = pool
+            .keys
+            .iter()
+            .map(|key| &self.upstreams[*key])
+            .filter(|upstream| request.may_use(upstream, leaving) && !upstream.is_in_backoff(now))
+            .map(|upstream| upstream.record.slots)
+            .sum();
+
+        if slots == 0 {
+            let retry_after = Duration::from_millis(300);
+            let reason = "no upstream of the service may take the request";
+            return Err(PlacementRefusal { reason, retry_after });
+        }
+
+        let queue_length = pool.waiting.len() as u32 + 1;
+        let expected_wait = pool.mean_lease_time * queue_length / slots;
+        let max_wait = request
+            .deadline
+            .saturating_duration_since(now)
+            .mul_f64(MAX_WAIT_FRACTION)
+            .min(MAX_EXPECTED_WAIT);
+
+        if expected_wait > max_wait {
+            let retry_after = expected_wait.max(MIN_RETRY_AFTER);
+            return Err(PlacementRefusal { reason: "the queue is too long", retry_after });
+        }
+
+        Ok(())
+    }
+}
--- a/src/entry/upstream_lease.rs
+++ b/src/entry/upstream_lease.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 use crate::entry::{
-    PlacementPool, UpstreamRecord, placement_pool::UpstreamKey, pooled_upstream::LeaseOutcome,
+    PlacementPool, UpstreamRecord, pool_state::UpstreamKey, pooled_upstream::LeaseOutcome,
     upstream_channel::UpstreamResponse,
 };
 
