REFUSED: test that no refusal promises after a scheduler was lost

Cause: RequestForwarder::forward notes that a request may have run once a scheduler is lost that had confirmed it, and offers a retryable request to the next one. If that one refuses, its refusal is returned as it stands.

Change: tests only. forward_never_promises_not_run_after_a_scheduler_was_lost covers each refusal that promises (budget spent, not run, unknown turn, no route), with the next scheduler, a silent or a declining one between, and two that are lost; expected is ResponseLost.

--- a/src/tests/gateway_forwarding.rs
+++ b/src/tests/gateway_forwarding.rs
@@ -160,9 +160,9 @@
     })
 }
 
-/// Forwards a request to two schedulers with these scripts, and returns the response and what was sent to whom.
-async fn forward(
-    scripts: [Option<Vec<PeerMessage>>; 2],
+/// Forwards a request to schedulers with these scripts, and returns the response and what was sent to whom.
+async fn forward<const COUNT: usize>(
+    scripts: [Option<Vec<PeerMessage>>; COUNT],
 ) -> (Option<EntryResponse>, Vec<(u16, &'static str)>) {
     let transport = Arc::new(ScriptedTransport::default());
     for (number, script) in (1..).zip(scripts) {
@@ -172,13 +172,14 @@
     }
 
     let forwarder = forwarder(&transport);
-    let response = forwarder.forward(&request(), &candidates()).await;
+    let response = forwarder.forward(&request(), &candidates(COUNT)).await;
     let sent = transport.sent.lock().iter().map(|(peer, what)| (peer.port(), *what)).collect();
     (response, sent)
 }
 
-fn candidates() -> Vec<SchedulerEntry> {
-    (1..=2)
+fn candidates(count: usize) -> Vec<SchedulerEntry> {
+    (1..)
+        .take(count)
         .map(|number| SchedulerEntry {
             host: format!("host-{number}").into(),
             address: address(number),
@@ -238,6 +239,65 @@
     assert_eq!(whole_body(response), "done");
 }
 
+/// Refusals of a scheduler that tell the client that its request has not run.
+fn promising_refusals() -> [EntryRefusal; 4] {
+    let retry_after = Duration::from_millis(200);
+    [
+        EntryRefusal::BudgetSpent,
+        EntryRefusal::NotRun { retry_after },
+        EntryRefusal::UnknownTurn,
+        EntryRefusal::NoRoute,
+    ]
+}
+
+fn refused(refusal: EntryRefusal) -> Vec<PeerMessage> {
+    vec![accepted(true), PeerMessage::ForwardRefused { refusal, reason: "refused".into() }]
+}
+
+#[tokio::test(start_paused = true)]
+async fn forward_never_promises_not_run_after_a_scheduler_was_lost() {
+    let lost = || Some(vec![accepted(true)]);
+    let declined = || Some(vec![PeerMessage::ForwardDeclined { reason: DeclineReason::Draining }]);
+    let mut promised = Vec::new();
+
+    for refusal in promising_refusals() {
+        let cases = [
+            ("refused by the next", [lost(), Some(refused(refusal)), None]),
+            ("a silent one between", [lost(), None, Some(refused(refusal))]),
+            ("one that declines between", [lost(), declined(), Some(refused(refusal))]),
+            ("two are lost", [lost(), lost(), Some(refused(refusal))]),
+        ];
+
+        for (label, scripts) in cases {
+            let (response, _) = forward(scripts).await;
+            let is_lost = matches!(
+                response,
+                Some(EntryResponse::Refused { refusal: EntryRefusal::ResponseLost, .. })
+            );
+            if !is_lost {
+                promised.push(format!("{label}: {response:?}"));
+            }
+        }
+    }
+
+    assert!(promised.is_empty(), "refusals that promise: {promised:#?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn forward_keeps_a_refusal_if_no_scheduler_before_was_to_run_the_request() {
+    let declined = || Some(vec![PeerMessage::ForwardDeclined { reason: DeclineReason::Draining }]);
+
+    for refusal in promising_refusals() {
+        for first in [None, Some(Vec::new()), declined()] {
+            let (response, _) = forward([first, Some(refused(refusal))]).await;
+            let Some(EntryResponse::Refused { refusal: returned, .. }) = response else {
+                panic!("expected a refusal, received {response:?}");
+            };
+            assert_eq!(returned, refusal);
+        }
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn forward_never_ends_a_broken_stream_as_complete() {
     let head = PeerMessage::ForwardHead(ForwardedHead {
@@ -278,7 +338,7 @@
         let script = [accepted(false), PeerMessage::ForwardHead(head)];
         transport.scripts.lock().insert(address(1), script.into());
         let forwarder = forwarder(&transport);
-        let response = forwarder.forward(&request(), &candidates()[..1]).await;
+        let response = forwarder.forward(&request(), &candidates(1)).await;
         assert!(matches!(response, Some(EntryResponse::Relayed(_))), "{label}: {response:?}");
         let mut departures = forwarder.departures.lock();
         assert!(departures.is_leaving(&leaving), "{label}");
