REFUSED: the same through a gateway and through a scheduler that forwards to owners

Change: tests only. Real connections, schedulers that lose the first request that they confirm and refuse it the second time. The turn reaches the client as refused by the second one: gateway_never_promises_not_run_after_a_scheduler_was_lost, scheduler_never_promises_not_run_after_an_owner_was_lost.

--- a/src/tests/entry_node.rs
+++ b/src/tests/entry_node.rs
@@ -54,7 +54,7 @@
 }
 
 /// A configuration with one route, which has no service.
-fn route_table(version: u64, path_prefix: &str) -> RouteTable {
+pub(super) fn route_table(version: u64, path_prefix: &str) -> RouteTable {
     let route = ServiceRoute {
         name: "chat".into(),
         host: "a.example".into(),
@@ -71,7 +71,11 @@
     RouteTable::new(version, RouteLimits::default(), vec![route], Vec::new())
 }
 
-async fn start_node(store: &Arc<MemoryStore>, host: &str, table: RouteTable) -> Arc<EntryNode> {
+pub(super) async fn start_node(
+    store: &Arc<MemoryStore>,
+    host: &str,
+    table: RouteTable,
+) -> Arc<EntryNode> {
     let settings = EntrySettings {
         host: host.into(),
         data_centre: "north".into(),
@@ -88,7 +92,7 @@
     EntryNode::start(settings, backends, starter).await.expect("the node starts")
 }
 
-async fn wait_until_ready(node: &EntryNode) {
+pub(super) async fn wait_until_ready(node: &EntryNode) {
     let ready = async {
         while !node.is_ready() {
             sleep(POLL_INTERVAL).await;
@@ -97,7 +101,7 @@
     timeout(READY_TIMEOUT, ready).await.expect("the node becomes ready");
 }
 
-fn turn(program: &str) -> EntryRequest {
+pub(super) fn turn(program: &str) -> EntryRequest {
     let now = Instant::now();
 
     EntryRequest {
@@ -152,7 +156,7 @@
 }
 
 /// Connects to the hosts with the keys that they share.
-async fn peer_transport(store: &Arc<MemoryStore>) -> QuicTransport {
+pub(super) async fn peer_transport(store: &Arc<MemoryStore>) -> QuicTransport {
     let registry = HostRegistry {
         store: Arc::clone(store) as Arc<dyn ObjectStore>,
         host: "peer".into(),
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -22,6 +22,7 @@
 mod journal_audit;
 mod leaving_upstreams;
 mod log_limiter;
+mod lost_schedulers;
 mod membership;
 mod memory_platform;
 mod mesh_connector;
