REFUSED: a refusal after an attempt that may have run states nothing about the request

Callers saw: 402, 503 or 404 for requests that a scheduler had already placed on an upstream. Cause: a scheduler that has confirmed a request is lost, the gateway (or a scheduler that forwards to owners) offers the request to the next one, and returns that one's refusal as it stands. The next one knows only its own attempt. For turns it often refuses just because of the first: the lost scheduler's reservation for this very turn still counts, or its spends can't be confirmed. RequestRunner had the rule for upstreams, as a check of its own; hosts began to forward after. Change: run_record counts the attempts of one request in which it may have run, and is the only place that decides what a refusal may state; the runner and the forwarder return refusals through it. A refusal that would state 'not run' becomes a lost response (502), with a log line. EntryRefusal says itself which refusals state that. Why it works: each loop over attempts holds one record, and a refusal leaves it only through final_response.

--- a/src/entry/entry_response.rs
+++ b/src/entry/entry_response.rs
@@ -78,6 +78,21 @@
     DeadlineExceeded,
 }
 
+impl EntryRefusal {
+    /// Whether a client may conclude from the refusal that the request has not run and will not run.
+    pub(crate) fn states_not_run(self) -> bool {
+        match self {
+            Self::Malformed
+            | Self::BudgetSpent
+            | Self::NoRoute
+            | Self::UnknownTurn
+            | Self::TooLarge
+            | Self::NotRun { .. } => true,
+            Self::ResponseLost | Self::DeadlineExceeded => false,
+        }
+    }
+}
+
 /// A response to a client.
 #[derive(Debug)]
 pub enum EntryResponse {
--- a/src/entry/request_runner.rs
+++ b/src/entry/request_runner.rs
@@ -22,6 +22,7 @@
         event_framer::EventFramer,
         placement_request::{PlacementRefusal, PlacementRequest},
         pooled_upstream::LeaseOutcome,
+        run_record::RunRecord,
         stream_relay::{StreamRelay, StreamSource},
         stream_versions::{BegunStream, StreamVersions},
         turn_budget::TurnBudget,
@@ -140,8 +141,7 @@
     pub(crate) context: Arc<RunnerContext>,
     pub(crate) routed: RoutedRequest,
     pub(crate) budget: Option<TurnBudget>,
-    /// Attempts in which the request may have run.
-    attempts: u32,
+    record: RunRecord,
     /// Attempts in which the upstream did not run the request.
     rejections: u32,
     excluded: Vec<Arc<str>>,
@@ -153,7 +153,8 @@
         routed: RoutedRequest,
         budget: Option<TurnBudget>,
     ) -> Self {
-        Self { context, routed, budget, attempts: 0, rejections: 0, excluded: Vec::new() }
+        let record = RunRecord::new(Arc::clone(&routed.request.id));
+        Self { context, routed, budget, record, rejections: 0, excluded: Vec::new() }
     }
 
     /// Returns the response to the client. Dropping the future cancels the request on its upstream.
@@ -181,9 +182,9 @@
                 }
                 AttemptResult::Skipped => self.excluded.push(upstream),
                 AttemptResult::ResponseLost { reason } => {
-                    self.attempts += 1;
+                    self.record.record_possible_run();
                     log::warn!(
-                        request:% = self.routed.request.id, upstream:% = upstream, attempts = self.attempts;
+                        request:% = self.routed.request.id, upstream:% = upstream, attempts = self.record.possible_runs();
                         "no usable response from the upstream: {reason}"
                     );
                     self.excluded.push(upstream);
@@ -204,7 +205,7 @@
 
     fn may_retry(&self) -> bool {
         self.routed.route.kind.is_retryable()
-            && self.attempts < self.routed.route.attempt_limit
+            && self.record.possible_runs() < self.routed.route.attempt_limit
             && Instant::now() < self.routed.deadline
     }
 
@@ -219,25 +220,22 @@
             route:% = self.routed.route.name, upstream:% = lease.record.id, entry_revision = lease.record.revision,
             data_centre:% = lease.record.data_centre, software_version:% = lease.record.software_version, waited_ms = queued_at.elapsed().as_millis() as u64,
             cached_tokens = lease.cached_tokens, prompt_tokens = self.routed.request.prompt_tokens,
-            attempts = self.attempts, resumed_request:? = self.routed.request.resumed_request;
+            attempts = self.record.possible_runs(), resumed_request:? = self.routed.request.resumed_request;
             "placed"
         );
         Ok(lease)
     }
 
-    /// Refuses the request, and promises that it has not run only if no upstream may have run it.
+    /// Refuses the request, and states that it has not run only if no upstream may have run it.
     fn refuse(&self, refusal: PlacementRefusal) -> EntryResponse {
-        if self.attempts > 0 {
-            EntryResponse::refused(EntryRefusal::ResponseLost, refusal.reason)
-        } else {
-            EntryResponse::not_run(refusal.retry_after, refusal.reason)
-        }
+        let response = EntryResponse::not_run(refusal.retry_after, refusal.reason);
+        self.record.final_response(response)
     }
 
     /// When to stop waiting for the upstream: at the request's deadline, or earlier if another upstream may be tried.
     fn attempt_deadline(&self) -> Instant {
         let can_retry = self.routed.route.kind.is_retryable()
-            && self.attempts + 1 < self.routed.route.attempt_limit;
+            && self.record.possible_runs() + 1 < self.routed.route.attempt_limit;
 
         if can_retry {
             let retry_timeout = self.routed.route.latency_objective * RETRY_TIMEOUT_FACTOR;
@@ -356,7 +354,7 @@
         }
 
         let can_retry = self.routed.route.kind.is_retryable()
-            && self.attempts + 1 < self.routed.route.attempt_limit;
+            && self.record.possible_runs() + 1 < self.routed.route.attempt_limit;
 
         if status == StatusCode::INTERNAL_SERVER_ERROR && can_retry {
             self.context.metrics.count_attempt(&self.routed.service.name, "failed");
@@ -445,7 +443,7 @@
             context: self.context,
             routed: self.routed,
             budget: self.budget,
-            attempts: self.attempts + 1,
+            attempts: self.record.possible_runs() + 1,
             excluded: self.excluded,
             sender,
         };
--- a/src/gateway/request_forwarder.rs
+++ b/src/gateway/request_forwarder.rs
@@ -18,7 +18,8 @@
     entry::{
         EntryRefusal, EntryRequest, EntryResponse, RelayedBody, RelayedResponse,
         entry_metrics::EntryMetrics, entry_response::MAX_BUFFERED_ITEMS,
-        mesh_connector::MeshConnector, upstream_departures::UpstreamDepartures,
+        mesh_connector::MeshConnector, run_record::RunRecord,
+        upstream_departures::UpstreamDepartures,
     },
     gateway::{
         DeclineReason, ForwardedHead, ForwardedRequest, SchedulerDirectory, SchedulerEntry,
@@ -66,14 +67,15 @@
 
 impl RequestForwarder {
     /// Forwards a request to the first of the candidates that accepts it, and returns its response, or `None` if none
-    /// of them does, so that the request has not run. Dropping the future cancels the request.
+    /// of them does, so that the request has not run. If that scheduler is lost, a retryable request is forwarded to the
+    /// next one, whose refusal says nothing about the first. Dropping the future cancels the request.
     pub(crate) async fn forward(
         &self,
         request: &EntryRequest,
         candidates: &[SchedulerEntry],
     ) -> Option<EntryResponse> {
         let deadline = request.deadline.unwrap_or(request.received + DEFAULT_TIMEOUT);
-        let mut may_have_run = false;
+        let mut record = RunRecord::new(Arc::clone(&request.id));
         let mut offers = 0;
 
         for scheduler in candidates.iter().take(MAX_OFFERS) {
@@ -124,13 +126,13 @@
                 ForwardOutcome::Response(response) => {
                     self.metrics.count_forwarded("answered");
                     self.record_departure(&response);
-                    return Some(response);
+                    return Some(record.final_response(response));
                 }
                 ForwardOutcome::Lost(error) => {
                     self.metrics.count_forwarded("lost");
                     log::warn!(request:% = request.id, scheduler:% = scheduler.host, is_retryable; "a scheduler was lost while it ran a request: {error}");
                     self.directory.mark_suspect(scheduler.address);
-                    may_have_run = true;
+                    record.record_possible_run();
 
                     if !is_retryable {
                         break;
@@ -139,7 +141,7 @@
             }
         }
 
-        may_have_run
+        (record.possible_runs() > 0)
             .then(|| EntryResponse::refused(EntryRefusal::ResponseLost, "the scheduler was lost"))
     }
 
