A host that forwards logs each refusal with the schedulers that were lost before

Cause: the refusal that a client gets is logged by the scheduler that gives it; whether another one may have run the request before is only on the host that has forwarded it, in lines without the refusal. A request whose scheduler was lost and that then found no other one left no line on its answer at all. To find REFUSED, logs of three hosts had to be joined.

No answer changes.

--- a/src/gateway/request_forwarder.rs
+++ b/src/gateway/request_forwarder.rs
@@ -73,7 +73,8 @@
         candidates: &[SchedulerEntry],
     ) -> Option<EntryResponse> {
         let deadline = request.deadline.unwrap_or(request.received + DEFAULT_TIMEOUT);
-        let mut may_have_run = false;
+        // Schedulers that may have run the request.
+        let mut lost_schedulers: Vec<Arc<str>> = Vec::new();
         let mut offers = 0;
 
         for scheduler in candidates.iter().take(MAX_OFFERS) {
@@ -122,7 +123,7 @@
 
             match run(forwarded).await {
                 ForwardOutcome::Response(response) => {
-                    self.metrics.count_forwarded("answered");
+                    self.record_response(request, scheduler, &response, &lost_schedulers);
                     self.record_departure(&response);
                     return Some(response);
                 }
@@ -130,7 +131,7 @@
                     self.metrics.count_forwarded("lost");
                     log::warn!(request:% = request.id, scheduler:% = scheduler.host, is_retryable; "a scheduler was lost while it ran a request: {error}");
                     self.directory.mark_suspect(scheduler.address);
-                    may_have_run = true;
+                    lost_schedulers.push(Arc::clone(&scheduler.host));
 
                     if !is_retryable {
                         break;
@@ -139,8 +140,38 @@
             }
         }
 
-        may_have_run
-            .then(|| EntryResponse::refused(EntryRefusal::ResponseLost, "the scheduler was lost"))
+        if lost_schedulers.is_empty() {
+            return None;
+        }
+
+        log::info!(
+            request:% = request.id, refusal:% = EntryRefusal::ResponseLost, lost_schedulers:?, offers,
+            took_ms = request.received.elapsed().as_millis() as u64;
+            "refused: each scheduler that was to run the request was lost"
+        );
+        Some(EntryResponse::refused(EntryRefusal::ResponseLost, "the scheduler was lost"))
+    }
+
+    /// Counts a response, and logs a refusal with the schedulers that may have run the request before.
+    fn record_response(
+        &self,
+        request: &EntryRequest,
+        scheduler: &SchedulerEntry,
+        response: &EntryResponse,
+        lost_schedulers: &[Arc<str>],
+    ) {
+        let EntryResponse::Refused { refusal, reason } = response else {
+            return self.metrics.count_forwarded("answered");
+        };
+
+        let is_after_loss = !lost_schedulers.is_empty();
+        let outcome = if is_after_loss { "refused_after_loss" } else { "answered" };
+        self.metrics.count_forwarded(outcome);
+        log::info!(
+            request:% = request.id, scheduler:% = scheduler.host, refusal:%, lost_schedulers:?,
+            took_ms = request.received.elapsed().as_millis() as u64;
+            "a forwarded request is refused: {reason}"
+        );
     }
 
     /// Records that an upstream states in a response, which this host is about to pass on, that it leaves.
--- a/src/tests/lost_schedulers.rs
+++ b/src/tests/lost_schedulers.rs
@@ -181,6 +181,25 @@
     assert_eq!(promises(&node, &shared).await, [], "of a gateway");
 }
 
+#[tokio::test]
+async fn gateway_counts_refusals_after_a_loss_apart() {
+    let store = Arc::new(MemoryStore::default());
+    let shared = start_schedulers(&store, MAX_SCHEDULERS).await;
+    let node = start_node(&store, NODE, route_table(1, "/new/")).await;
+    wait_until_ready(&node).await;
+    promises(&node, &shared).await;
+    let text = node.metrics_text().expect("metrics");
+
+    for (outcome, count) in
+        [("answered", None), ("lost", Some("4")), ("refused_after_loss", Some("4"))]
+    {
+        let label = format!("outcome=\"{outcome}\"");
+        let mut lines = text.lines().filter(|it| it.contains("forwarded_total{"));
+        let line = lines.find(|it| it.contains(&label));
+        assert_eq!(line.and_then(|it| it.rsplit(' ').next()), count, "{outcome}");
+    }
+}
+
 #[tokio::test]
 async fn scheduler_never_promises_not_run_after_an_owner_was_lost() {
     let store = Arc::new(MemoryStore::default());
