--- a/src/entry/request_runner.rs
+++ b/src/entry/request_runner.rs
@@ -182,7 +182,7 @@
                 }
                 AttemptResult::Skipped => self.excluded.push(upstream),
                 AttemptResult::ResponseLost { reason } => {
-                    self.record.record_possible_run();
+                    self.record.record_possible_run(&upstream);
                     log::warn!(
                         request:% = self.routed.request.id, upstream:% = upstream, attempts = self.record.possible_runs();
                         "no usable response from the upstream: {reason}"
--- a/src/entry/run_record.rs
+++ b/src/entry/run_record.rs
@@ -13,22 +13,33 @@
 #[derive(Clone, Debug)]
 pub(crate) struct RunRecord {
     request: Arc<str>,
-    possible_runs: u32,
+    places: Vec<Arc<str>>,
 }
 
 impl RunRecord {
     pub(crate) fn new(request: Arc<str>) -> Self {
-        Self { request, possible_runs: 0 }
+        Self { request, places: Vec::new() }
     }
 
-    /// Records an attempt that ended without a response, so that the request may have run in it, or may still run.
-    pub(crate) fn record_possible_run(&mut self) {
-        self.possible_runs += 1;
+    /// Records an attempt at an upstream or a host that ended without a response, so that the request may have run there,
+    /// or may still run.
+    pub(crate) fn record_possible_run(&mut self, place: &Arc<str>) {
+        self.places.push(Arc::clone(place));
+    }
+
+    /// Upstreams or hosts at which the request may have run, one for each attempt.
+    pub(crate) fn places(&self) -> &[Arc<str>] {
+        &self.places
     }
 
     /// Number of attempts in which the request may have run.
     pub(crate) fn possible_runs(&self) -> u32 {
-        self.possible_runs
+        self.places.len() as u32
+    }
+
+    /// Whether the request may have run in any attempt.
+    pub(crate) fn may_have_run(&self) -> bool {
+        !self.places.is_empty()
     }
 
     /// Returns the response for the client. A refusal which states that the request has not run is replaced by
@@ -36,10 +47,10 @@
     pub(crate) fn final_response(&self, response: EntryResponse) -> EntryResponse {
         match response {
             EntryResponse::Refused { refusal, reason }
-                if self.possible_runs > 0 && refusal.states_not_run() =>
+                if self.may_have_run() && refusal.states_not_run() =>
             {
                 log::info!(
-                    request:% = self.request, refusal:% = refusal, possible_runs = self.possible_runs;
+                    request:% = self.request, refusal:% = refusal, places:? = self.places;
                     "a refusal is passed on as a lost response, as the request may have run before: {reason}"
                 );
                 EntryResponse::refused(EntryRefusal::ResponseLost, reason)
--- a/src/gateway/request_forwarder.rs
+++ b/src/gateway/request_forwarder.rs
@@ -124,7 +124,7 @@
 
             match run(forwarded).await {
                 ForwardOutcome::Response(response) => {
-                    self.metrics.count_forwarded("answered");
+                    self.record_response(request, scheduler, &response, &record);
                     self.record_departure(&response);
                     return Some(record.final_response(response));
                 }
@@ -132,7 +132,7 @@
                     self.metrics.count_forwarded("lost");
                     log::warn!(request:% = request.id, scheduler:% = scheduler.host, is_retryable; "a scheduler was lost while it ran a request: {error}");
                     self.directory.mark_suspect(scheduler.address);
-                    record.record_possible_run();
+                    record.record_possible_run(&scheduler.host);
 
                     if !is_retryable {
                         break;
@@ -141,8 +141,37 @@
             }
         }
 
-        (record.possible_runs() > 0)
-            .then(|| EntryResponse::refused(EntryRefusal::ResponseLost, "the scheduler was lost"))
+        if !record.may_have_run() {
+            return None;
+        }
+
+        log::info!(
+            request:% = request.id, refusal:% = EntryRefusal::ResponseLost, lost_schedulers:? = record.places(), offers,
+            took_ms = request.received.elapsed().as_millis() as u64;
+            "refused: each scheduler that was to run the request was lost"
+        );
+        Some(EntryResponse::refused(EntryRefusal::ResponseLost, "the scheduler was lost"))
+    }
+
+    /// Counts a response, and logs a refusal with the schedulers that may have run the request before.
+    fn record_response(
+        &self,
+        request: &EntryRequest,
+        scheduler: &SchedulerEntry,
+        response: &EntryResponse,
+        record: &RunRecord,
+    ) {
+        let EntryResponse::Refused { refusal, reason } = response else {
+            return self.metrics.count_forwarded("answered");
+        };
+
+        let outcome = if record.may_have_run() { "refused_after_loss" } else { "answered" };
+        self.metrics.count_forwarded(outcome);
+        log::info!(
+            request:% = request.id, scheduler:% = scheduler.host, refusal:%, lost_schedulers:? = record.places(),
+            took_ms = request.received.elapsed().as_millis() as u64;
+            "a forwarded request is refused: {reason}"
+        );
     }
 
     /// Records that an upstream states in a response, which this host is about to pass on, that it leaves.
