ORDER (rejoined): the only version listed counts once the list has been followed for the full time

Cause: PoolState::sole_version compared the listed versions with those that had left in this process. A host that has just started knows of none, and a listing after a gap or lost history doesn't tell what came and went before it. Class: a belief without its basis, here the time since which the list has been followed. Change: the pool keeps the time of its last listing, and takes the only version once it has followed the list for VERSION_MEMORY. Why it works: an upstream that could have begun a stream was listed in that time, so that this host has seen its version.

--- a/src/entry/placement_pool.rs
+++ b/src/entry/placement_pool.rs
@@ -103,8 +103,8 @@
         state.cache_capacities = capacities;
     }
 
-    /// Returns the software version of a service's upstreams if they have had only one for a while, and if the store, which
-    /// lists them, is available.
+    /// Returns the software version of a service's upstreams if they have had only one for a while in which this host has
+    /// followed their list, and if the store, which lists them, is available.
     pub(crate) fn sole_version(&self, service: &str, now: Instant) -> Option<Arc<str>> {
         self.state.lock().sole_version(service, now)
     }
--- a/src/entry/pool_state.rs
+++ b/src/entry/pool_state.rs
@@ -92,6 +92,9 @@
     pub(super) grace_until: Option<Instant>,
     /// Since when the store can't be followed.
     pub(super) unavailable_since: Option<Instant>,
+    /// Since when each change of the list of upstreams has been followed: the last listing. What came and went before it
+    /// is not known, also if an earlier listing had the same upstreams.
+    pub(super) followed_since: Option<Instant>,
 }
 
 impl PoolState {
@@ -118,10 +121,16 @@
         }
     }
 
-    /// Returns the software version of a service's upstreams if they have had only one for [`VERSION_MEMORY`], and if the
-    /// store, which lists them, is available.
+    /// Returns the software version of a service's upstreams if they have had only one for [`VERSION_MEMORY`], all of which
+    /// this host has followed their list, and if the store, which lists them, is available.
     pub(super) fn sole_version(&self, service: &str, now: Instant) -> Option<Arc<str>> {
-        let pool = self.services.get(service).filter(|_| self.unavailable_since.is_none())?;
+        let followed_since = self.followed_since.filter(|_| self.unavailable_since.is_none())?;
+
+        if now.saturating_duration_since(followed_since) < VERSION_MEMORY {
+            return None;
+        }
+
+        let pool = self.services.get(service)?;
         let current = pool.keys.iter().map(|key| &self.upstreams[*key].record.software_version);
         let past =
             pool.past_versions.iter().filter(|(_, left_at)| now - **left_at < VERSION_MEMORY);
