ORDER: an upstream that changes its service leaves its version's memory in the old one

Cause: upsert recorded a past version only if the version itself changed. Change: a change of the service records the version as well.

--- a/src/entry/pool_listing.rs
+++ b/src/entry/pool_listing.rs
@@ -71,7 +71,7 @@
                 );
             }
 
-            if old.software_version != record.software_version {
+            if old.software_version != record.software_version || old.service != service {
                 state.record_past_version(&old);
             }
 
