ORDER: a stream that two hosts have begun at different versions is not taken up

Cause: a scheduler records a stream's version and tells the others before its response is on its way. If it is lost then, the next one begins the request anew, maybe at another version, and kept the version that it had heard of for this id: "the version of a known one never changes". So a client that heard the second version was continued at the first. Class: a belief without its basis, here which of two runs the client has heard. Change: a stream is known with all versions at which it has begun; with more than one its origin is disputed, and an attempt to take it up is refused as not run. Hosts tell each other the second version as they do the first.

--- a/src/entry/mesh_answers.rs
+++ b/src/entry/mesh_answers.rs
@@ -10,6 +10,7 @@
     entry::{
         budget_ledger::WriterSpends,
         peer_mesh::PeerMesh,
+        stream_versions::StreamOrigin,
         turn_history::{HistoryTurn, TurnChain},
         upstream_departures::UpstreamDeparture,
     },
@@ -66,7 +67,11 @@
                 PeerMessage::Done
             }
             PeerMessage::StreamQuery { request } => {
-                PeerMessage::StreamVersion { version: self.state.streams.lock().get(&request) }
+                let version = match self.state.streams.lock().get(&request) {
+                    Some(StreamOrigin::Version(version)) => Some(version),
+                    Some(StreamOrigin::Disputed) | None => None,
+                };
+                PeerMessage::StreamVersion { version }
             }
             PeerMessage::TurnQuery { turn } => {
                 // The query of a peer does not extend the time for which this host caches the turns.
--- a/src/entry/stream_versions.rs
+++ b/src/entry/stream_versions.rs
@@ -11,6 +11,9 @@
 /// Most streams that are remembered. The one that is forgotten next anyway makes room.
 const MAX_STREAMS: usize = 65_536;
 
+/// Most versions that are remembered of one stream. A second one already makes its origin disputed.
+const MAX_VERSIONS: usize = 2;
+
 /// Time between two removals of streams that are over.
 const PRUNE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -24,9 +27,20 @@
     pub(crate) lifetime: Duration,
 }
 
+/// What is known of the version at which a stream has begun.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum StreamOrigin {
+    /// The stream has begun at this version only.
+    Version(Arc<str>),
+    /// The request was forwarded again after a host was lost, and began at another version. Which of them the client has
+    /// heard is not known.
+    Disputed,
+}
+
 #[derive(Debug)]
 struct KnownStream {
-    software_version: Arc<str>,
+    /// Versions at which the stream has begun; not empty.
+    software_versions: Vec<Arc<str>>,
     expires_at: Instant,
     is_local: bool,
 }
@@ -41,9 +55,14 @@
 }
 
 impl StreamVersions {
-    /// Version that has begun a stream, if it is known.
-    pub(crate) fn get(&self, request: &str) -> Option<Arc<str>> {
-        self.streams.get(request).map(|it| Arc::clone(&it.software_version))
+    /// Where a stream has begun, if that is known.
+    pub(crate) fn get(&self, request: &str) -> Option<StreamOrigin> {
+        let known = self.streams.get(request)?;
+
+        Some(match known.software_versions.as_slice() {
+            [version] => StreamOrigin::Version(Arc::clone(version)),
+            _ => StreamOrigin::Disputed,
+        })
     }
 
     /// Adds a stream that this host has begun.
@@ -66,24 +85,35 @@
     /// Streams that were begun here and may still be taken up, for a host that joins.
     pub(crate) fn local_streams(&self, now: Instant) -> Vec<BegunStream> {
         let local = self.streams.iter().filter(|(_, it)| it.is_local && it.expires_at > now);
-        let stream = |(request, known): (&Arc<str>, &KnownStream)| BegunStream {
-            request: Arc::clone(request),
-            software_version: Arc::clone(&known.software_version),
-            lifetime: known.expires_at.duration_since(now),
-        };
-        local.map(stream).collect()
+        let mut streams = Vec::new();
+
+        for (request, known) in local {
+            streams.extend(known.software_versions.iter().map(|version| BegunStream {
+                request: Arc::clone(request),
+                software_version: Arc::clone(version),
+                lifetime: known.expires_at.duration_since(now),
+            }));
+        }
+        streams
     }
 
-    /// Returns whether the stream is new. The version of a known one never changes.
+    /// Returns whether the stream is new, or has begun at another version.
     fn insert(&mut self, now: Instant, stream: &BegunStream, is_local: bool) -> bool {
         self.prune(now);
-
-        if self.streams.contains_key(&stream.request) {
-            return false;
+        let version = Arc::clone(&stream.software_version);
+
+        if let Some(known) = self.streams.get_mut(&stream.request) {
+            let is_new = !known.software_versions.contains(&version);
+            if is_new && known.software_versions.len() < MAX_VERSIONS {
+                known.software_versions.push(version);
+                known.is_local |= is_local;
+                known.expires_at = known.expires_at.max(now + stream.lifetime);
+            }
+            return is_new;
         }
 
         let known = KnownStream {
-            software_version: Arc::clone(&stream.software_version),
+            software_versions: vec![version],
             expires_at: now + stream.lifetime,
             is_local,
         };
--- a/src/entry/version_finder.rs
+++ b/src/entry/version_finder.rs
@@ -8,8 +8,9 @@
 use tokio::time::Instant;
 
 use crate::entry::{
-    EntryRequest, PlacementPool, RequestKind, ServiceRoute, peer_mesh::PeerMesh,
-    stream_versions::StreamVersions,
+    EntryRequest, PlacementPool, RequestKind, ServiceRoute,
+    peer_mesh::PeerMesh,
+    stream_versions::{StreamOrigin, StreamVersions},
 };
 
 /// Version of the upstreams on which a request may run.
@@ -67,8 +68,10 @@
         if let Some(origin) = &request.resumed_request {
             let known = self.streams.lock().get(origin);
 
-            if let Some(version) = known {
-                return Some((version, "here"));
+            match known {
+                Some(StreamOrigin::Version(version)) => return Some((version, "here")),
+                Some(StreamOrigin::Disputed) => return None,
+                None => (),
             }
             if let Some(version) = self.mesh.find_stream_version(origin).await {
                 return Some((version, "peer"));
