ORDER: the only version listed counts once no stream of another one can be taken up

Cause: the time for which a version counts after it has left was 30 s on every route, while a stream may be taken up for twice its route's time limit, and another host may use an upstream that has left until it is in contact with the store. Evidence: sole_version_is_none_while_a_long_stream_of_another_version_may_be_taken_up got v2 with the 30 s in place (trial). Change: the pool is asked with the lifetime of the route's streams, adds the contact time that the platform states, and keeps 30 s as the least. The time limit of a route and the lifetime of its streams are methods of the route.

--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -35,9 +35,6 @@
 /// Number of upstreams that a request may crash before it is refused.
 const CRASH_LIMIT: u32 = 3;
 
-/// Timeout of requests whose route states none.
-const DEFAULT_REQUEST_TIMEOUT: Duration = Duration::from_secs(30);
-
 /// Time by which the final response precedes the client's deadline, so that it reaches the client in time.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(12);
 
@@ -383,8 +380,7 @@
             return EntryResponse::not_run(CRASHED_RETRY_AFTER, reason);
         }
 
-        let timeout = if route.timeout.is_zero() { DEFAULT_REQUEST_TIMEOUT } else { route.timeout };
-        let route_deadline = request.received + timeout;
+        let route_deadline = request.received + route.time_limit();
         let with_margin = |client_deadline: Instant| {
             client_deadline
                 .checked_sub(RESPONSE_MARGIN)
--- a/src/entry/placement_pool.rs
+++ b/src/entry/placement_pool.rs
@@ -41,6 +41,9 @@
 /// Reciprocal of the weight of a new sample in the moving average of lease times.
 const MEAN_DIVISOR: u32 = 16;
 
+/// Shortest time for which a software version counts after its last upstream has left.
+const MIN_VERSION_MEMORY: Duration = Duration::from_secs(30);
+
 /// Shortest time after which a refused client is asked to retry.
 pub(super) const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
@@ -103,10 +106,18 @@
         state.cache_capacities = capacities;
     }
 
-    /// Returns the software version of a service's upstreams if they have had only one for a while in which this host has
-    /// followed their list, and if the store, which lists them, is available.
-    pub(crate) fn sole_version(&self, service: &str, now: Instant) -> Option<Arc<str>> {
-        self.state.lock().sole_version(service, now)
+    /// Returns the software version of a service's upstreams if a stream that may still be taken up can only have begun at
+    /// this one: they have had no other for so long, and this host has followed their list for as long. `lifetime` is how
+    /// long clients may take up a stream. `None` as well while the store, which lists the upstreams, is not available.
+    pub(crate) fn sole_version(
+        &self,
+        service: &str,
+        now: Instant,
+        lifetime: Duration,
+    ) -> Option<Arc<str>> {
+        // Another host may use an upstream that has left until it is in contact with the store.
+        let memory = MIN_VERSION_MEMORY.max(lifetime + self.expiry.contact_time);
+        self.state.lock().sole_version(service, now, memory)
     }
 
     /// Waits for a slot on an upstream. Fails at once if no slot is to be expected in time, and else when the request's
--- a/src/entry/pool_state.rs
+++ b/src/entry/pool_state.rs
@@ -33,10 +33,6 @@
 /// Longest expected wait with which a request is admitted to the queue.
 const MAX_EXPECTED_WAIT: Duration = Duration::from_millis(1_200);
 
-/// Time for which a software version counts after its last upstream has left, as clients may still take up streams that
-/// it has begun.
-const VERSION_MEMORY: Duration = Duration::from_secs(30);
-
 /// Sort key of a waiting request: by priority, then continuations of earlier work before new work, then by the time at
 /// which the program should finish, then by arrival.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -121,19 +117,23 @@
         }
     }
 
-    /// Returns the software version of a service's upstreams if they have had only one for [`VERSION_MEMORY`], all of which
+    /// Returns the software version of a service's upstreams if they have had only one for the time `memory`, all of which
     /// this host has followed their list, and if the store, which lists them, is available.
-    pub(super) fn sole_version(&self, service: &str, now: Instant) -> Option<Arc<str>> {
+    pub(super) fn sole_version(
+        &self,
+        service: &str,
+        now: Instant,
+        memory: Duration,
+    ) -> Option<Arc<str>> {
         let followed_since = self.followed_since.filter(|_| self.unavailable_since.is_none())?;
 
-        if now.saturating_duration_since(followed_since) < VERSION_MEMORY {
+        if now.saturating_duration_since(followed_since) < memory {
             return None;
         }
 
         let pool = self.services.get(service)?;
         let current = pool.keys.iter().map(|key| &self.upstreams[*key].record.software_version);
-        let past =
-            pool.past_versions.iter().filter(|(_, left_at)| now - **left_at < VERSION_MEMORY);
+        let past = pool.past_versions.iter().filter(|(_, left_at)| now - **left_at < memory);
         let mut versions = current.chain(past.map(|(version, _)| version));
         let first = versions.next()?;
         versions.all(|it| it == first).then(|| Arc::clone(first))
--- a/src/entry/request_runner.rs
+++ b/src/entry/request_runner.rs
@@ -22,6 +22,7 @@
         event_framer::EventFramer,
         placement_request::{PlacementRefusal, PlacementRequest},
         pooled_upstream::LeaseOutcome,
+        route_table::STREAM_LIFETIME_FACTOR,
         stream_relay::{StreamRelay, StreamSource},
         stream_versions::{BegunStream, StreamVersions},
         turn_budget::TurnBudget,
@@ -38,9 +39,6 @@
 /// latency objective.
 pub(super) const RETRY_TIMEOUT_FACTOR: u32 = 4;
 
-/// Time for which a client may take up a stream, as a multiple of the time limit of the attempt that has begun it.
-const STREAM_LIFETIME_FACTOR: u32 = 2;
-
 /// Largest body of a response that is not a stream, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 
--- a/src/entry/route_table.rs
+++ b/src/entry/route_table.rs
@@ -4,6 +4,12 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Time limit of requests whose route states none.
+const DEFAULT_REQUEST_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Time for which a client may take up a stream, as a multiple of the time limit of the attempt that has begun it.
+pub(super) const STREAM_LIFETIME_FACTOR: u32 = 2;
+
 /// How a request may be retried, and how it is answered.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RequestKind {
@@ -62,6 +68,16 @@
 }
 
 impl ServiceRoute {
+    /// Longest time until a client gets its final response.
+    pub(crate) fn time_limit(&self) -> Duration {
+        if self.timeout.is_zero() { DEFAULT_REQUEST_TIMEOUT } else { self.timeout }
+    }
+
+    /// Longest time for which clients may take up a stream, from its first event on.
+    pub(crate) fn stream_lifetime(&self) -> Duration {
+        self.time_limit() * STREAM_LIFETIME_FACTOR
+    }
+
     /// Chooses a target in proportion to the weights. Equal hashes give the same target.
     pub fn target(&self, hash: u64) -> Option<&RouteTarget> {
         let total_weight: f64 = self.targets.iter().map(|it| it.weight.max(0.0)).sum();
--- a/src/entry/version_finder.rs
+++ b/src/entry/version_finder.rs
@@ -46,7 +46,7 @@
             return RequiredVersion::Any;
         }
 
-        let (version, source) = match self.find_origin(request, service).await {
+        let (version, source) = match self.find_origin(request, route, service).await {
             Some((version, source)) => (RequiredVersion::Only(version), source),
             None => (RequiredVersion::Unknown, "nowhere"),
         };
@@ -63,6 +63,7 @@
     async fn find_origin(
         &self,
         request: &EntryRequest,
+        route: &ServiceRoute,
         service: &str,
     ) -> Option<(Arc<str>, &'static str)> {
         if let Some(origin) = &request.resumed_request {
@@ -78,7 +79,7 @@
             }
         }
 
-        let version = self.pool.sole_version(service, Instant::now())?;
+        let version = self.pool.sole_version(service, Instant::now(), route.stream_lifetime())?;
         Some((version, "sole version"))
     }
 }
--- a/src/tests/stream_versions.rs
+++ b/src/tests/stream_versions.rs
@@ -6,7 +6,7 @@
 
 use super::entry_fakes::upstream;
 use crate::entry::{
-    FollowGap, PlacementPool, UpstreamRecord,
+    ExpiryBounds, FollowGap, PlacementPool, UpstreamRecord,
     stream_versions::{BegunStream, StreamOrigin, StreamVersions},
 };
 
@@ -73,7 +73,7 @@
 
 /// The version at which a stream of the service `model` may be taken up that no host knows.
 fn sole_version(pool: &PlacementPool) -> Option<String> {
-    pool.sole_version("model", Instant::now()).map(|it| it.to_string())
+    pool.sole_version("model", Instant::now(), LIFETIME).map(|it| it.to_string())
 }
 
 /// Asserts that no version is given until the time has passed in which streams of earlier versions may be taken up.
@@ -166,3 +166,18 @@
     pool.upsert(UpstreamRecord { service: "tool".into(), revision: 2, ..record("u1", "v1") });
     assert_waits_for(&pool, "v2").await;
 }
+
+#[tokio::test(start_paused = true)]
+async fn sole_version_is_none_while_a_long_stream_of_another_version_may_be_taken_up() {
+    let expiry = ExpiryBounds::default();
+    let pool = pool().with_expiry(expiry);
+    let lifetime = Duration::from_mins(1);
+    let sole_version = || pool.sole_version("model", Instant::now(), lifetime);
+    pool.reset(vec![record("u1", "v1"), record("u2", "v2")], 1, None);
+    advance(lifetime * 2).await;
+    pool.remove("u1", 2);
+    advance((lifetime + expiry.contact_time).saturating_sub(LAST_STEP)).await;
+    assert_eq!(sole_version(), None);
+    advance(LAST_STEP).await;
+    assert_eq!(sole_version().as_deref(), Some("v2"));
+}
