REFUSED: tests of the other ways inside a scheduler and at an upstream

Cause: looked for further ways in which something that may have run is answered 402, 404, 408, 421, 429 or 503. Found one: a turn that an upstream itself answers with 402, without stating that it has not run, keeps this status, where 503, 429 and 408 become 502.

Change: tests only.

--- a/src/tests/entry_node.rs
+++ b/src/tests/entry_node.rs
@@ -171,7 +171,7 @@
 }
 
 /// Address on which a registered host reaches its peers.
-async fn registered_address(store: &Arc<MemoryStore>, host: &str) -> SocketAddr {
+pub(super) async fn registered_address(store: &Arc<MemoryStore>, host: &str) -> SocketAddr {
     let object = store.get("entry-hosts", host).await.expect("the store answers");
     let content = object.and_then(|it| it.content).expect("the host is registered");
     let entry: serde_json::Value = serde_json::from_str(content.get()).expect("valid JSON");
--- a/src/tests/entry_runner.rs
+++ b/src/tests/entry_runner.rs
@@ -22,13 +22,13 @@
 
 pub(super) const OK: ScriptedResponse =
     ScriptedResponse::Whole { status: StatusCode::OK, has_not_run: false, is_signed: true };
-const FULL: ScriptedResponse = ScriptedResponse::Whole {
+pub(super) const FULL: ScriptedResponse = ScriptedResponse::Whole {
     status: StatusCode::SERVICE_UNAVAILABLE,
     has_not_run: true,
     is_signed: false,
 };
 
-struct RunResult {
+pub(super) struct RunResult {
     response: EntryResponse,
     channel: Arc<ScriptedChannel>,
     pool: Arc<PlacementPool>,
@@ -37,7 +37,7 @@
 
 impl RunResult {
     /// Status of a relayed response, or the name of a refusal.
-    fn outcome(&self) -> String {
+    pub(super) fn outcome(&self) -> String {
         match &self.response {
             EntryResponse::Relayed(response) => response.status.as_u16().to_string(),
             EntryResponse::Refused { refusal, .. } => refusal.to_string(),
@@ -45,7 +45,7 @@
     }
 
     /// Upstreams in the order in which they got the request.
-    fn upstreams(&self) -> Vec<Arc<str>> {
+    pub(super) fn upstreams(&self) -> Vec<Arc<str>> {
         self.channel.requests().into_iter().map(|(upstream, _)| upstream).collect()
     }
 }
@@ -53,11 +53,11 @@
 /// Number of upstreams, unless a test needs another.
 const UPSTREAM_COUNT: u32 = 6;
 
-async fn run_request(kind: RequestKind, responses: Vec<ScriptedResponse>) -> RunResult {
+pub(super) async fn run_request(kind: RequestKind, responses: Vec<ScriptedResponse>) -> RunResult {
     run_request_on(UPSTREAM_COUNT, kind, responses).await
 }
 
-async fn run_request_on(
+pub(super) async fn run_request_on(
     upstream_count: u32,
     kind: RequestKind,
     responses: Vec<ScriptedResponse>,
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -30,6 +30,7 @@
 mod policy_bench;
 mod polling;
 mod receipts;
+mod refusal_promises;
 mod settings;
 mod shard_log_model;
 mod shard_state;
