DRAIN: a statement in a response covers a run whose entry comes later

Cause: a response does not name the run of its upstream. It was noted for the run in the entry that was known when the request was placed. If the upstream had restarted under its id and its new entry was late, the entry opened the run that had just stated that it leaves.

Change: after such a statement no run of the id is used for the contact time of a host, or four heartbeats if that is longer, in which it follows the store. A process that leaves has changed its entry by then, or has not renewed it, so an entry that still says ready belongs to a run that has not left. The time starts again with a gap that begins before its end. Hosts that are told do the same, but for what they are told before their first listing. Only monotonic time of the host is used, and the messages between hosts stay as they are.

Of the new tests, three fail without the check (run with is_unsettled taken out of is_open); the fourth guards the other way, a host that starts.

--- a/src/entry/expiry_bounds.rs
+++ b/src/entry/expiry_bounds.rs
@@ -11,6 +11,9 @@
 /// passed when the outage began.
 const SAFE_HEARTBEATS: u32 = 2;
 
+/// Heartbeat intervals after which an entry that no process renews is missing from the store.
+const EXPIRY_HEARTBEATS: u32 = 4;
+
 /// Part of the contact time in which no request is placed any more, so that the last one arrives in time.
 const CONTACT_MARGIN: Duration = Duration::from_millis(100);
 
@@ -40,4 +43,10 @@
         let latest = gap.last_failure + self.contact_time.saturating_sub(CONTACT_MARGIN);
         can_have_expired.then(|| latest.min(now + RETURN_TIME))
     }
+
+    /// Returns the time after an upstream's statement that it leaves until the store shows which run has made it: that one
+    /// has changed its entry, or has not renewed it.
+    pub(crate) fn settle_time(&self) -> Duration {
+        self.contact_time.max(self.heartbeat_interval * EXPIRY_HEARTBEATS)
+    }
 }
--- a/src/entry/placement_pool.rs
+++ b/src/entry/placement_pool.rs
@@ -20,7 +20,7 @@
     pool_state::{GrantedSlot, PoolState, QueuePosition, UpstreamKey, WaitingRequest},
     pooled_upstream::{LeaseOutcome, PooledUpstream},
     upstream_channel::ReportedLoad,
-    upstream_departures::UpstreamDepartures,
+    upstream_departures::{UpstreamDeparture, UpstreamDepartures},
     upstream_lease::UpstreamLease,
 };
 
@@ -86,7 +86,7 @@
 
     /// Records that an upstream has stated in a response that it leaves.
     pub(crate) fn record_leaving(&self, record: &UpstreamRecord) {
-        if self.departures.lock().add_leaving(record) {
+        if self.departures.lock().add_stated(UpstreamDeparture::of_run(record)) {
             log::info!(upstream:% = record.id, born_ms = record.started_at_ms; "an upstream has stated that it is leaving, so it gets no new requests");
         }
     }
--- a/src/entry/pool_listing.rs
+++ b/src/entry/pool_listing.rs
@@ -15,6 +15,7 @@
     /// as by [`PlacementPool::remove`]. `gap` is the time before in which the list could not be followed.
     pub fn reset(&self, records: Vec<UpstreamRecord>, revision: u64, gap: Option<FollowGap>) {
         let now = Instant::now();
+        self.departures.lock().record_listing(gap);
         if let Some(gap) = gap {
             let grace_end = self.expiry.grace_end(gap, now);
             log::info!(
--- a/src/entry/pooled_upstream.rs
+++ b/src/entry/pooled_upstream.rs
@@ -103,6 +103,7 @@
         is_valid
             && self.record.phase == UpstreamPhase::Serving
             && !departures.is_leaving(&self.record)
+            && !departures.is_unsettled(&self.record, decided_at)
     }
 
     pub(crate) fn is_in_backoff(&self, now: Instant) -> bool {
--- a/src/gateway/host_network.rs
+++ b/src/gateway/host_network.rs
@@ -40,6 +40,7 @@
             Arc::new(NodeMetrics::new()?),
         )?;
 
-        Ok(Self { registry, transport: Arc::new(transport), departures: Arc::default() })
+        let departures = Arc::new(Mutex::new(UpstreamDepartures::new(settings.expiry)));
+        Ok(Self { registry, transport: Arc::new(transport), departures })
     }
 }
--- a/src/gateway/request_forwarder.rs
+++ b/src/gateway/request_forwarder.rs
@@ -146,7 +146,7 @@
     /// Records that an upstream states in a response, which this host is about to pass on, that it leaves.
     fn record_departure(&self, response: &EntryResponse) {
         if let EntryResponse::Relayed(RelayedResponse { departure: Some(departure), .. }) = response
-            && self.departures.lock().add(departure.clone())
+            && self.departures.lock().add_stated(departure.clone())
         {
             log::info!(
                 upstream:% = departure.id, leaving_runs:? = departure.leaving_runs;
--- a/src/tests/leaving_upstreams.rs
+++ b/src/tests/leaving_upstreams.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use tokio::time::{Duration, sleep};
+use tokio::time::{Duration, Instant, sleep};
 
 use super::{
     entry_fakes::{ScriptedChannel, ScriptedResponse, upstream},
@@ -11,7 +11,7 @@
 use crate::{
     basics::unix_clock::unix_millis,
     entry::{
-        PlacementPool, RequestKind, UpstreamPhase, UpstreamRecord,
+        FollowGap, PlacementPool, RequestKind, UpstreamPhase, UpstreamRecord,
         upstream_departures::UpstreamDepartures, upstream_lease::UpstreamLease,
     },
 };
@@ -19,6 +19,9 @@
 /// Time in which a request reaches its queue.
 const QUEUE_TIME: Duration = Duration::from_millis(20);
 
+/// Time after a statement within which an upstream that was started anew gets requests again.
+const SETTLE_TIME: Duration = Duration::from_secs(3);
+
 /// How an upstream ends its service.
 type Departure = fn(&PlacementPool, &UpstreamLease);
 
@@ -119,3 +122,67 @@
     let placed = pool.acquire(placement(&[])).await;
     assert!(placed.is_err(), "the upstream that leaves gets requests again");
 }
+
+/// A later run of `u1`, whose entry was written at a revision.
+fn restarted(revision: u64) -> UpstreamRecord {
+    UpstreamRecord { revision, started_at_ms: 9, ..upstream("u1", "service", 1) }
+}
+
+/// A pool with one upstream that has stated that it leaves.
+async fn pool_after_statement() -> Arc<PlacementPool> {
+    let pool = pool();
+    pool.reset(vec![upstream("u1", "service", 1)], 1, None);
+    lease(&pool).await.record_leaving();
+    pool
+}
+
+async fn is_open(pool: &Arc<PlacementPool>) -> bool {
+    pool.acquire(placement(&[])).await.is_ok()
+}
+
+#[tokio::test(start_paused = true)]
+async fn record_leaving_opens_an_instance_that_starts_later_within_the_contact_time() {
+    let pool = pool_after_statement().await;
+    sleep(SETTLE_TIME / 2).await;
+    pool.upsert(restarted(2));
+    assert!(!is_open(&pool).await, "it may be the one that has stated that it leaves");
+    sleep(SETTLE_TIME / 2).await;
+    assert!(is_open(&pool).await, "its entry was renewed since");
+
+    let pool = pool_after_statement().await;
+    sleep(SETTLE_TIME).await;
+    pool.upsert(restarted(2));
+    assert!(is_open(&pool).await, "it has started after the statement");
+}
+
+#[tokio::test(start_paused = true)]
+async fn record_leaving_covers_an_instance_that_is_listed_after_an_outage() {
+    let pool = pool_after_statement().await;
+    let last_contact = Instant::now();
+    sleep(Duration::from_millis(500)).await;
+    pool.set_store_availability(false);
+    sleep(SETTLE_TIME * 2).await;
+    assert!(!is_open(&pool).await, "nothing was heard since the statement");
+
+    let gap = FollowGap { last_contact, last_failure: Instant::now() };
+    pool.reset(vec![restarted(2)], 2, Some(gap));
+    pool.set_store_availability(true);
+    assert!(!is_open(&pool).await, "its entry may not have been renewed in the outage");
+    sleep(SETTLE_TIME).await;
+    assert!(is_open(&pool).await, "its entry was renewed since");
+
+    let last_contact = Instant::now();
+    sleep(SETTLE_TIME).await;
+    pool.reset(vec![restarted(2)], 2, Some(FollowGap { last_contact, last_failure: last_contact }));
+    assert!(is_open(&pool).await, "a later outage says nothing about it");
+}
+
+#[tokio::test(start_paused = true)]
+async fn merge_of_a_settled_departure_leaves_a_restarted_upstream_open_on_a_host_that_starts() {
+    let pool = pool();
+    let mut departures = UpstreamDepartures::default();
+    departures.add_leaving(&upstream("u1", "service", 1));
+    departures.all().iter().for_each(|it| assert!(pool.departures().lock().merge(it)));
+    pool.reset(vec![restarted(2)], 2, None);
+    assert!(is_open(&pool).await, "the host that starts refuses requests for it");
+}
--- a/src/tests/shared_departures.rs
+++ b/src/tests/shared_departures.rs
@@ -281,6 +281,18 @@
     assert!(!is_open(&second));
 }
 
+#[tokio::test(start_paused = true)]
+async fn record_leaving_covers_a_later_run_on_the_hosts_that_are_told() {
+    let (_links, [first, second]) = two_hosts();
+    second.reset(vec![serving(1)], 1, None);
+    first.record_leaving(&serving(1));
+    sleep(SHARING_TIME).await;
+    second.upsert(UpstreamRecord { started_at_ms: 2, ..serving(2) });
+    assert!(!is_open(&second), "it may be the run that has stated that it leaves");
+    sleep(Duration::from_secs(3)).await;
+    assert!(is_open(&second), "its entry was renewed since");
+}
+
 #[tokio::test(start_paused = true)]
 async fn load_records_from_peers_tells_a_starting_host_of_each_departure() {
     let (links, [first, second]) = two_hosts();
