--- a/src/entry/pool_listing.rs
+++ b/src/entry/pool_listing.rs
@@ -16,6 +16,7 @@
     pub fn reset(&self, records: Vec<UpstreamRecord>, revision: u64, gap: Option<FollowGap>) {
         let now = Instant::now();
         self.state.lock().followed_since = Some(now);
+        self.departures.lock().record_listing(gap);
         if let Some(gap) = gap {
             let grace_end = self.expiry.grace_end(gap, now);
             log::info!(
