REFUSED: a turn that an upstream answers with 402 is answered as a lost response

Callers could see: 402 for a turn that its upstream has run; clients read it as the host's own 'budget spent', which states that the turn has not run. Cause: of the statuses that clients read as 'not run', 503, 429 and 408 of an upstream were passed on only with its statement; 402 was forgotten. Change: reads_as_not_run lists them, with 402 on the routes of turns. On other routes 402 is an upstream's answer like any other.

--- a/src/entry/request_runner.rs
+++ b/src/entry/request_runner.rs
@@ -337,16 +337,8 @@
 
         let status = response.status;
 
-        // These status codes tell the client that the request has not run. Without the upstream's explicit statement
-        // that may be false, so they are not relayed.
-        let claims_not_run = matches!(
-            status,
-            StatusCode::SERVICE_UNAVAILABLE
-                | StatusCode::TOO_MANY_REQUESTS
-                | StatusCode::REQUEST_TIMEOUT
-        );
-
-        if claims_not_run || (status.is_success() && !response.is_signed) {
+        // Without the upstream's explicit statement that the request has not run, the status may be false.
+        if self.reads_as_not_run(status) || (status.is_success() && !response.is_signed) {
             return self
                 .finish_broken(lease, format!("an unusable answer with status {status}").into());
         }
@@ -371,6 +363,20 @@
         AttemptResult::Response(RelayedResponse { status, headers, body, departure })
     }
 
+    /// Whether the client takes a status for the statement that the request has not run.
+    fn reads_as_not_run(&self, status: StatusCode) -> bool {
+        match status {
+            StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::REQUEST_TIMEOUT => true,
+            // For a turn, that its program's budget has no room for it.
+            StatusCode::PAYMENT_REQUIRED => {
+                matches!(self.routed.route.kind, RequestKind::Stream { .. })
+            }
+            _ => false,
+        }
+    }
+
     async fn read_first_event(
         &self,
         lease: UpstreamLease,
