--- a/src/tests/refusal_promises.rs
+++ b/src/tests/refusal_promises.rs
@@ -1,7 +1,8 @@
 //! Refusals which promise that a request has not run, inside one scheduler.
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
+use async_trait::async_trait;
 use hyper::StatusCode;
 use tokio::time::{Duration, Instant, sleep, timeout};
 
@@ -12,7 +13,14 @@
     },
     entry_runner::{FULL, OK, run_request, run_request_on},
 };
-use crate::{PeerMessage, PeerTransport, entry::RequestKind, gateway::ForwardedRequest};
+use crate::{
+    PeerError, PeerMessage, PeerStream, PeerTransport,
+    entry::{
+        EntryRefusal, EntryResponse, RequestKind, entry_metrics::EntryMetrics,
+        mesh_connector::MeshConnector,
+    },
+    gateway::{ForwardedRequest, RequestForwarder, SchedulerDirectory, SchedulerEntry},
+};
 
 /// Time for which the host that has offered a request stands still. A scheduler waits for a second.
 const FREEZE_TIME: Duration = Duration::from_millis(1_300);
@@ -72,6 +80,75 @@
     assert_eq!(result.outcome(), "answer_lost");
 }
 
+/// Connections to a scheduler that accepts each request and then can't be written to.
+#[derive(Debug)]
+struct BrokenTransport;
+
+#[derive(Debug)]
+struct BrokenStream;
+
+#[async_trait]
+impl PeerStream for BrokenStream {
+    async fn receive(&mut self) -> Result<Option<PeerMessage>, PeerError> {
+        Ok(Some(PeerMessage::ForwardAccepted { is_retryable: false, config_version: 1 }))
+    }
+
+    async fn send(&mut self, _message: &PeerMessage) -> Result<(), PeerError> {
+        Err(PeerError::Lost { reason: "reset".into() })
+    }
+
+    fn finish(&mut self) {}
+
+    async fn wait_until_received(&mut self) -> Result<(), PeerError> {
+        Ok(())
+    }
+}
+
+#[async_trait]
+impl PeerTransport for BrokenTransport {
+    fn disconnect(&self, _peer: SocketAddr) {}
+
+    fn retire(&self, _peer: SocketAddr) {}
+
+    fn is_connected(&self, _peer: SocketAddr) -> bool {
+        true
+    }
+
+    async fn connect(&self, _peer: SocketAddr) -> Result<(), PeerError> {
+        Ok(())
+    }
+
+    async fn open(
+        &self,
+        _peer: SocketAddr,
+        _first: &PeerMessage,
+    ) -> Result<Box<dyn PeerStream>, PeerError> {
+        Ok(Box::new(BrokenStream))
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn forward_never_promises_not_run_after_a_confirmation_that_failed() {
+    let forwarder = RequestForwarder {
+        connector: Arc::new(MeshConnector::new(Arc::new(BrokenTransport))),
+        directory: Arc::new(SchedulerDirectory::new("north".into())),
+        metrics: Arc::new(EntryMetrics::new().expect("metrics")),
+        departures: Arc::default(),
+    };
+    let scheduler = SchedulerEntry {
+        host: "one".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        region: "north".into(),
+        is_draining: false,
+    };
+    let response = forwarder.forward(&turn("program"), &[scheduler]).await;
+    let is_lost = matches!(
+        response,
+        Some(EntryResponse::Refused { refusal: EntryRefusal::ResponseLost, .. })
+    );
+    assert!(is_lost, "{response:?}");
+}
+
 #[tokio::test]
 async fn scheduler_never_runs_a_request_that_is_confirmed_too_late() {
     let store = Arc::new(MemoryStore::default());
