BUDGET: a scheduler that takes a request over knows the attempts of the lost one

Callers could see: a request on more upstreams than its route allows, once its scheduler was lost. Cause: each scheduler counted attempts from 0. Change: the number of possible runs belongs to the request and travels with its offer; a scheduler begins with it and reports each further attempt to the host that has forwarded the request. The metric refused_after_loss counts losses seen by this host only. Why it works: the host that forwards has the number before the next attempt begins, but for a report that is lost with its host. Cost: no message for a request that is answered by its first upstream. Messages between hosts change.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -68,6 +68,7 @@
     placement_pool::PlacementPool,
     retirement_keeper::{RetirementKeeper, RetirementRequest},
     route_table::{RequestKind, RouteLimits, RouteTable, RouteTarget, ServiceConfig, ServiceRoute},
+    run_record::PossibleRuns,
     store_monitor::StoreMonitor,
     upstream_channel::{
         ChannelError, ReportedLoad, SendGuard, UpstreamBody, UpstreamChannel, UpstreamRequest,
--- a/src/entry/entry_request.rs
+++ b/src/entry/entry_request.rs
@@ -6,6 +6,8 @@
 use hyper::{HeaderMap, Method};
 use tokio::time::Instant;
 
+use crate::entry::PossibleRuns;
+
 /// A part of a prompt. Two parts with the same id have the same content if all parts before them are equal as well.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct PromptPart {
@@ -63,4 +65,6 @@
     pub last_event_id: Option<Arc<str>>,
     /// Id of the client's attempt that has brought the stream's first event, if this attempt takes the stream up.
     pub resumed_request: Option<Arc<str>>,
+    /// Attempts in which the request may have run, on this host and on those that were lost with it before.
+    pub possible_runs: PossibleRuns,
 }
--- a/src/entry/request_runner.rs
+++ b/src/entry/request_runner.rs
@@ -151,12 +151,17 @@
         routed: RoutedRequest,
         budget: Option<TurnBudget>,
     ) -> Self {
-        let record = RunRecord::new(Arc::clone(&routed.request.id));
+        let record = RunRecord::new(&routed.request);
         Self { context, routed, budget, record, rejections: 0, excluded: Vec::new() }
     }
 
     /// Returns the response to the client. Dropping the future cancels the request on its upstream.
     pub(crate) async fn run(mut self) -> EntryResponse {
+        if self.record.may_have_run() && !self.may_retry() {
+            let reason = "no attempt is left after those of hosts that were lost";
+            return EntryResponse::refused(EntryRefusal::ResponseLost, reason);
+        }
+
         loop {
             let lease = match self.acquire().await {
                 Ok(lease) => lease,
--- a/src/entry/run_record.rs
+++ b/src/entry/run_record.rs
@@ -1,10 +1,33 @@
-//! What a host may state when it refuses a request after several attempts.
+//! Counts the attempts in which a request may have run, and decides what a refusal may state after them.
 //!
 //! See docs/design/platform.md, "Refusals".
 
 use std::sync::Arc;
 
-use crate::entry::{EntryRefusal, EntryResponse};
+use tokio::sync::watch;
+
+use crate::entry::{EntryRefusal, EntryRequest, EntryResponse};
+
+/// Number of attempts in which a request may have run, on this host and on those that were lost with it before. The task
+/// that has forwarded the request follows it, so that the number is known if this host is lost as well.
+#[derive(Clone, Debug, Default)]
+pub struct PossibleRuns {
+    count: watch::Sender<u32>,
+}
+
+impl PossibleRuns {
+    pub(crate) fn new(count: u32) -> Self {
+        Self { count: watch::Sender::new(count) }
+    }
+
+    pub(crate) fn count(&self) -> u32 {
+        *self.count.borrow()
+    }
+
+    pub(crate) fn subscribe(&self) -> watch::Receiver<u32> {
+        self.count.subscribe()
+    }
+}
 
 /// Attempts of one request in which it may have run.
 ///
@@ -13,33 +36,42 @@
 #[derive(Clone, Debug)]
 pub(crate) struct RunRecord {
     request: Arc<str>,
+    runs: PossibleRuns,
     places: Vec<Arc<str>>,
 }
 
 impl RunRecord {
-    pub(crate) fn new(request: Arc<str>) -> Self {
-        Self { request, places: Vec::new() }
+    /// Begins with the attempts that were made before the request came to this host.
+    pub(crate) fn new(request: &EntryRequest) -> Self {
+        let (request, runs) = (Arc::clone(&request.id), request.possible_runs.clone());
+        Self { request, runs, places: Vec::new() }
     }
 
     /// Records an attempt at an upstream or a host that ended without a response, so that the request may have run there,
     /// or may still run.
     pub(crate) fn record_possible_run(&mut self, place: &Arc<str>) {
         self.places.push(Arc::clone(place));
+        self.runs.count.send_modify(|count| *count += 1);
+    }
+
+    /// Records the number of attempts that the host has told to which the request was forwarded.
+    pub(crate) fn record_reported_runs(&mut self, reported: u32) {
+        self.runs.count.send_modify(|count| *count = reported.max(*count));
     }
 
-    /// Upstreams or hosts at which the request may have run, one for each attempt.
+    /// Upstreams or hosts that were tried here and at which the request may have run, one for each attempt.
     pub(crate) fn places(&self) -> &[Arc<str>] {
         &self.places
     }
 
-    /// Number of attempts in which the request may have run.
+    /// Number of attempts in which the request may have run, on all hosts.
     pub(crate) fn possible_runs(&self) -> u32 {
-        self.places.len() as u32
+        self.runs.count()
     }
 
     /// Whether the request may have run in any attempt.
     pub(crate) fn may_have_run(&self) -> bool {
-        !self.places.is_empty()
+        self.possible_runs() > 0
     }
 
     /// Returns the response for the client. A refusal which states that the request has not run is replaced by
@@ -50,7 +82,8 @@
                 if self.may_have_run() && refusal.states_not_run() =>
             {
                 log::info!(
-                    request:% = self.request, refusal:% = refusal, places:? = self.places;
+                    request:% = self.request, refusal:% = refusal, places:? = self.places,
+                    possible_runs = self.possible_runs();
                     "a refusal is passed on as a lost response, as the request may have run before: {reason}"
                 );
                 EntryResponse::refused(EntryRefusal::ResponseLost, reason)
--- a/src/gateway/forward_server.rs
+++ b/src/gateway/forward_server.rs
@@ -14,8 +14,9 @@
 /// the acceptance.
 const CONFIRM_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Serves an offer: accepts or declines it, and runs the request once that is confirmed. The offering host ends its
-/// side of the stream when its client has left, which cancels the request.
+/// Serves an offer: accepts or declines it, and runs the request once that is confirmed. The offering host is told of each
+/// attempt in which the request may have run, in case this host is lost. It ends its side of the stream when its client
+/// has left, which cancels the request.
 pub(crate) async fn serve_offer(
     host: &Arc<EntryHost>,
     min_config_version: u64,
@@ -45,12 +46,20 @@
     }
 
     let id = Arc::clone(&request.id);
-
-    let response = tokio::select! {
-        response = host.handle(request) => response,
-        _ = stream.receive() => {
-            log::info!(request:% = id; "the forwarding host has cancelled a request");
-            return Ok(());
+    let mut possible_runs = request.possible_runs.subscribe();
+    let mut handling = Box::pin(host.handle(request));
+
+    let response = loop {
+        tokio::select! {
+            response = &mut handling => break response,
+            Ok(()) = possible_runs.changed() => {
+                let possible_runs = *possible_runs.borrow_and_update();
+                stream.send(&PeerMessage::ForwardRunsReported { possible_runs }).await?;
+            }
+            _ = stream.receive() => {
+                log::info!(request:% = id; "the forwarding host has cancelled a request");
+                return Ok(());
+            }
         }
     };
 
--- a/src/gateway/forwarded_request.rs
+++ b/src/gateway/forwarded_request.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
-use crate::entry::{EntryRequest, ProgramContext, PromptPart};
+use crate::entry::{EntryRequest, PossibleRuns, ProgramContext, PromptPart};
 
 /// Names and values of headers.
 pub(crate) type HeaderList = Vec<(Arc<str>, Bytes)>;
@@ -35,6 +35,8 @@
     prompt_parts: Vec<(u64, u64)>,
     last_event_id: Option<Arc<str>>,
     resumed_request: Option<Arc<str>>,
+    /// Attempts, on hosts that were lost before, in which the request may have run.
+    possible_runs: u32,
 }
 
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -73,6 +75,7 @@
             prompt_parts: request.prompt_parts.iter().map(|it| (it.id, it.tokens)).collect(),
             last_event_id: request.last_event_id.clone(),
             resumed_request: request.resumed_request.clone(),
+            possible_runs: request.possible_runs.count(),
         }
     }
 
@@ -105,6 +108,7 @@
                 .collect(),
             last_event_id: self.last_event_id,
             resumed_request: self.resumed_request,
+            possible_runs: PossibleRuns::new(self.possible_runs),
             target: self.target,
         })
     }
--- a/src/gateway/request_forwarder.rs
+++ b/src/gateway/request_forwarder.rs
@@ -75,7 +75,7 @@
         candidates: &[SchedulerEntry],
     ) -> Option<EntryResponse> {
         let deadline = request.deadline.unwrap_or(request.received + DEFAULT_TIMEOUT);
-        let mut record = RunRecord::new(Arc::clone(&request.id));
+        let mut record = RunRecord::new(request);
         let mut offers = 0;
 
         for scheduler in candidates.iter().take(MAX_OFFERS) {
@@ -122,7 +122,7 @@
                 metrics: Arc::clone(&self.metrics),
             };
 
-            match run(forwarded).await {
+            match run(forwarded, &mut record).await {
                 ForwardOutcome::Response(response) => {
                     self.record_response(request, scheduler, &response, &record);
                     self.record_departure(&response);
@@ -165,7 +165,8 @@
             return self.metrics.count_forwarded("answered");
         };
 
-        let outcome = if record.may_have_run() { "refused_after_loss" } else { "answered" };
+        let is_after_loss = !record.places().is_empty();
+        let outcome = if is_after_loss { "refused_after_loss" } else { "answered" };
         self.metrics.count_forwarded(outcome);
         log::info!(
             request:% = request.id, scheduler:% = scheduler.host, refusal:%, lost_schedulers:? = record.places(),
@@ -216,20 +217,25 @@
     }
 }
 
-/// Confirms an accepted request and reads its response.
-async fn run(mut forwarded: ForwardedStream) -> ForwardOutcome {
+/// Confirms an accepted request and reads its response. Records the attempts that the scheduler reports meanwhile.
+async fn run(mut forwarded: ForwardedStream, record: &mut RunRecord) -> ForwardOutcome {
     if let Err(error) = forwarded.stream.send(&PeerMessage::ForwardConfirmed).await {
         return ForwardOutcome::Lost(error);
     }
 
-    let response = match timeout_at(forwarded.deadline, forwarded.stream.receive()).await {
-        Ok(Ok(response)) => response,
-        Ok(Err(error)) => return ForwardOutcome::Lost(error),
-        Err(_) => {
-            return ForwardOutcome::Response(EntryResponse::refused(
-                EntryRefusal::DeadlineExceeded,
-                "the time has run out",
-            ));
+    let response = loop {
+        match timeout_at(forwarded.deadline, forwarded.stream.receive()).await {
+            Ok(Ok(Some(PeerMessage::ForwardRunsReported { possible_runs }))) => {
+                record.record_reported_runs(possible_runs);
+            }
+            Ok(Ok(response)) => break response,
+            Ok(Err(error)) => return ForwardOutcome::Lost(error),
+            Err(_) => {
+                return ForwardOutcome::Response(EntryResponse::refused(
+                    EntryRefusal::DeadlineExceeded,
+                    "the time has run out",
+                ));
+            }
         }
     };
 
--- a/src/membership/peer_message.rs
+++ b/src/membership/peer_message.rs
@@ -207,6 +207,10 @@
     },
     /// Forwarding: the accepted request is to run.
     ForwardConfirmed,
+    /// Forwarding: the sender makes a further attempt to run the request, after `possible_runs` in which it may have run.
+    ForwardRunsReported {
+        possible_runs: u32,
+    },
     /// Forwarding: an upstream's response, or its head, followed by `ForwardBytes` and, if it is complete, `ForwardEnd`.
     ForwardHead(ForwardedHead),
     /// Forwarding: the request has ended with a refusal by the sender.
@@ -268,6 +272,7 @@
                 | Self::ForwardAccepted { .. }
                 | Self::ForwardDeclined { .. }
                 | Self::ForwardConfirmed
+                | Self::ForwardRunsReported { .. }
                 | Self::ForwardHead(_)
                 | Self::ForwardRefused { .. }
                 | Self::ForwardBytes { .. }
--- a/src/tests/entry_node.rs
+++ b/src/tests/entry_node.rs
@@ -14,8 +14,8 @@
     IdlePolicy, NodeMetrics, PeerMessage, PeerTransport, QuicTransport,
     entry::{
         EntryBackends, EntryHost, EntryRefusal, EntryRequest, EntryResponse, EntrySettings,
-        ExpiryBounds, HostRegistry, ObjectStore, ProgramContext, RequestKind, RouteLimits,
-        RouteTable, ServiceRoute, UpstreamChannel,
+        ExpiryBounds, HostRegistry, ObjectStore, PossibleRuns, ProgramContext, RequestKind,
+        RouteLimits, RouteTable, ServiceRoute, UpstreamChannel,
     },
     gateway::{EntryNode, ForwardedRequest, SchedulerStarter},
 };
@@ -126,6 +126,7 @@
         prompt_parts: Vec::new(),
         last_event_id: None,
         resumed_request: None,
+        possible_runs: PossibleRuns::default(),
     }
 }
 
--- a/src/tests/entry_runner.rs
+++ b/src/tests/entry_runner.rs
@@ -11,8 +11,9 @@
 use crate::{
     CrashTracker,
     entry::{
-        BudgetLedger, EntryRefusal, EntryRequest, EntryResponse, PlacementPool, RelayedBody,
-        RequestKind, RouteTarget, ServiceConfig, ServiceRoute, StreamItem, UpstreamRecord,
+        BudgetLedger, EntryRefusal, EntryRequest, EntryResponse, PlacementPool, PossibleRuns,
+        RelayedBody, RequestKind, RouteTarget, ServiceConfig, ServiceRoute, StreamItem,
+        UpstreamRecord,
         entry_metrics::EntryMetrics,
         placement_request::PlacementRequest,
         request_runner::{RequestRunner, RoutedRequest, RunnerContext},
@@ -130,6 +131,7 @@
         prompt_parts: Vec::new(),
         last_event_id: None,
         resumed_request: None,
+        possible_runs: PossibleRuns::default(),
     };
     let route = ServiceRoute {
         name: "route".into(),
--- a/src/tests/gateway_forwarding.rs
+++ b/src/tests/gateway_forwarding.rs
@@ -19,8 +19,8 @@
 use crate::{
     PeerError, PeerMessage, PeerStream, PeerTransport,
     entry::{
-        EntryRefusal, EntryRequest, EntryResponse, ProgramContext, PromptPart, RelayedBody,
-        StreamItem, entry_metrics::EntryMetrics, mesh_connector::MeshConnector,
+        EntryRefusal, EntryRequest, EntryResponse, PossibleRuns, ProgramContext, PromptPart,
+        RelayedBody, StreamItem, entry_metrics::EntryMetrics, mesh_connector::MeshConnector,
         upstream_departures::UpstreamDeparture,
     },
     gateway::{
@@ -143,6 +143,7 @@
         prompt_parts: vec![PromptPart { id: 7, tokens: 10 }],
         last_event_id: Some("3".into()),
         resumed_request: Some("r-1".into()),
+        possible_runs: PossibleRuns::default(),
     }
 }
 
@@ -283,6 +284,26 @@
     assert!(promised.is_empty(), "refusals that promise: {promised:#?}");
 }
 
+#[tokio::test(start_paused = true)]
+async fn forward_counts_the_attempts_that_a_lost_scheduler_has_reported() {
+    let report = |possible_runs| PeerMessage::ForwardRunsReported { possible_runs };
+    let cases = [
+        (vec![accepted(true)], 1),
+        (vec![accepted(true), report(1)], 2),
+        (vec![accepted(true), report(1), report(2)], 3),
+    ];
+
+    for (script, expected) in cases {
+        let transport = Arc::new(ScriptedTransport::default());
+        transport.scripts.lock().insert(address(1), script.into());
+        let request = request();
+        forwarder(&transport).forward(&request, &candidates(1)).await;
+        let encoded = ForwardedRequest::encode(&request, Instant::now());
+        let decoded = encoded.decode(Instant::now()).expect("a valid request");
+        assert_eq!(decoded.possible_runs.count(), expected);
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn forward_keeps_a_refusal_if_no_scheduler_before_was_to_run_the_request() {
     let declined = || Some(vec![PeerMessage::ForwardDeclined { reason: DeclineReason::Draining }]);
--- a/src/tests/shared_connections.rs
+++ b/src/tests/shared_connections.rs
@@ -16,9 +16,9 @@
     MembershipTable, NodeMetrics, PeerError, PeerHandler, PeerMessage, PeerStream, PeerTransport,
     PlatformClient, QuicTransport, WriterId,
     entry::{
-        EntryRequest, EntryResponse, RelayedBody, StreamItem, entry_metrics::EntryMetrics,
-        mesh_connector::MeshConnector, mesh_peer::MeshIdentity, mesh_state::MeshState,
-        peer_mesh::PeerMesh,
+        EntryRequest, EntryResponse, PossibleRuns, RelayedBody, StreamItem,
+        entry_metrics::EntryMetrics, mesh_connector::MeshConnector, mesh_peer::MeshIdentity,
+        mesh_state::MeshState, peer_mesh::PeerMesh,
     },
     gateway::{ForwardedHead, RequestForwarder, SchedulerDirectory, SchedulerEntry},
     membership::key_files::CertificateAuthority,
@@ -161,6 +161,7 @@
         prompt_parts: Vec::new(),
         last_event_id: None,
         resumed_request: None,
+        possible_runs: PossibleRuns::default(),
     }
 }
 
