--- /dev/null
+++ b/src/tests/program_outcomes.rs
@@ -0,0 +1,230 @@
+//! Outcomes of refused requests: `not_run` covers all attempts under a number, on this owner and on earlier ones.
+
+use std::sync::{Arc, atomic::Ordering};
+
+use super::{
+    memory_platform::FaultRates,
+    program_fakes::{
+        FakeHost, LARGE_BUDGET, broken, call, memory_platform, not_sent, turn, turn_request,
+    },
+};
+use crate::{
+    ProblemKind, ProgramAnswer, ProgramOperation, RefusalReason, RequestOutcome, TurnRequest,
+    UpstreamError,
+};
+
+/// Budget for one attempt of a turn, and not for two.
+const ONE_ATTEMPT_BUDGET: u64 = 200;
+
+/// Length of an answer whose record fills the queue to the log.
+const QUEUE_FILLING_BYTES: usize = 17 << 20;
+
+#[tokio::test(start_paused = true)]
+async fn turn_is_not_called_not_run_when_its_failed_attempt_has_used_the_budget() {
+    let host = FakeHost::with_program(&memory_platform(), ONE_ATTEMPT_BUDGET).await;
+    host.upstream.script.lock().push_back(broken());
+    let problem = host.refusal(turn(1)).await;
+    assert_eq!(problem.kind, ProblemKind::BudgetExhausted);
+    assert_eq!(problem.outcome, RequestOutcome::Failed);
+    assert_eq!(*host.upstream.runs.lock(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn turn_is_not_called_not_run_when_the_cell_refuses_its_retry() {
+    let cases = [
+        (RefusalReason::NoUpstream, ProblemKind::Overloaded),
+        (RefusalReason::TeamShareExhausted, ProblemKind::Overloaded),
+        (RefusalReason::DeadlinePassed, ProblemKind::DeadlinePassed),
+        (RefusalReason::Poisonous, ProblemKind::RequestPoisonous),
+    ];
+
+    for error in [broken(), UpstreamError::Overdue] {
+        for (reason, kind) in cases {
+            let host = FakeHost::with_program(&memory_platform(), LARGE_BUDGET).await;
+            host.upstream.script.lock().push_back(error.clone());
+            host.cells.script.lock().extend([None, Some(reason)]);
+            let problem = host.refusal(turn(1)).await;
+            assert_eq!((problem.kind, problem.outcome), (kind, RequestOutcome::Failed), "{reason}");
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn turn_is_not_called_not_run_when_only_its_last_attempt_was_not_sent() {
+    let host = FakeHost::with_program(&memory_platform(), LARGE_BUDGET).await;
+    host.upstream.script.lock().extend([broken(), not_sent(), not_sent(), not_sent()]);
+    let problem = host.refusal(turn(1)).await;
+    assert_eq!(problem.kind, ProblemKind::UpstreamFailed);
+    assert_eq!(problem.outcome, RequestOutcome::Failed);
+}
+
+#[tokio::test(start_paused = true)]
+async fn repeatable_call_is_not_called_not_run_when_the_cell_refuses_its_retry() {
+    let host = FakeHost::with_program(&memory_platform(), LARGE_BUDGET).await;
+    host.upstream.script.lock().push_back(broken());
+    host.cells.script.lock().extend([None, Some(RefusalReason::NoUpstream)]);
+    let problem = host.refusal(call(1, true)).await;
+    assert_eq!(problem.kind, ProblemKind::Overloaded);
+    assert_eq!(problem.outcome, RequestOutcome::Failed);
+}
+
+#[tokio::test(start_paused = true)]
+async fn repeat_is_not_called_not_run_after_a_request_that_may_have_run() {
+    for operation in [turn(1), call(1, true)] {
+        for repeat in [turn(1), call(1, true), call(1, false)] {
+            let host = FakeHost::with_program(&memory_platform(), LARGE_BUDGET).await;
+            host.break_once(operation.clone()).await;
+            let outcome = host.outcome_when_refused(repeat.clone()).await;
+            assert_eq!(outcome, RequestOutcome::Failed, "{repeat:?} after {operation:?}");
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn ended_program_does_not_call_a_request_not_run_that_may_have_run() {
+    let host = FakeHost::with_program(&memory_platform(), LARGE_BUDGET).await;
+    host.break_once(turn(1)).await;
+    host.serve(ProgramOperation::End).await;
+    let problem = host.refusal(turn(1)).await;
+    assert_eq!(problem.kind, ProblemKind::ProgramEnded);
+    assert_eq!(problem.outcome, RequestOutcome::Failed);
+}
+
+#[tokio::test(start_paused = true)]
+async fn malformed_receipt_does_not_call_a_finished_turn_not_run() {
+    let host = FakeHost::with_program(&memory_platform(), LARGE_BUDGET).await;
+    host.complete(1).await;
+    let repeat = TurnRequest { receipts: vec!["AAAA".into()], ..turn_request(1) };
+    let problem = host.refusal(ProgramOperation::Turn(repeat)).await;
+    assert_eq!(problem.kind, ProblemKind::ReceiptInvalid);
+    assert_eq!(problem.outcome, RequestOutcome::Failed);
+}
+
+#[tokio::test(start_paused = true)]
+async fn full_queue_of_records_does_not_call_a_finished_turn_not_run() {
+    let platform = memory_platform();
+    let host = FakeHost::with_program(&platform, LARGE_BUDGET).await;
+    platform.set_fault_rates(FaultRates { refusal_percent: 100, lost_response_percent: 0 });
+    host.upstream.answer_bytes.store(QUEUE_FILLING_BYTES, Ordering::Relaxed);
+    host.complete(1).await;
+    let problem = host.refusal(turn(1)).await;
+    assert_eq!(problem.kind, ProblemKind::PlatformUnavailable);
+    assert_eq!(problem.outcome, RequestOutcome::Failed);
+}
+
+#[tokio::test(start_paused = true)]
+async fn refused_repeat_is_not_called_not_run_while_the_same_number_runs_or_waits() {
+    for is_sent in [false, true] {
+        let host = Arc::new(FakeHost::with_program(&memory_platform(), LARGE_BUDGET).await);
+        host.upstream.is_held.store(is_sent, Ordering::Relaxed);
+        host.cells.is_held.store(!is_sent, Ordering::Relaxed);
+        host.start(turn(1)).await;
+        let repeat = TurnRequest { receipts: vec!["AAAA".into()], ..turn_request(1) };
+        let problem = host.refusal(ProgramOperation::Turn(repeat)).await;
+        assert_eq!(problem.kind, ProblemKind::ReceiptInvalid);
+        assert_eq!(problem.outcome, RequestOutcome::Failed, "sent: {is_sent}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn next_owner_does_not_call_a_request_not_run_that_the_last_one_may_have_sent() {
+    for is_released in [false, true] {
+        for operation in [turn(1), call(1, true)] {
+            let platform = memory_platform();
+            let last = FakeHost::with_program(&platform, LARGE_BUDGET).await;
+            last.break_once(operation.clone()).await;
+
+            if is_released {
+                last.release().await;
+            }
+
+            let next = FakeHost::claim(&platform, 2).await;
+            let outcome = next.outcome_when_refused(operation.clone()).await;
+            assert_eq!(outcome, RequestOutcome::Failed, "{operation:?}, released: {is_released}");
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn next_owner_after_a_crash_does_not_know_which_later_numbers_were_sent() {
+    let platform = memory_platform();
+    FakeHost::with_program(&platform, LARGE_BUDGET).await;
+    let next = FakeHost::claim(&platform, 2).await;
+    next.complete(1).await;
+    assert_eq!(next.outcome_when_refused(turn(2)).await, RequestOutcome::Failed);
+    assert_eq!(next.refusal(turn(30)).await.outcome, RequestOutcome::Failed);
+}
+
+#[tokio::test(start_paused = true)]
+async fn deposed_owner_does_not_call_an_admitted_request_not_run() {
+    for operation in [turn(1), call(1, true), call(1, false)] {
+        let platform = memory_platform();
+        let deposed = FakeHost::with_program(&platform, LARGE_BUDGET).await;
+        let next = FakeHost::claim(&platform, 2).await;
+        next.serve(operation.clone()).await;
+        deposed.cells.script.lock().push_back(Some(RefusalReason::NoUpstream));
+        let problem = deposed.refusal(operation.clone()).await;
+        assert_eq!(problem.kind, ProblemKind::OwnerUnreachable, "{operation:?}");
+        assert_eq!(problem.outcome, RequestOutcome::Unknown, "{operation:?}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn first_request_refused_before_it_was_sent_is_not_run() {
+    for operation in [turn(2), call(2, true), call(2, false)] {
+        let host = FakeHost::with_program(&memory_platform(), LARGE_BUDGET).await;
+        host.complete(1).await;
+        let outcome = host.outcome_when_refused(operation.clone()).await;
+        assert_eq!(outcome, RequestOutcome::NotRun, "{operation:?}");
+        assert_eq!(*host.upstream.runs.lock(), 1);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn request_that_no_upstream_took_is_not_run() {
+    for operation in [turn(1), call(1, true), call(1, false)] {
+        let host = FakeHost::with_program(&memory_platform(), LARGE_BUDGET).await;
+        host.upstream.script.lock().push_back(not_sent());
+        host.cells.script.lock().extend([None, Some(RefusalReason::NoUpstream)]);
+        assert_eq!(host.refusal(operation).await.outcome, RequestOutcome::NotRun);
+        assert_eq!(*host.upstream.runs.lock(), 0);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn request_after_one_that_may_have_run_and_was_repeated_is_not_run() {
+    let host = FakeHost::with_program(&memory_platform(), LARGE_BUDGET).await;
+    host.break_once(turn(1)).await;
+    host.complete(1).await;
+    assert_eq!(host.outcome_when_refused(turn(2)).await, RequestOutcome::NotRun);
+}
+
+#[tokio::test(start_paused = true)]
+async fn next_owner_after_a_release_knows_numbers_that_it_admits_first() {
+    let platform = memory_platform();
+    let last = FakeHost::with_program(&platform, LARGE_BUDGET).await;
+    last.complete(1).await;
+    last.release().await;
+    let next = FakeHost::claim(&platform, 2).await;
+    next.complete(2).await;
+    assert_eq!(next.outcome_when_refused(turn(3)).await, RequestOutcome::NotRun);
+}
+
+#[tokio::test(start_paused = true)]
+async fn next_owner_knows_from_the_log_that_a_call_that_is_sent_once_was_not_sent() {
+    let platform = memory_platform();
+    FakeHost::with_program(&platform, LARGE_BUDGET).await;
+    let next = FakeHost::claim(&platform, 2).await;
+    assert_eq!(next.outcome_when_refused(call(1, false)).await, RequestOutcome::NotRun);
+    let answer = next.serve(call(1, false)).await;
+    assert!(matches!(answer, ProgramAnswer::Call(_)), "{answer:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn program_created_after_a_claim_has_no_earlier_attempts() {
+    let platform = memory_platform();
+    FakeHost::claim(&platform, 1).await;
+    let next = FakeHost::claim(&platform, 2).await;
+    next.create_program(LARGE_BUDGET).await;
+    assert_eq!(next.outcome_when_refused(turn(1)).await, RequestOutcome::NotRun);
+}
