Own interface: confirm the ownership of refusals after admission too

What callers saw: a host that another one had deposed, and that did not know it, refused a turn or a call with `not_run` while the next owner had run it.

Cause: a refusal of an admitted request reached `serve` as an answer, not as an error, so `confirmed_problem` never saw it. Only refusals before admission were confirmed, though docs/design/shard-log.md promises it for all.

Change: both forms of a problem take the same path. A refusal costs at most one read of the shard's log, which requests that wait share, as before admission.

--- a/src/programs/program_service.rs
+++ b/src/programs/program_service.rs
@@ -110,8 +110,10 @@
         program.owner.remove_idle_slot(program.id);
 
         let answer = match result {
+            Ok(ProgramAnswer::Problem(problem)) | Err(problem) => {
+                self.confirmed_problem(&program, received_at, problem).await.into()
+            }
             Ok(answer) => self.confirmed_answer(&program, received_at, answer).await,
-            Err(problem) => self.confirmed_problem(&program, received_at, problem).await.into(),
         };
 
         let _ = events.send(ProgramEvent::Answer(answer)).await;
