Own interface: not_run covers all attempts under a number on an owner

What callers saw: a turn or a repeatable call whose first attempt broke after it was sent, and may have run, was refused with `not_run`: as its own charge had used the budget (402), as the cell refused the retry (503, 504, 422), as the last attempt was not sent (502), or as the program had ended (409). A repeat under the number was refused with `not_run` too.

Cause: each refusal stated what its own attempt knew.

Change: `AttemptHistory` counts the attempts under a number that may have run; the owner keeps one for each program while it holds the shard. An attempt is counted before it is sent and withdrawn only if nothing ran (no connection, or the upstream refused it). `serve` is the one place that decides whether a refusal may keep `not_run`, after the check of the ownership; otherwise the outcome is `failed`. Kinds and status codes stay as they are. A program runs one number at a time, so one counter for each program suffices.

--- a/src/interface/problem.rs
+++ b/src/interface/problem.rs
@@ -43,6 +43,14 @@
         Self { outcome: RequestOutcome::Unknown, ..Self::failed(kind, detail) }
     }
 
+    /// Problem of the same refusal if an earlier attempt may have run: it states nothing about earlier attempts.
+    pub(crate) fn without_not_run(self) -> Self {
+        match self.outcome {
+            RequestOutcome::NotRun => Self { outcome: RequestOutcome::Failed, ..self },
+            _ => self,
+        }
+    }
+
     /// Sets the time after which the caller may retry, in seconds.
     pub(crate) fn retry_after(self, seconds: u64) -> Self {
         Self { retry_after_s: Some(seconds), ..self }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -114,6 +114,7 @@
         turn_runner::TurnRunner,
     },
     state::{
+        attempt_history::AttemptTable,
         call_record::{CallRecord, CallState},
         end_reason::EndReason,
         log_batch::{LogBatch, WriterId},
--- a/src/programs.rs
+++ b/src/programs.rs
@@ -2,6 +2,7 @@
 //! there.
 
 pub(crate) mod answer_builder;
+pub(crate) mod attempt_evidence;
 pub(crate) mod call_attempt;
 pub(crate) mod call_runner;
 pub(crate) mod chat_body;
--- /dev/null
+++ b/src/programs/attempt_evidence.rs
@@ -0,0 +1,29 @@
+//! Evidence on the owner that a request may have run, which decides what a refusal may state. See
+//! docs/design/outcomes.md.
+
+use crate::{OwnedProgram, UpstreamError};
+
+impl OwnedProgram {
+    /// Sends a request under `number` to an upstream. From its start to a failure that shows that nothing ran, the
+    /// request counts as one that may have run, also if the task is cancelled.
+    pub(crate) async fn track_attempt<T>(
+        &self,
+        number: u32,
+        exchange: impl Future<Output = Result<T, UpstreamError>>,
+    ) -> Result<T, UpstreamError> {
+        let attempts = &self.owner.attempts;
+        attempts.update(self.id, |history| history.add(number));
+        let result = exchange.await;
+
+        if result.as_ref().is_err_and(UpstreamError::is_not_run) {
+            attempts.update(self.id, |history| history.withdraw(number));
+        }
+
+        result
+    }
+
+    /// Tells whether a request may have run under `number`: the one that asks, or an earlier one.
+    pub(crate) fn may_have_run(&self, number: u32) -> bool {
+        self.owner.attempts.history(self.id).may_have_run(number)
+    }
+}
--- a/src/programs/call_attempt.rs
+++ b/src/programs/call_attempt.rs
@@ -80,7 +80,8 @@
         permit: Box<dyn CellPermit>,
     ) -> Result<UpstreamResponse, UpstreamError> {
         let upstream = permit.upstream().clone();
-        let result = self.send_to(call, &upstream).await;
+        let exchange = self.send_to(call, &upstream);
+        let result = self.program.track_attempt(call.number, exchange).await;
 
         let cell_result = match &result {
             Ok(_) => CellResult::Completed,
--- a/src/programs/program_request.rs
+++ b/src/programs/program_request.rs
@@ -37,6 +37,15 @@
             Self::Turn(_) => "turn",
         }
     }
+
+    /// Number of a turn or a call.
+    pub(crate) fn number(&self) -> Option<u32> {
+        match self {
+            Self::Call(call) => Some(call.number),
+            Self::Turn(turn) => Some(turn.number),
+            Self::Create(_) | Self::End | Self::History | Self::Status => None,
+        }
+    }
 }
 
 /// Creates a program on the terms that the caller requests.
--- a/src/programs/program_service.rs
+++ b/src/programs/program_service.rs
@@ -105,13 +105,15 @@
         };
 
         let received_at = Instant::now();
+        let number = request.operation.number();
         let program = OwnedProgram { owner, id: request.program, team: request.team };
         let result = self.run_operation(&program, request.operation, &events).await;
         program.owner.remove_idle_slot(program.id);
 
         let answer = match result {
             Ok(ProgramAnswer::Problem(problem)) | Err(problem) => {
-                self.confirmed_problem(&program, received_at, problem).await.into()
+                let problem = self.confirmed_problem(&program, received_at, problem).await;
+                Self::checked_problem(&program, number, problem).into()
             }
             Ok(answer) => self.confirmed_answer(&program, received_at, answer).await,
         };
@@ -164,6 +166,22 @@
         }
     }
 
+    /// Keeps the outcome `NotRun` only if the request under `number` can't have run in an earlier attempt either.
+    fn checked_problem(program: &OwnedProgram, number: Option<u32>, problem: Problem) -> Problem {
+        let may_have_run = number.is_some_and(|number| program.may_have_run(number));
+
+        if !may_have_run || problem.outcome != RequestOutcome::NotRun {
+            return problem;
+        }
+
+        log::info!(
+            program:% = program.id, number, kind:% = problem.kind;
+            "a refused request may have run in an earlier attempt"
+        );
+
+        problem.without_not_run()
+    }
+
     async fn run_operation(
         self: &Arc<Self>,
         program: &OwnedProgram,
--- a/src/programs/turn_attempt.rs
+++ b/src/programs/turn_attempt.rs
@@ -58,9 +58,9 @@
         let mut has_streamed = false;
         let mut first_token_at = None;
         let mut builder = AnswerBuilder::default();
-        let stream_result = self
-            .stream(turn, &upstream, &mut builder, &mut has_streamed, &mut first_token_at)
-            .await;
+        let stream =
+            self.stream(turn, &upstream, &mut builder, &mut has_streamed, &mut first_token_at);
+        let stream_result = self.program.track_attempt(turn.number, stream).await;
 
         let decode_us = first_token_at.map_or(0, |it: Instant| it.elapsed().as_micros() as u64);
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,5 +1,6 @@
 //! Programs, the shards that they belong to, and the shard logs that make them durable.
 
+pub(crate) mod attempt_history;
 pub(crate) mod call_record;
 pub(crate) mod end_reason;
 pub(crate) mod log_batch;
--- a/src/state/shard_owner.rs
+++ b/src/state/shard_owner.rs
@@ -14,8 +14,8 @@
 };
 
 use crate::{
-    BackoffPolicy, CallLimiter, LogError, LogReader, LogRecord, NodeMetrics, Problem, ProblemKind,
-    ProgramId, ProgramSlot, ShardId, ShardLog, ShardState, WriterId, encode_frame,
+    AttemptTable, BackoffPolicy, CallLimiter, LogError, LogReader, LogRecord, NodeMetrics, Problem,
+    ProblemKind, ProgramId, ProgramSlot, ShardId, ShardLog, ShardState, WriterId, encode_frame,
     platform_calls::snapshot_store::MAX_OBJECT_BYTES,
 };
 
@@ -117,6 +117,8 @@
     shard: ShardId,
     state: Mutex<OwnerState>,
     slots: Mutex<BTreeMap<ProgramId, Arc<ProgramSlot>>>,
+    /// Attempts of this owner that may have run.
+    pub(crate) attempts: AttemptTable,
     /// Wakes the writer after records were queued or the owner was closed.
     writer_wake: Notify,
     progress: watch::Sender<LogProgress>,
@@ -147,6 +149,7 @@
             shard,
             state: Mutex::new(OwnerState { shard: state, ..OwnerState::default() }),
             slots: Mutex::default(),
+            attempts: AttemptTable::default(),
             writer_wake: Notify::new(),
             progress: watch::Sender::new(progress),
             reader: log.reader().clone(),
@@ -224,6 +227,10 @@
                 panic!("shard {}: a record was submitted that does not fit: {error}", self.shard);
             }
 
+            if let LogRecord::ProgramForgotten { program } = &record {
+                self.attempts.remove(*program);
+            }
+
             let bytes = encode_frame(&record).len();
             state.queue_bytes += bytes;
             state.last_ticket += 1;
--- a/src/tests/program_outcomes.rs
+++ b/src/tests/program_outcomes.rs
@@ -94,10 +94,14 @@
 async fn malformed_receipt_does_not_call_a_finished_turn_not_run() {
     let host = FakeHost::with_program(&memory_platform(), LARGE_BUDGET).await;
     host.complete(1).await;
-    let repeat = TurnRequest { receipts: vec!["AAAA".into()], ..turn_request(1) };
-    let problem = host.refusal(ProgramOperation::Turn(repeat)).await;
-    assert_eq!(problem.kind, ProblemKind::ReceiptInvalid);
-    assert_eq!(problem.outcome, RequestOutcome::Failed);
+    host.complete(2).await;
+
+    for number in [1, 2] {
+        let repeat = TurnRequest { receipts: vec!["AAAA".into()], ..turn_request(number) };
+        let problem = host.refusal(ProgramOperation::Turn(repeat)).await;
+        assert_eq!(problem.kind, ProblemKind::ReceiptInvalid);
+        assert_eq!(problem.outcome, RequestOutcome::Failed, "turn {number}");
+    }
 }
 
 #[tokio::test(start_paused = true)]
@@ -105,11 +109,15 @@
     let platform = memory_platform();
     let host = FakeHost::with_program(&platform, LARGE_BUDGET).await;
     platform.set_fault_rates(FaultRates { refusal_percent: 100, lost_response_percent: 0 });
-    host.upstream.answer_bytes.store(QUEUE_FILLING_BYTES, Ordering::Relaxed);
     host.complete(1).await;
-    let problem = host.refusal(turn(1)).await;
-    assert_eq!(problem.kind, ProblemKind::PlatformUnavailable);
-    assert_eq!(problem.outcome, RequestOutcome::Failed);
+    host.upstream.answer_bytes.store(QUEUE_FILLING_BYTES, Ordering::Relaxed);
+    host.complete(2).await;
+
+    for number in [1, 2] {
+        let problem = host.refusal(turn(number)).await;
+        assert_eq!(problem.kind, ProblemKind::PlatformUnavailable);
+        assert_eq!(problem.outcome, RequestOutcome::Failed, "turn {number}");
+    }
 }
 
 #[tokio::test(start_paused = true)]
