Own interface: no not_run for a number that has an entry or is running

What callers saw: a repeat of a turn that had ended was refused with `not_run` when it came with a malformed receipt, or when too many records waited for the platform; so was a repeat while its number waited for an upstream or ran.

Cause: these refusals are made before admission or after it, where nothing looks at what the number stands for.

Change: a refusal keeps `not_run` only if the program has no entry under the number and no other request under it is admitted. To a team that has no such program the answer stays `not_run`: nothing of that team ran there.

--- a/src/programs/attempt_evidence.rs
+++ b/src/programs/attempt_evidence.rs
@@ -22,8 +22,18 @@
         result
     }
 
-    /// Tells whether a request may have run under `number`: the one that asks, or an earlier one.
+    /// Tells whether a request of the team may have run under `number`: the one that asks, or another one.
     pub(crate) fn may_have_run(&self, number: u32) -> bool {
-        self.owner.attempts.history(self.id).may_have_run(number)
+        let has_entry = self.read(|program| program.entry(number).is_some());
+
+        match has_entry {
+            Ok(has_entry) => {
+                has_entry
+                    || self.owner.is_running_number(self.id, number)
+                    || self.owner.attempts.history(self.id).may_have_run(number)
+            }
+            // The team has no such program.
+            Err(_) => false,
+        }
     }
 }
--- a/src/state/program_slot.rs
+++ b/src/state/program_slot.rs
@@ -65,6 +65,10 @@
         self.state.lock().running.is_some()
     }
 
+    pub(crate) fn is_running_number(&self, number: u32) -> bool {
+        self.state.lock().running.as_ref().is_some_and(|running| running.number == number)
+    }
+
     /// Wakes all waiters, so that they check the program's state again.
     pub(crate) fn wake_waiters(&self) {
         self.changed.notify_waiters();
--- a/src/state/shard_owner.rs
+++ b/src/state/shard_owner.rs
@@ -178,6 +178,11 @@
         self.slots.lock().get(&program).is_some_and(|slot| slot.is_running())
     }
 
+    /// Tells whether a request under a number of a program runs, or waits for an upstream.
+    pub(crate) fn is_running_number(&self, program: ProgramId, number: u32) -> bool {
+        self.slots.lock().get(&program).is_some_and(|slot| slot.is_running_number(number))
+    }
+
     /// Removes the slot of a program unless a request uses it.
     pub(crate) fn remove_idle_slot(&self, program: ProgramId) {
         let mut slots = self.slots.lock();
--- a/src/tests/program_fakes.rs
+++ b/src/tests/program_fakes.rs
@@ -264,7 +264,15 @@
     }
 
     pub(super) async fn serve(&self, operation: ProgramOperation) -> ProgramAnswer {
-        let request = ProgramRequest { team: "tuul".into(), program: PROGRAM, operation };
+        self.serve_team("tuul", operation).await
+    }
+
+    pub(super) async fn serve_team(
+        &self,
+        team: &str,
+        operation: ProgramOperation,
+    ) -> ProgramAnswer {
+        let request = ProgramRequest { team: team.into(), program: PROGRAM, operation };
         let (sender, mut events) = mpsc::channel(64);
         Arc::clone(&self.service).serve(request, sender).await;
 
--- a/src/tests/program_outcomes.rs
+++ b/src/tests/program_outcomes.rs
@@ -207,6 +207,19 @@
     assert_eq!(host.outcome_when_refused(turn(2)).await, RequestOutcome::NotRun);
 }
 
+#[tokio::test(start_paused = true)]
+async fn another_team_learns_nothing_of_a_number_that_has_run() {
+    let host = FakeHost::with_program(&memory_platform(), LARGE_BUDGET).await;
+    host.complete(1).await;
+
+    let ProgramAnswer::Problem(problem) = host.serve_team("ebro", turn(1)).await else {
+        panic!("the program is another team's");
+    };
+
+    assert_eq!(problem.kind, ProblemKind::UnknownProgram);
+    assert_eq!(problem.outcome, RequestOutcome::NotRun);
+}
+
 #[tokio::test(start_paused = true)]
 async fn next_owner_after_a_release_knows_numbers_that_it_admits_first() {
     let platform = memory_platform();
