Own interface: an owner does not know what those before it have sent

What callers saw: a turn or a repeatable call that an owner had sent before it was lost, or before it released the shard, was refused with `not_run` by the next owner when it was asked again.

Cause: no intent of turns and repeatable calls is logged, so the log of a shard tells nothing of their attempts; the next owner took that for none.

Change: each history begins with the first number all of whose attempts this owner knows. After a release that is the number after the next one, since the last owner had nothing that is not in the log. Without a release it is none for the programs that were there: that owner may have answered turns with receipts and sent later numbers, or may still do so, unaware. Programs created since the claim are known. Calls that may not be repeated stay `not_run`: their intent is in the log before they are sent.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -103,7 +103,7 @@
         in_flight_guard::InFlightGuard,
         prepared_turn::PreparedTurn,
         program_request::{
-            CallRequest, CreateRequest, ProgramOperation, ProgramRequest, TurnRequest,
+            CallRequest, CreateRequest, NumberKey, ProgramOperation, ProgramRequest, TurnRequest,
         },
         program_router::ProgramRouter,
         program_service::{EventSender, OwnedProgram, ProgramService},
--- a/src/programs/attempt_evidence.rs
+++ b/src/programs/attempt_evidence.rs
@@ -1,7 +1,7 @@
 //! Evidence on the owner that a request may have run, which decides what a refusal may state. See
 //! docs/design/outcomes.md.
 
-use crate::{OwnedProgram, UpstreamError};
+use crate::{NumberKey, OwnedProgram, UpstreamError};
 
 impl OwnedProgram {
     /// Sends a request under `number` to an upstream. From its start to a failure that shows that nothing ran, the
@@ -22,15 +22,15 @@
         result
     }
 
-    /// Tells whether a request of the team may have run under `number`: the one that asks, or another one.
-    pub(crate) fn may_have_run(&self, number: u32) -> bool {
-        let has_entry = self.read(|program| program.entry(number).is_some());
+    /// Tells whether a request of the team may have run under the key: the one that asks, or another one.
+    pub(crate) fn may_have_run(&self, key: NumberKey) -> bool {
+        let has_entry = self.read(|program| program.entry(key.number).is_some());
 
         match has_entry {
             Ok(has_entry) => {
                 has_entry
-                    || self.owner.is_running_number(self.id, number)
-                    || self.owner.attempts.history(self.id).may_have_run(number)
+                    || self.owner.is_running_number(self.id, key.number)
+                    || self.owner.attempts.history(self.id).may_have_run(key)
             }
             // The team has no such program.
             Err(_) => false,
--- a/src/programs/program_request.rs
+++ b/src/programs/program_request.rs
@@ -14,6 +14,14 @@
     pub(crate) operation: ProgramOperation,
 }
 
+/// Idempotency key of a turn or a call within its program.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct NumberKey {
+    pub(crate) number: u32,
+    /// Whether the log has the intent before the request is sent, as for a call that isn't repeatable.
+    pub(crate) is_intent_logged: bool,
+}
+
 /// What a request does to its program.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(crate) enum ProgramOperation {
@@ -38,11 +46,13 @@
         }
     }
 
-    /// Number of a turn or a call.
-    pub(crate) fn number(&self) -> Option<u32> {
+    /// Key of a turn or a call.
+    pub(crate) fn key(&self) -> Option<NumberKey> {
         match self {
-            Self::Call(call) => Some(call.number),
-            Self::Turn(turn) => Some(turn.number),
+            Self::Call(call) => {
+                Some(NumberKey { number: call.number, is_intent_logged: !call.is_repeatable })
+            }
+            Self::Turn(turn) => Some(NumberKey { number: turn.number, is_intent_logged: false }),
             Self::Create(_) | Self::End | Self::History | Self::Status => None,
         }
     }
--- a/src/programs/program_service.rs
+++ b/src/programs/program_service.rs
@@ -7,10 +7,11 @@
 
 use crate::{
     CallRunner, CellGateway, CommitOutcome, ConfigStore, CreateRequest, EndReason, LogRecord,
-    NodeMetrics, OwnerConfirmation, OwnershipCheck, PlatformClient, Problem, ProblemKind, Program,
-    ProgramAnswer, ProgramEvent, ProgramHistory, ProgramId, ProgramOperation, ProgramRequest,
-    ProgramStatus, ProgramTerms, ReceiptSealer, RequestOutcome, RetryBudget, ShardOwner,
-    ShardState, ShardTable, TeamName, TurnRunner, UpstreamClient, basics::unix_clock::unix_millis,
+    NodeMetrics, NumberKey, OwnerConfirmation, OwnershipCheck, PlatformClient, Problem,
+    ProblemKind, Program, ProgramAnswer, ProgramEvent, ProgramHistory, ProgramId, ProgramOperation,
+    ProgramRequest, ProgramStatus, ProgramTerms, ReceiptSealer, RequestOutcome, RetryBudget,
+    ShardOwner, ShardState, ShardTable, TeamName, TurnRunner, UpstreamClient,
+    basics::unix_clock::unix_millis,
 };
 
 /// Sender of the events of one answer. The channel is bounded, so that a slow reader can't make memory grow.
@@ -105,7 +106,7 @@
         };
 
         let received_at = Instant::now();
-        let number = request.operation.number();
+        let key = request.operation.key();
         let program = OwnedProgram { owner, id: request.program, team: request.team };
         let result = self.run_operation(&program, request.operation, &events).await;
         program.owner.remove_idle_slot(program.id);
@@ -113,7 +114,7 @@
         let answer = match result {
             Ok(ProgramAnswer::Problem(problem)) | Err(problem) => {
                 let problem = self.confirmed_problem(&program, received_at, problem).await;
-                Self::checked_problem(&program, number, problem).into()
+                Self::checked_problem(&program, key, problem).into()
             }
             Ok(answer) => self.confirmed_answer(&program, received_at, answer).await,
         };
@@ -166,18 +167,22 @@
         }
     }
 
-    /// Keeps the outcome `NotRun` only if the request under `number` can't have run in an earlier attempt either.
-    fn checked_problem(program: &OwnedProgram, number: Option<u32>, problem: Problem) -> Problem {
-        let may_have_run = number.is_some_and(|number| program.may_have_run(number));
-
-        if !may_have_run || problem.outcome != RequestOutcome::NotRun {
+    /// Keeps the outcome `NotRun` only if the request can't have run in another attempt under its key either.
+    fn checked_problem(
+        program: &OwnedProgram,
+        key: Option<NumberKey>,
+        problem: Problem,
+    ) -> Problem {
+        let Some(key) = key.filter(|key| program.may_have_run(*key)) else {
             return problem;
-        }
+        };
 
-        log::info!(
-            program:% = program.id, number, kind:% = problem.kind;
-            "a refused request may have run in an earlier attempt"
-        );
+        if problem.outcome == RequestOutcome::NotRun {
+            log::info!(
+                program:% = program.id, number = key.number, kind:% = problem.kind;
+                "a refused request may have run in another attempt"
+            );
+        }
 
         problem.without_not_run()
     }
--- a/src/state/attempt_history.rs
+++ b/src/state/attempt_history.rs
@@ -4,21 +4,34 @@
 
 use parking_lot::Mutex;
 
-use crate::ProgramId;
+use crate::{NumberKey, ProgramId, ShardState};
 
-/// Counts the attempts under one number that may have run. A program runs its numbers in order, so only the last one
-/// that was sent can be without an entry. See docs/design/outcomes.md.
+/// Numbers of a program under which requests may have run without an entry. See docs/design/outcomes.md.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct AttemptHistory {
+    /// First number all of whose attempts this owner knows. The log tells nothing of attempts of earlier owners, except
+    /// of requests whose intent is logged before they are sent.
+    known_from: u32,
+    /// Last number that was sent. A program runs its numbers in order, so no other one can be without an entry.
     number: u32,
+    /// Attempts under `number` that may have run.
     open_attempts: u32,
 }
 
 impl AttemptHistory {
+    /// History of a program that an owner has taken over. One that released the shard had nothing that is not in the
+    /// log, so it can have sent the next number and none after it. One that did not release it may have answered turns
+    /// with receipts, and have sent any number.
+    fn inherited(next_number: u32, was_released: bool) -> Self {
+        let known_from = if was_released { next_number + 1 } else { u32::MAX };
+        Self { known_from, ..Self::default() }
+    }
+
     /// Records that an attempt under `number` may run from now on.
     pub(crate) fn add(&mut self, number: u32) {
         if self.number != number {
-            *self = Self { number, open_attempts: 0 };
+            self.number = number;
+            self.open_attempts = 0;
         }
 
         self.open_attempts += 1;
@@ -31,19 +44,29 @@
         }
     }
 
-    /// Tells whether an attempt under `number` may have run.
-    pub(crate) fn may_have_run(&self, number: u32) -> bool {
-        self.number == number && self.open_attempts > 0
+    /// Tells whether an attempt under the key may have run.
+    pub(crate) fn may_have_run(&self, key: NumberKey) -> bool {
+        let is_known = key.is_intent_logged || key.number >= self.known_from;
+        !is_known || (self.number == key.number && self.open_attempts > 0)
     }
 }
 
-/// Histories of the programs of one shard, since its claim.
+/// Histories of the programs of one shard.
 #[derive(Debug, Default)]
 pub(crate) struct AttemptTable {
     histories: Mutex<BTreeMap<ProgramId, AttemptHistory>>,
 }
 
 impl AttemptTable {
+    /// Histories of the programs of a shard that was claimed.
+    pub(crate) fn inherited(state: &ShardState, was_released: bool) -> Self {
+        let histories = state.programs.iter().map(|(id, program)| {
+            (*id, AttemptHistory::inherited(program.next_number(), was_released))
+        });
+
+        Self { histories: Mutex::new(histories.collect()) }
+    }
+
     /// Returns the history of a program.
     pub(crate) fn history(&self, program: ProgramId) -> AttemptHistory {
         self.histories.lock().get(&program).copied().unwrap_or_default()
--- a/src/state/shard_owner.rs
+++ b/src/state/shard_owner.rs
@@ -117,7 +117,7 @@
     shard: ShardId,
     state: Mutex<OwnerState>,
     slots: Mutex<BTreeMap<ProgramId, Arc<ProgramSlot>>>,
-    /// Attempts of this owner that may have run.
+    /// Attempts that may have run, of this owner and of those before it.
     pub(crate) attempts: AttemptTable,
     /// Wakes the writer after records were queued or the owner was closed.
     writer_wake: Notify,
@@ -145,11 +145,13 @@
             is_closed: false,
         };
 
+        let attempts = AttemptTable::inherited(&state, log.was_released());
+
         Self {
             shard,
             state: Mutex::new(OwnerState { shard: state, ..OwnerState::default() }),
             slots: Mutex::default(),
-            attempts: AttemptTable::default(),
+            attempts,
             writer_wake: Notify::new(),
             progress: watch::Sender::new(progress),
             reader: log.reader().clone(),
