Own interface: an entry host knows of owners that it lost with a request

What callers saw: the host that received a request lost its owner after that may have begun it, tried again, and passed on `not_run` from the owner that answered, in the same request.

Cause: the router passed on each answer as it stood. The next owner usually can't know either, but one that had the shard before, from an owner that did not know that it was deposed, can believe that it does.

Change: the router counts the owners that it lost with a turn or a repeatable call in an `AttemptHistory` of the request; after that `not_run` becomes `failed`. A host that answers that it is not the owner, or to which no connection could be made, has begun nothing and is not counted, so the router connects before it sends. Calls that may not be repeated and the creation of programs are judged by the log alone.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -114,7 +114,7 @@
         turn_runner::TurnRunner,
     },
     state::{
-        attempt_history::AttemptTable,
+        attempt_history::{AttemptHistory, AttemptTable},
         call_record::{CallRecord, CallState},
         end_reason::EndReason,
         log_batch::{LogBatch, WriterId},
--- a/src/programs/program_router.rs
+++ b/src/programs/program_router.rs
@@ -5,8 +5,8 @@
 use tokio::{sync::mpsc, time::Instant};
 
 use crate::{
-    ClusterView, HostTarget, PeerError, PeerMessage, PeerTransport, Problem, ProblemKind,
-    ProgramAnswer, ProgramEvent, ProgramRequest, ProgramService,
+    AttemptHistory, ClusterView, HostTarget, PeerError, PeerMessage, PeerTransport, Problem,
+    ProblemKind, ProgramAnswer, ProgramEvent, ProgramRequest, ProgramService,
 };
 
 /// How long a request is retried while its shard has no reachable owner, as when the shard moves between hosts.
@@ -31,7 +31,9 @@
 enum RouteResult {
     /// The answer was forwarded.
     Answered,
-    /// Nothing was forwarded, and another attempt may find the owner.
+    /// The host did nothing, and another attempt may find the owner.
+    NotBegun { reason: String },
+    /// The owner was lost before anything was forwarded. It may have begun the request.
     Retry { reason: String },
     /// The owner was lost after part of a stream was forwarded, so the request can't be retried here.
     Interrupted { reason: String },
@@ -49,21 +51,35 @@
 
     async fn run(&self, request: ProgramRequest, events: mpsc::Sender<ProgramEvent>) {
         let deadline = Instant::now() + ROUTE_TIMEOUT;
+        // The log tells the next owner whether a call whose intent it has was sent.
+        let key = request.operation.key().filter(|key| !key.is_intent_logged);
+        let mut attempts = AttemptHistory::default();
 
         loop {
+            let may_have_run = key.is_some_and(|key| attempts.may_have_run(key));
+            let mut relay = EventRelay { events: &events, has_forwarded: false, may_have_run };
+
             let result = match self.view.shard_host(request.program.shard) {
-                Some(target) if target.is_local => self.try_local(&request, &events).await,
-                Some(target) => self.try_peer(&target, &request, &events).await,
-                None => RouteResult::Retry { reason: "no host is serving".into() },
+                Some(target) if target.is_local => self.try_local(&request, &mut relay).await,
+                Some(target) => self.try_peer(&target, &request, &mut relay).await,
+                None => RouteResult::NotBegun { reason: "no host is serving".into() },
             };
 
+            if let (RouteResult::Retry { .. }, Some(key)) = (&result, key) {
+                attempts.add(key.number);
+            }
+
             let reason = match result {
                 RouteResult::Answered => return,
-                RouteResult::Retry { .. } if Instant::now() < deadline && !events.is_closed() => {
+                RouteResult::NotBegun { .. } | RouteResult::Retry { .. }
+                    if Instant::now() < deadline && !events.is_closed() =>
+                {
                     tokio::time::sleep(ROUTE_RETRY_INTERVAL).await;
                     continue;
                 }
-                RouteResult::Retry { reason } | RouteResult::Interrupted { reason } => reason,
+                RouteResult::NotBegun { reason }
+                | RouteResult::Retry { reason }
+                | RouteResult::Interrupted { reason } => reason,
             };
 
             // This host can't tell whether the request ran. Only an owner may state that it did not.
@@ -73,14 +89,9 @@
         }
     }
 
-    async fn try_local(
-        &self,
-        request: &ProgramRequest,
-        events: &mpsc::Sender<ProgramEvent>,
-    ) -> RouteResult {
+    async fn try_local(&self, request: &ProgramRequest, relay: &mut EventRelay<'_>) -> RouteResult {
         let (sender, mut receiver) = mpsc::channel(MAX_BUFFERED_EVENTS);
         tokio::spawn(Arc::clone(&self.service).serve(request.clone(), sender));
-        let mut relay = EventRelay { events, has_forwarded: false };
 
         while let Some(event) = receiver.recv().await {
             if let Some(result) = relay.forward(event).await {
@@ -95,11 +106,17 @@
         &self,
         target: &HostTarget,
         request: &ProgramRequest,
-        events: &mpsc::Sender<ProgramEvent>,
+        relay: &mut EventRelay<'_>,
     ) -> RouteResult {
-        let mut relay = EventRelay { events, has_forwarded: false };
+        if let Err(error) = self.transport.connect(target.address).await {
+            log::info!(
+                program:% = request.program, peer:% = target.name;
+                "the owner can't be reached: {error}"
+            );
+            return RouteResult::NotBegun { reason: format!("host {}: {error}", target.name) };
+        }
 
-        match self.exchange(target, request, &mut relay).await {
+        match self.exchange(target, request, relay).await {
             Ok(result) => result,
             Err(error) => {
                 log::info!(
@@ -141,12 +158,17 @@
 struct EventRelay<'a> {
     events: &'a mpsc::Sender<ProgramEvent>,
     has_forwarded: bool,
+    /// Whether an owner that was lost may have begun the request.
+    may_have_run: bool,
 }
 
 impl EventRelay<'_> {
     /// Forwards an event. Returns a result if it ends the attempt.
     async fn forward(&mut self, event: ProgramEvent) -> Option<RouteResult> {
         match event {
+            ProgramEvent::NotOwner if !self.has_forwarded => {
+                Some(RouteResult::NotBegun { reason: "the host does not own the program".into() })
+            }
             ProgramEvent::NotOwner => {
                 Some(self.owner_lost("the host does not own the program".into()))
             }
@@ -155,8 +177,15 @@
             {
                 Some(self.owner_lost(problem.detail.to_string()))
             }
-            ProgramEvent::Answer(_) => {
-                let _ = self.events.send(event).await;
+            ProgramEvent::Answer(answer) => {
+                let answer = match answer {
+                    ProgramAnswer::Problem(problem) if self.may_have_run => {
+                        problem.without_not_run().into()
+                    }
+                    answer => answer,
+                };
+
+                let _ = self.events.send(ProgramEvent::Answer(answer)).await;
                 Some(RouteResult::Answered)
             }
             ProgramEvent::Delta(_) => {
--- a/src/tests/program_routes.rs
+++ b/src/tests/program_routes.rs
@@ -19,6 +19,8 @@
 #[derive(Debug)]
 struct ScriptedOwner {
     replies: Mutex<VecDeque<Reply>>,
+    /// Number of connections that fail before the first that is made.
+    failed_connects: Mutex<u32>,
 }
 
 #[derive(Debug)]
@@ -57,7 +59,14 @@
     }
 
     async fn connect(&self, _peer: SocketAddr) -> Result<(), PeerError> {
-        Ok(())
+        let mut failed_connects = self.failed_connects.lock();
+
+        if *failed_connects == 0 {
+            return Ok(());
+        }
+
+        *failed_connects -= 1;
+        Err(PeerError::Lost { reason: "no connection".into() })
     }
 
     async fn open(
@@ -100,8 +109,19 @@
 
 /// Routes a request to an owner with these replies, and returns the outcome of its refusal.
 async fn routed_outcome(operation: ProgramOperation, replies: Vec<Reply>) -> RequestOutcome {
+    routed_outcome_after(0, operation, replies).await
+}
+
+/// As [`routed_outcome`], after connections that fail.
+async fn routed_outcome_after(
+    failed_connects: u32,
+    operation: ProgramOperation,
+    replies: Vec<Reply>,
+) -> RequestOutcome {
     let service = FakeHost::claim(&memory_platform(), 1).await.service;
-    let transport = Arc::new(ScriptedOwner { replies: Mutex::new(replies.into()) });
+    let failed_connects = Mutex::new(failed_connects);
+    let transport = ScriptedOwner { replies: Mutex::new(replies.into()), failed_connects };
+    let transport = Arc::new(transport);
     let router = Arc::new(ProgramRouter { view: view(), service, transport });
     let request = ProgramRequest { team: "tuul".into(), program: PROGRAM, operation };
 
@@ -137,3 +157,9 @@
     let outcome = routed_outcome(call(1, false), vec![None, Some(not_run())]).await;
     assert_eq!(outcome, RequestOutcome::NotRun);
 }
+
+#[tokio::test(start_paused = true)]
+async fn request_is_not_run_if_only_connections_to_owners_failed() {
+    let outcome = routed_outcome_after(2, turn(1), vec![Some(not_run())]).await;
+    assert_eq!(outcome, RequestOutcome::NotRun);
+}
