A repeat of a call that is being recovered no longer spins

What happened: while the call that a lost owner had left open was asked for at its service, a repeat of it, at the next owner, took a whole thread: found by `unsent_call_leaves_its_number_free_for_the_next_owner`, which hung for 300 s.

Cause: to join a running request the repeat entered the program's slot. If none ran it got the slot, gave it back at once and so woke itself; its time limit was never looked at.

Change: `ProgramSlot::join` joins without entering, and the recovery wakes those that wait once the call is settled.

--- a/src/programs/call_runner.rs
+++ b/src/programs/call_runner.rs
@@ -83,6 +83,7 @@
         {
             let state = self.query_result(&call.service, number).await;
             self.settle(number, state)?;
+            self.program.owner.slot(self.program.id).wake_waiters();
         }
 
         Ok(())
--- a/src/programs/slot_admission.rs
+++ b/src/programs/slot_admission.rs
@@ -15,7 +15,7 @@
 
 /// How long a request waits for earlier numbers and for other running requests of the program. A repeat of a
 /// running request waits for its answer without this bound.
-const ADMISSION_TIMEOUT: Duration = Duration::from_secs(20);
+pub(crate) const ADMISSION_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// How an admitted request gets its answer.
 #[derive(Debug)]
@@ -63,7 +63,7 @@
                 },
                 // The intent of the call is logged. If its request still runs here, share its answer.
                 ProgramAdmission::Open => {
-                    if let SlotEntry::Joined(answer) = slot.enter(number, fingerprint)
+                    if let Some(answer) = slot.join(number, fingerprint)
                         && let Some(answer) = wait_for_answer(answer).await
                     {
                         return Ok(SlotAdmission::Answered(answer));
--- a/src/state/program_slot.rs
+++ b/src/state/program_slot.rs
@@ -61,6 +61,18 @@
         }
     }
 
+    /// Joins the same request if it runs.
+    pub(crate) fn join(
+        &self,
+        number: u32,
+        fingerprint: u64,
+    ) -> Option<watch::Receiver<Option<ProgramAnswer>>> {
+        let state = self.state.lock();
+        let running = state.running.as_ref()?;
+        let is_same = running.number == number && running.fingerprint == fingerprint;
+        is_same.then(|| running.answer.clone())
+    }
+
     pub(crate) fn is_running(&self) -> bool {
         self.state.lock().running.is_some()
     }
