A call that was not sent is answered once the log has its withdrawal

What callers saw: a call that may not be repeated, for which no connection could be made, was answered `not_run`; when its owner was lost at that time, the next one found the intent, and the number stayed `unknown` for ever. The answer was true, and of no use.

Cause: the answer did not wait for the record that withdraws the intent, as the one for a place that is too old does.

--- a/src/programs/call_runner.rs
+++ b/src/programs/call_runner.rs
@@ -215,9 +215,8 @@
         let state = match self.send(call, permit).await {
             Ok(response) => CallState::Finished { status: response.status, body: response.body },
             Err(UpstreamError::NotSent { reason }) => {
-                self.withdraw_intent(call.number)?;
-                let problem = Problem::not_run(ProblemKind::UpstreamFailed, reason);
-                return Err(problem.retry_after(1));
+                let problem = Problem::not_run(ProblemKind::UpstreamFailed, reason).retry_after(1);
+                return Err(self.settle_unsent(call.number, problem).await?);
             }
             Err(error) => {
                 log::warn!(
