Own interface: a status 429 or 503 is no promise that a turn has not run

What callers saw: a turn that an upstream answered with 429 or 503 was refused with `not_run` if the cell had no other upstream.

Cause: both counted as a certain "not run". The chat-completions protocol promises nothing of the kind, and a proxy answers 503 when it loses the engine after it has sent it the request.

Change: only a request for which no connection was made has certainly not run. What a retry costs stays as it was: after 429 and 503 the budget is not charged.

Measured: `turn_is_not_called_not_run_after_a_status_that_a_proxy_may_have_sent` failed before and passes.

--- a/src/programs/turn_runner.rs
+++ b/src/programs/turn_runner.rs
@@ -218,15 +218,15 @@
                 "an attempt of a turn failed: {}", failed.error
             );
 
-            if !failed.error.is_not_run() {
+            if !failed.error.is_presumed_not_run() {
                 self.charge_failed_attempt(turn)?;
             }
 
-            // A retry after an attempt that did not run is not charged to the retry budget.
+            // A retry after an attempt that presumably did not run is not charged to the retry budget.
             let may_retry = !failed.has_streamed
                 && !matches!(failed.error, UpstreamError::Rejected { .. })
                 && attempt < ATTEMPT_LIMIT
-                && (failed.error.is_not_run() || self.service.retry_budget.try_withdraw());
+                && (failed.error.is_presumed_not_run() || self.service.retry_budget.try_withdraw());
 
             if !may_retry {
                 return Err(failed.problem());
--- a/src/tests/program_outcomes.rs
+++ b/src/tests/program_outcomes.rs
@@ -65,6 +65,18 @@
     assert_eq!(problem.outcome, RequestOutcome::Failed);
 }
 
+#[tokio::test(start_paused = true)]
+async fn turn_is_not_called_not_run_after_a_status_that_a_proxy_may_have_sent() {
+    for status in [429, 503] {
+        let host = FakeHost::with_program(&memory_platform(), LARGE_BUDGET).await;
+        host.upstream.script.lock().push_back(UpstreamError::Refused { status });
+        host.cells.script.lock().extend([None, Some(RefusalReason::NoUpstream)]);
+        let problem = host.refusal(turn(1)).await;
+        assert_eq!(problem.kind, ProblemKind::Overloaded);
+        assert_eq!(problem.outcome, RequestOutcome::Failed, "{status}");
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn repeatable_call_is_not_called_not_run_when_the_cell_refuses_its_retry() {
     let host = FakeHost::with_program(&memory_platform(), LARGE_BUDGET).await;
--- a/src/upstreams/upstream_client.rs
+++ b/src/upstreams/upstream_client.rs
@@ -14,7 +14,8 @@
     /// No connection could be made, so nothing was sent.
     #[display("no connection: {reason}")]
     NotSent { reason: String },
-    /// The upstream does not accept requests at present and did not run this one.
+    /// The upstream does not accept requests at present. It has probably not run this one; the status may come from a
+    /// proxy that lost the upstream after the request was sent.
     #[display("refused with status {status}")]
     Refused { status: u16 },
     /// The upstream rejected the request as invalid.
@@ -40,9 +41,14 @@
         }
     }
 
+    /// Whether the upstream did not run the request, or presumably not, so that another attempt costs nothing.
+    pub(crate) fn is_presumed_not_run(&self) -> bool {
+        matches!(self, Self::NotSent { .. } | Self::Refused { .. })
+    }
+
     /// Whether the upstream certainly did not run the request.
     pub(crate) fn is_not_run(&self) -> bool {
-        matches!(self, Self::NotSent { .. } | Self::Refused { .. })
+        matches!(self, Self::NotSent { .. })
     }
 }
 
