--- a/src/interface/problem.rs
+++ b/src/interface/problem.rs
@@ -33,7 +33,8 @@
         Self { kind, detail: detail.into(), outcome: RequestOutcome::Failed, retry_after_s: None }
     }
 
-    /// A problem of a request that has not run. Only the owner can confirm this.
+    /// A problem of a request that has not run in this attempt. Only the owner can confirm it, and it keeps the outcome
+    /// only if no other attempt may have run.
     pub(crate) fn not_run(kind: ProblemKind, detail: impl Into<Arc<str>>) -> Self {
         Self { outcome: RequestOutcome::NotRun, ..Self::failed(kind, detail) }
     }
--- a/src/programs/prepared_turn.rs
+++ b/src/programs/prepared_turn.rs
@@ -56,7 +56,7 @@
 }
 
 impl TurnRunner<'_> {
-    /// Checks the turn and builds what its attempts share. Every problem it returns means that the turn did not run.
+    /// Checks the turn and builds what its attempts share. After a problem this attempt has sent nothing.
     pub(crate) fn prepare(&self, turn: TurnRequest) -> Result<PreparedTurn, Problem> {
         let config = self.service.config.state();
         let limits = config.document.limits;
