Test: a refusal after admission asks the other hosts in an outage

The fault that mended let such refusals keep `not_run` in an outage without asking any other host, too.

--- a/src/tests/program_fakes.rs
+++ b/src/tests/program_fakes.rs
@@ -165,14 +165,16 @@
     }
 }
 
-/// Answers that no other host holds the shard.
-#[derive(Debug)]
-struct SoleOwner;
+/// Answers of the other hosts on whether one of them may hold the shard.
+#[derive(Debug, Default)]
+pub(super) struct OtherHosts {
+    pub(super) may_hold: AtomicBool,
+}
 
 #[async_trait]
-impl OwnershipCheck for SoleOwner {
+impl OwnershipCheck for OtherHosts {
     async fn is_sole_owner(&self, _shard: ShardId) -> bool {
-        true
+        !self.may_hold.load(Ordering::Relaxed)
     }
 }
 
@@ -182,6 +184,7 @@
     pub(super) owner: Arc<ShardOwner>,
     pub(super) cells: Arc<ScriptedCells>,
     pub(super) upstream: Arc<ScriptedUpstream>,
+    pub(super) other_hosts: Arc<OtherHosts>,
 }
 
 pub(super) fn memory_platform() -> Arc<MemoryPlatform> {
@@ -233,6 +236,7 @@
         shards.insert(Arc::clone(&owner));
         let cells = Arc::new(ScriptedCells::default());
         let upstream = Arc::new(ScriptedUpstream::default());
+        let other_hosts = Arc::new(OtherHosts::default());
 
         let service = Arc::new(ProgramService {
             shards,
@@ -240,14 +244,14 @@
             cells: Arc::<ScriptedCells>::clone(&cells),
             upstreams: Arc::<ScriptedUpstream>::clone(&upstream),
             platform,
-            ownership_check: Arc::new(SoleOwner),
+            ownership_check: Arc::<OtherHosts>::clone(&other_hosts),
             sealer: ReceiptSealer::new(&Arc::from("key")),
             retry_budget: RetryBudget::default(),
             metrics,
             commit_timeout: COMMIT_TIMEOUT,
         });
 
-        Self { service, owner, cells, upstream }
+        Self { service, owner, cells, upstream, other_hosts }
     }
 
     /// A new shard's owner, with one program.
--- a/src/tests/program_outcomes.rs
+++ b/src/tests/program_outcomes.rs
@@ -196,6 +196,19 @@
     }
 }
 
+#[tokio::test(start_paused = true)]
+async fn admitted_request_refused_in_an_outage_is_not_run_only_if_no_other_host_may_hold_the_shard()
+{
+    for (may_hold, outcome) in [(true, RequestOutcome::Unknown), (false, RequestOutcome::NotRun)] {
+        let platform = memory_platform();
+        let host = FakeHost::with_program(&platform, LARGE_BUDGET).await;
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        platform.set_fault_rates(FaultRates { refusal_percent: 100, lost_response_percent: 0 });
+        host.other_hosts.may_hold.store(may_hold, Ordering::Relaxed);
+        assert_eq!(host.outcome_when_refused(turn(1)).await, outcome);
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn first_request_refused_before_it_was_sent_is_not_run() {
     for operation in [turn(2), call(2, true), call(2, false)] {
