--- a/src/interface/problem.rs
+++ b/src/interface/problem.rs
@@ -33,7 +33,8 @@
         Self { kind, detail: detail.into(), outcome: RequestOutcome::Failed, retry_after_s: None }
     }
 
-    /// A problem of a request that has not run. Only the owner can confirm this.
+    /// A problem of a request that has not run in this attempt. Only the owner can confirm it, and it keeps the outcome
+    /// only if no other attempt may have run.
     pub(crate) fn not_run(kind: ProblemKind, detail: impl Into<Arc<str>>) -> Self {
         Self { outcome: RequestOutcome::NotRun, ..Self::failed(kind, detail) }
     }
@@ -43,6 +44,14 @@
         Self { outcome: RequestOutcome::Unknown, ..Self::failed(kind, detail) }
     }
 
+    /// Problem of the same refusal if an earlier attempt may have run: it states nothing about earlier attempts.
+    pub(crate) fn without_not_run(self) -> Self {
+        match self.outcome {
+            RequestOutcome::NotRun => Self { outcome: RequestOutcome::Failed, ..self },
+            _ => self,
+        }
+    }
+
     /// Sets the time after which the caller may retry, in seconds.
     pub(crate) fn retry_after(self, seconds: u64) -> Self {
         Self { retry_after_s: Some(seconds), ..self }
--- a/src/state/program_slot.rs
+++ b/src/state/program_slot.rs
@@ -61,10 +61,26 @@
         }
     }
 
+    /// Joins the same request if it runs.
+    pub(crate) fn join(
+        &self,
+        number: u32,
+        fingerprint: u64,
+    ) -> Option<watch::Receiver<Option<ProgramAnswer>>> {
+        let state = self.state.lock();
+        let running = state.running.as_ref()?;
+        let is_same = running.number == number && running.fingerprint == fingerprint;
+        is_same.then(|| running.answer.clone())
+    }
+
     pub(crate) fn is_running(&self) -> bool {
         self.state.lock().running.is_some()
     }
 
+    pub(crate) fn is_running_number(&self, number: u32) -> bool {
+        self.state.lock().running.as_ref().is_some_and(|running| running.number == number)
+    }
+
     /// Wakes all waiters, so that they check the program's state again.
     pub(crate) fn wake_waiters(&self) {
         self.changed.notify_waiters();
--- a/src/state/shard_owner.rs
+++ b/src/state/shard_owner.rs
@@ -14,8 +14,8 @@
 };
 
 use crate::{
-    BackoffPolicy, CallLimiter, LogError, LogReader, LogRecord, NodeMetrics, Problem, ProblemKind,
-    ProgramId, ProgramSlot, ShardId, ShardLog, ShardState, WriterId, encode_frame,
+    AttemptTable, BackoffPolicy, CallLimiter, LogError, LogReader, LogRecord, NodeMetrics, Problem,
+    ProblemKind, ProgramId, ProgramSlot, ShardId, ShardLog, ShardState, WriterId, encode_frame,
     platform_calls::snapshot_store::MAX_OBJECT_BYTES,
 };
 
@@ -117,6 +117,8 @@
     shard: ShardId,
     state: Mutex<OwnerState>,
     slots: Mutex<BTreeMap<ProgramId, Arc<ProgramSlot>>>,
+    /// Attempts that may have run, of this owner and of those before it.
+    pub(crate) attempts: AttemptTable,
     /// Wakes the writer after records were queued or the owner was closed.
     writer_wake: Notify,
     progress: watch::Sender<LogProgress>,
@@ -143,10 +145,13 @@
             is_closed: false,
         };
 
+        let attempts = AttemptTable::inherited(&state, log.was_released());
+
         Self {
             shard,
             state: Mutex::new(OwnerState { shard: state, ..OwnerState::default() }),
             slots: Mutex::default(),
+            attempts,
             writer_wake: Notify::new(),
             progress: watch::Sender::new(progress),
             reader: log.reader().clone(),
@@ -175,6 +180,11 @@
         self.slots.lock().get(&program).is_some_and(|slot| slot.is_running())
     }
 
+    /// Tells whether a request under a number of a program runs, or waits for an upstream.
+    pub(crate) fn is_running_number(&self, program: ProgramId, number: u32) -> bool {
+        self.slots.lock().get(&program).is_some_and(|slot| slot.is_running_number(number))
+    }
+
     /// Removes the slot of a program unless a request uses it.
     pub(crate) fn remove_idle_slot(&self, program: ProgramId) {
         let mut slots = self.slots.lock();
@@ -224,6 +234,10 @@
                 panic!("shard {}: a record was submitted that does not fit: {error}", self.shard);
             }
 
+            if let LogRecord::ProgramForgotten { program } = &record {
+                self.attempts.remove(*program);
+            }
+
             let bytes = encode_frame(&record).len();
             state.queue_bytes += bytes;
             state.last_ticket += 1;
