DRAIN: while the store does not answer, followers leave it to the probes

Cause: while the store refuses a host or is away, each of its three followers called it again each 0.06 to 1 s, and since the probes were added the monitor did so too, twice a second. Refused calls cost as much as others.

Change: a follower whose call fails asks for a probe at once. While probes fail, it waits for an answered one, and lists by itself only each 3 s in case that probes alone fail. A refused probe is repeated after 1 s. The gap that a follower reports ends with the last failed probe, so upstreams without an entry are kept as long as before.

All tests of DRAIN pass unchanged.

--- a/src/entry/kind_follower.rs
+++ b/src/entry/kind_follower.rs
@@ -131,9 +131,11 @@
                     // A watch from the old revision does not always report the changes that were made while the store
                     // did not answer, so the kind is listed again.
                     watch_revision = None;
-                    tokio::select! {
-                        () = RETRY_BACKOFF.sleep(attempt) => (),
-                        Ok(()) = ended_gaps.changed() => (),
+                    let backoff = RETRY_BACKOFF.sleep(attempt);
+                    if let Some(ended) = self.monitor.wait_to_retry(&mut ended_gaps, backoff).await
+                    {
+                        last_failure = last_failure.max(ended.last_failure);
+                        gap = Some(FollowGap { last_contact, last_failure });
                     }
                     attempt += 1;
                 }
--- a/src/entry/store_monitor.rs
+++ b/src/entry/store_monitor.rs
@@ -1,17 +1,28 @@
 //! Notices times in which the store answered nothing, although connections to it have stayed open.
 
-use std::sync::Arc;
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, Ordering},
+};
 
 use tokio::{
-    sync::watch,
-    time::{Duration, Instant, sleep_until, timeout},
+    sync::{Notify, watch},
+    time::{Duration, Instant, sleep, sleep_until, timeout},
 };
 
-use crate::entry::{FollowGap, ObjectStore, ReadFreshness, host_registry::REGISTRY_KIND};
+use crate::entry::{
+    FollowGap, ObjectStore, ReadFreshness, StoreError, host_registry::REGISTRY_KIND,
+};
 
 /// Time between two probes. A silence that is shorter may pass unnoticed.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time between two probes while the store refuses them. A refused call costs as much as any other.
+const REFUSED_PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time after which a follower calls the store without an answered probe, in case that only probes fail.
+const UNPROBED_RETRY_DELAY: Duration = Duration::from_secs(3);
+
 /// Time for the store to answer a probe. It usually answers within milliseconds, and takes sixty times as long while it is
 /// slow.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(600);
@@ -26,12 +37,21 @@
     store: Arc<dyn ObjectStore>,
     /// The last gap that has ended.
     ended_gap: watch::Sender<Option<FollowGap>>,
+    /// Whether the last probe has failed.
+    is_failing: Arc<AtomicBool>,
+    /// Asks for a probe, since a call of a follower has failed.
+    probe_request: Arc<Notify>,
 }
 
 impl StoreMonitor {
     /// Creates a monitor. It reports nothing until it runs.
     pub fn new(store: Arc<dyn ObjectStore>) -> Self {
-        Self { store, ended_gap: watch::Sender::new(None) }
+        Self {
+            store,
+            ended_gap: watch::Sender::new(None),
+            is_failing: Arc::default(),
+            probe_request: Arc::default(),
+        }
     }
 
     /// Receives each gap once it has ended.
@@ -39,6 +59,30 @@
         self.ended_gap.subscribe()
     }
 
+    /// Waits before a follower calls a store that has not answered it. While probes fail as well, they are almost the only
+    /// calls to the store. Returns the gap if it ends meanwhile.
+    pub(crate) async fn wait_to_retry(
+        &self,
+        ended_gaps: &mut watch::Receiver<Option<FollowGap>>,
+        backoff: impl Future<Output = ()>,
+    ) -> Option<FollowGap> {
+        if !self.is_failing.load(Ordering::Relaxed) {
+            self.probe_request.notify_one();
+        }
+
+        let delay = async {
+            backoff.await;
+            if self.is_failing.load(Ordering::Relaxed) {
+                sleep(UNPROBED_RETRY_DELAY).await;
+            }
+        };
+
+        tokio::select! {
+            () = delay => None,
+            Ok(()) = ended_gaps.changed() => *ended_gaps.borrow_and_update(),
+        }
+    }
+
     /// Probes the store until the task is dropped. A probe is a stale read, which costs a tenth of a call.
     pub async fn run(self) {
         let mut last_contact = Instant::now();
@@ -46,24 +90,37 @@
 
         loop {
             let probed_at = Instant::now();
+            let result = self.probe().await;
+            self.is_failing.store(result.is_err(), Ordering::Relaxed);
 
-            if self.is_answering().await {
-                if let Some(last_failure) = last_failure.take() {
-                    let without_contact_ms = last_contact.elapsed().as_millis() as u64;
-                    log::info!(without_contact_ms; "the store answers probes again");
-                    self.ended_gap.send_replace(Some(FollowGap { last_contact, last_failure }));
+            match &result {
+                Ok(()) => {
+                    if let Some(last_failure) = last_failure.take() {
+                        let without_contact_ms = last_contact.elapsed().as_millis() as u64;
+                        log::info!(without_contact_ms; "the store answers probes again");
+                        self.ended_gap.send_replace(Some(FollowGap { last_contact, last_failure }));
+                    }
+                    last_contact = probed_at;
+                }
+                Err(error) => {
+                    if last_failure.replace(probed_at).is_none() {
+                        log::warn!("the store does not answer a probe: {error}");
+                    }
                 }
-                last_contact = probed_at;
-            } else if last_failure.replace(probed_at).is_none() {
-                log::warn!("the store does not answer a probe");
             }
 
-            sleep_until(probed_at + PROBE_INTERVAL).await;
+            let is_refused = matches!(result, Err(StoreError::Refused { .. }));
+            let interval = if is_refused { REFUSED_PROBE_INTERVAL } else { PROBE_INTERVAL };
+            tokio::select! {
+                () = sleep_until(probed_at + interval) => (),
+                () = self.probe_request.notified(), if result.is_ok() => (),
+            }
         }
     }
 
-    async fn is_answering(&self) -> bool {
+    async fn probe(&self) -> Result<(), StoreError> {
         let probe = self.store.list(REGISTRY_KIND, Some(LAST_NAME), ReadFreshness::MayBeStale);
-        matches!(timeout(PROBE_TIMEOUT, probe).await, Ok(Ok(_)))
+        let timed_out = || StoreError::Unanswered { reason: "the probe timed out".into() };
+        timeout(PROBE_TIMEOUT, probe).await.unwrap_or_else(|_| Err(timed_out())).map(|_| ())
     }
 }
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -35,6 +35,7 @@
 mod shared_connections;
 mod shared_departures;
 mod small_parts;
+mod store_monitor;
 mod stream_versions;
 mod test_link;
 mod transport;
