DRAIN: an exchange after a gap repeats nothing that peers have acknowledged

Cause: a host that lists its upstreams after a gap sent its full state to every peer.

Change: the exchange is for what this host may have missed. An update without contents is enough for that: a peer that could not deliver its own updates sends its full state when it hears of this host, as before. Peers that have missed updates of this host get its full state, also as before.

--- a/src/entry/mesh_peer.rs
+++ b/src/entry/mesh_peer.rs
@@ -19,7 +19,8 @@
     pub(crate) is_synced: bool,
     /// When the update was sent that still awaits the peer's response.
     pub(crate) in_flight_since: Option<Instant>,
-    /// Whether an exchange was asked for while that update was in flight, so that its failure begins no backoff.
+    /// Whether an update is to be sent even if it tells nothing new. Until then, the failure of one that was sent before begins
+    /// no backoff.
     is_exchange_wanted: bool,
     /// Whether the peer has announced that it is about to stop.
     pub(crate) is_draining: bool,
@@ -56,18 +57,21 @@
         self.is_draining || self.failures > 0 || is_slow
     }
 
-    /// Makes the next update one with the full state, without waiting for the end of a backoff. A peer that receives it does
-    /// the same if it has missed to send an update.
+    /// Asks for an update without waiting for a change or for the end of a backoff. A peer that receives it sends its full state
+    /// if it has missed to send an update; one that has missed an update of this host gets the full state with it.
     pub(crate) fn request_exchange(&mut self) {
-        self.is_synced = false;
+        self.is_exchange_wanted = true;
         self.backoff_until = None;
-        self.is_exchange_wanted = self.in_flight_since.is_some();
+    }
+
+    /// Whether an update was asked for since the last call.
+    pub(crate) fn take_exchange_request(&mut self) -> bool {
+        std::mem::take(&mut self.is_exchange_wanted)
     }
 
     /// Begins a backoff of updates after the peer has not acknowledged one.
     pub(crate) fn begin_backoff(&mut self, now: Instant, delay: Duration) {
-        let is_exchange_wanted = std::mem::take(&mut self.is_exchange_wanted);
-        self.backoff_until = (!is_exchange_wanted).then(|| now + delay);
+        self.backoff_until = (!self.is_exchange_wanted).then(|| now + delay);
     }
 
     /// Records which run of the peer has sent a message. A run that was not heard before may lack what was sent to an
--- a/src/entry/peer_mesh.rs
+++ b/src/entry/peer_mesh.rs
@@ -328,9 +328,7 @@
         let mut targets = Vec::new();
 
         if is_exchange_wanted {
-            log::info!(
-                "sending the full state to all peers, as this host may have missed their updates"
-            );
+            log::info!("sending an update to all peers, as this host may have missed theirs");
             self.peers.lock().values_mut().for_each(MeshPeer::request_exchange);
         }
 
@@ -342,7 +340,7 @@
                 continue;
             }
 
-            if !peer.is_synced || has_changes {
+            if peer.take_exchange_request() || !peer.is_synced || has_changes {
                 peer.in_flight_since = Some(now);
                 targets.push((Arc::clone(host), peer.address, peer.is_synced));
                 // Set before the task that sends the update runs, since a change that comes first clears it again.
--- a/src/tests/peer_mesh.rs
+++ b/src/tests/peer_mesh.rs
@@ -21,6 +21,8 @@
     queried: Mutex<BTreeSet<SocketAddr>>,
     /// Peers that were told of upstreams that leave, once for each message.
     told: Mutex<Vec<SocketAddr>>,
+    /// Peers that were sent an update, once for each.
+    updated: Mutex<Vec<SocketAddr>>,
 }
 
 #[async_trait]
@@ -45,6 +47,9 @@
         if matches!(first, PeerMessage::UpstreamsLeaving { .. }) {
             self.told.lock().push(peer);
         }
+        if matches!(first, PeerMessage::SpendsNoted { .. }) {
+            self.updated.lock().push(peer);
+        }
 
         let response = if let PeerMessage::SpendQuery { sequence, note, .. } = first {
             self.queried.lock().insert(peer);
@@ -252,3 +257,23 @@
         "the second change is sent as well"
     );
 }
+
+#[tokio::test(start_paused = true)]
+async fn exchange_after_a_gap_repeats_nothing_that_a_peer_has_acknowledged() {
+    let transport = Arc::new(RecordingTransport::default());
+    let state = MeshState::default();
+    let mesh = mesh_with_state(&transport, state.clone());
+    let updates = tokio::spawn(Arc::clone(&mesh).run());
+    state.departures.lock().add_leaving(&upstream("u1", "model", 1));
+    sleep(Duration::from_secs(1)).await;
+    transport.told.lock().clear();
+    transport.updated.lock().clear();
+
+    state.departures.lock().request_exchange();
+    sleep(Duration::from_secs(1)).await;
+    let mut reached = transport.updated.lock().clone();
+    reached.sort_unstable();
+    assert_eq!(reached, [address(2), address(3)], "a peer that could not reach this host hears it");
+    assert!(transport.told.lock().is_empty(), "the full state is large");
+    updates.abort();
+}
