Twelve hosts of a region share one recorder, as the limit says

Cause: the number of recorders was hosts / 12 + 1, so a region with exactly twelve schedulers had two, with half of the turns each. How many hosts become schedulers depends on the order of their starts.

Change: hosts / 12, rounded up. Other numbers of hosts up to 23 have as many recorders as before.

--- a/src/entry/mesh_recorder.rs
+++ b/src/entry/mesh_recorder.rs
@@ -28,6 +28,11 @@
 /// host to write it.
 const MAX_FALLBACK_HOSTS: usize = 2;
 
+/// Number of recorders of a region.
+fn recorder_count(region_hosts: u64) -> u64 {
+    region_hosts.div_ceil(HOSTS_PER_RECORDER).max(1)
+}
+
 impl PeerMesh {
     /// Records turns and spends for another host. Returns `NoAck` at once while the store does not answer this host, so
     /// that the other host tries elsewhere.
@@ -62,7 +67,7 @@
             .collect();
         candidates.push(local_host.clone());
 
-        let group_count = candidates.len() as u64 / HOSTS_PER_RECORDER + 1;
+        let group_count = recorder_count(candidates.len() as u64);
         let key = format!("turn-recorder/{}", xxh3_64(self.identity.host.as_bytes()) % group_count);
         let winner = rendezvous_winner(&key, candidates.iter())?;
         (*winner != local_host).then(|| winner.as_str().into())
@@ -71,8 +76,7 @@
     fn sharing_host_count(&self) -> u32 {
         let peers = self.peers.lock();
         let region_hosts = 1 + self.region_peer_count(&peers) as u64;
-        let group_count = region_hosts / HOSTS_PER_RECORDER + 1;
-        u32::try_from(region_hosts / group_count).unwrap_or(u32::MAX)
+        u32::try_from(region_hosts / recorder_count(region_hosts)).unwrap_or(u32::MAX)
     }
 
     fn fallback_hosts(&self) -> Vec<Arc<str>> {
--- a/src/tests/peer_mesh.rs
+++ b/src/tests/peer_mesh.rs
@@ -9,7 +9,10 @@
 use super::entry_fakes::{ResponseStream, upstream};
 use crate::{
     PeerError, PeerHandler, PeerMessage, PeerStream, PeerTransport,
-    entry::{mesh_peer::MeshIdentity, mesh_state::MeshState, peer_mesh::PeerMesh},
+    entry::{
+        mesh_peer::MeshIdentity, mesh_state::MeshState, peer_mesh::PeerMesh,
+        turn_journal::TurnRecorder,
+    },
 };
 
 /// Time after which a membership change, such as the start of a host, no longer makes failover possible.
@@ -277,3 +280,34 @@
     assert!(transport.told.lock().is_empty(), "the full state is large");
     updates.abort();
 }
+
+/// The recorders of a region, as each of its hosts chooses one.
+fn recorders(host_count: u16) -> BTreeSet<Arc<str>> {
+    let names: Vec<Arc<str>> = (1..=host_count).map(|port| format!("host-{port}").into()).collect();
+    let recorder = |local: &Arc<str>| {
+        let identity = MeshIdentity {
+            host: Arc::clone(local),
+            address: address(0),
+            region: "north".into(),
+            writer: "run".into(),
+        };
+        let transport: Arc<dyn PeerTransport> = Arc::new(RecordingTransport::default());
+        let mesh = PeerMesh::new(identity, transport, MeshState::default());
+        let peers = names.iter().zip(1..);
+        peers.for_each(|(name, port)| {
+            mesh.add_peer(Arc::clone(name), address(port), "north".into());
+        });
+        mesh.preferred_host().unwrap_or_else(|| Arc::clone(local))
+    };
+    names.iter().map(recorder).collect()
+}
+
+#[test]
+fn preferred_host_is_one_for_all_hosts_that_may_share_a_recorder() {
+    for host_count in [1, 2, 6, 11, 12] {
+        let recorders = recorders(host_count);
+        assert_eq!(recorders.len(), 1, "{host_count} hosts record at {recorders:?}");
+    }
+    assert!(recorders(24).len() <= 2);
+    assert!(recorders(40).len() > 1, "one recorder is a bottleneck");
+}
