--- a/tests/caller_api.rs
+++ b/tests/caller_api.rs
@@ -293,6 +293,30 @@
     assert!(response.is_some_and(|it| it.is_completed()));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn turn_that_broke_and_used_its_budget_is_not_called_not_run() {
+    let cluster = TestCluster::start("broken_turn", &TWO_HOSTS).await;
+
+    for engine in &cluster.engines {
+        engine.set_faults(EngineFaults { cut_after_tokens: Some(1), ..EngineFaults::default() });
+    }
+
+    // The budget covers the worst case of one attempt.
+    let host = cluster.hosts[0].callers;
+    let program = cluster.caller.create_program(host, 100).await;
+
+    for host in &cluster.hosts {
+        let response = cluster.caller.send_turn(host.callers, &program, 1, &turn_body("x")).await;
+        let response = response.expect("the host should answer");
+        let actual = (response.status, response.problem(), response.outcome.as_str());
+        assert_eq!(actual, (402, "budget-exhausted", "failed"), "{response:?}");
+    }
+
+    // The attempt that broke is charged.
+    let status = cluster.caller.status(host, &program).await.expect("the host should answer");
+    assert!(status.body["spent_tokens"].as_u64() > Some(0), "{status:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn ended_program_releases_engine_memory() {
     let cluster = TestCluster::start("release", &TWO_HOSTS).await;
