--- a/src/entry.rs
+++ b/src/entry.rs
@@ -34,6 +34,7 @@
 pub(crate) mod request_runner;
 mod retirement_keeper;
 mod route_table;
+pub(crate) mod routed_request;
 pub(crate) mod run_record;
 pub(crate) mod segment_index;
 mod store_monitor;
--- /dev/null
+++ b/src/entry/routed_request.rs
@@ -0,0 +1,69 @@
+//! A request once its route is known, as the placement pool and an upstream see it.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use tokio::time::Instant;
+
+use crate::entry::{
+    EntryRequest, ServiceConfig, ServiceRoute, UpstreamRequest, placement_request::PlacementRequest,
+};
+
+/// A request with its route, its service and its deadline.
+#[derive(Debug)]
+pub(crate) struct RoutedRequest {
+    pub(crate) request: EntryRequest,
+    pub(crate) route: Arc<ServiceRoute>,
+    pub(crate) service: Arc<ServiceConfig>,
+    /// Body to send: that of the request, preceded by the inputs and outputs of the turns that it continues.
+    pub(crate) body: Bytes,
+    /// Hash of the request's content, which identifies requests that crash upstreams.
+    pub(crate) fingerprint: u64,
+    /// Latest time of the final response.
+    pub(crate) deadline: Instant,
+    /// Whether the request continues earlier turns.
+    pub(crate) is_continuation: bool,
+    /// Software version that has begun the request's stream. The stream may only go on at this version.
+    pub(crate) software_version: Option<Arc<str>>,
+}
+
+impl RoutedRequest {
+    /// Id of the program that the request belongs to, or an empty string.
+    pub(crate) fn program_id(&self) -> &str {
+        self.request.program.as_ref().map_or("", |program| &program.id)
+    }
+
+    /// The request as the placement pool sees it. `excluded` lists upstreams that must not get it.
+    pub(crate) fn placement_request(&self, excluded: &[Arc<str>]) -> PlacementRequest {
+        let finish_by = self.request.program.as_ref().and_then(|program| program.finish_by);
+
+        PlacementRequest {
+            service: Arc::clone(&self.service.name),
+            priority: self.route.priority,
+            is_continuation: self.is_continuation,
+            finish_by: finish_by.unwrap_or(self.deadline),
+            deadline: self.deadline,
+            prompt_parts: self.request.prompt_parts.clone(),
+            prompt_tokens: self.request.prompt_tokens,
+            software_version: self.software_version.clone(),
+            excluded: excluded.to_vec(),
+        }
+    }
+
+    /// The request as it is sent to an upstream. `last_event_id` is the event after which a stream is to resume.
+    pub(crate) fn upstream_request(&self, last_event_id: Option<Arc<str>>) -> UpstreamRequest {
+        let now = Instant::now();
+
+        UpstreamRequest {
+            id: Arc::clone(&self.request.id),
+            method: self.request.method.clone(),
+            target: Arc::clone(&self.request.target),
+            host: Arc::clone(&self.request.host),
+            headers: self.request.headers.clone(),
+            body: self.body.clone(),
+            time_left: Some(self.deadline.saturating_duration_since(now)),
+            last_event_id: last_event_id.or_else(|| self.request.last_event_id.clone()),
+            connection_limit: self.service.connection_limit,
+        }
+    }
+}
--- a/src/tests/entry_runner.rs
+++ b/src/tests/entry_runner.rs
@@ -16,7 +16,8 @@
         UpstreamRecord,
         entry_metrics::EntryMetrics,
         placement_request::PlacementRequest,
-        request_runner::{RequestRunner, RoutedRequest, RunnerContext},
+        request_runner::{RequestRunner, RunnerContext},
+        routed_request::RoutedRequest,
         turn_journal::TurnJournal,
     },
 };
