--- a/src/tests/program_outcomes.rs
+++ b/src/tests/program_outcomes.rs
@@ -182,6 +182,23 @@
     assert_eq!(next.refusal(turn(30)).await.outcome, RequestOutcome::Failed);
 }
 
+#[tokio::test(start_paused = true)]
+async fn owner_after_a_crash_and_a_release_does_not_know_what_the_crashed_one_sent() {
+    let platform = memory_platform();
+    let crashed = FakeHost::with_program(&platform, LARGE_BUDGET).await;
+    platform.set_fault_rates(FaultRates { refusal_percent: 100, lost_response_percent: 0 });
+    crashed.complete(1).await;
+    crashed.complete(2).await;
+    assert_eq!(*crashed.upstream.runs.lock(), 2);
+    platform.set_fault_rates(FaultRates::default());
+    let second = FakeHost::claim(&platform, 2).await;
+    second.release().await;
+    let third = FakeHost::claim(&platform, 3).await;
+    let problem = third.refusal(turn(2)).await;
+    assert_eq!(problem.kind, ProblemKind::NumberOutOfRange);
+    assert_ne!(problem.outcome, RequestOutcome::NotRun);
+}
+
 #[tokio::test(start_paused = true)]
 async fn deposed_owner_does_not_call_an_admitted_request_not_run() {
     for operation in [turn(1), call(1, true), call(1, false)] {
