Test: not_run while a request under the same number waits (fails)

The check for another request under the number sees the one that runs, not those that wait for earlier numbers. A repeat that is refused before it is admitted says not_run, and the first request runs later.

--- a/src/tests/program_outcomes.rs
+++ b/src/tests/program_outcomes.rs
@@ -23,6 +23,9 @@
 /// Budget for one attempt of a turn, and not for two.
 const ONE_ATTEMPT_BUDGET: u64 = 200;
 
+/// Most requests of a program that wait for earlier numbers.
+const WAITER_LIMIT: u32 = 8;
+
 /// Length of an answer whose record fills the queue to the log.
 const QUEUE_FILLING_BYTES: usize = 17 << 20;
 
@@ -153,6 +156,37 @@
     }
 }
 
+#[tokio::test(start_paused = true)]
+async fn refused_repeat_is_not_called_not_run_while_the_same_number_waits_for_an_earlier_one() {
+    let host = Arc::new(FakeHost::with_program(&memory_platform(), LARGE_BUDGET).await);
+    host.upstream.is_held.store(true, Ordering::Relaxed);
+    let _earlier = host.start(turn(1)).await;
+    let _waiting = host.start(turn(2)).await;
+    let repeat = TurnRequest { receipts: vec!["AAAA".into()], ..turn_request(2) };
+    let problem = host.refusal(ProgramOperation::Turn(repeat)).await;
+    assert_eq!(problem.kind, ProblemKind::ReceiptInvalid);
+    assert_ne!(problem.outcome, RequestOutcome::NotRun);
+}
+
+#[tokio::test(start_paused = true)]
+async fn repeat_that_finds_no_place_to_wait_is_not_called_not_run_while_the_first_one_waits() {
+    let host = Arc::new(FakeHost::with_program(&memory_platform(), LARGE_BUDGET).await);
+    host.cells.is_held.store(true, Ordering::Relaxed);
+    let _running = host.start(call(1, false)).await;
+    let mut waiting = Vec::new();
+
+    for number in 2..2 + WAITER_LIMIT {
+        waiting.push((number, host.start(call(number, false)).await));
+    }
+
+    for (number, first) in waiting {
+        let problem = host.refusal(call(number, false)).await;
+        assert!(!first.is_finished(), "call {number} still waits");
+        assert_eq!(problem.kind, ProblemKind::NumberOutOfRange);
+        assert_ne!(problem.outcome, RequestOutcome::NotRun, "call {number}");
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn next_owner_does_not_call_a_request_not_run_that_the_last_one_may_have_sent() {
     for is_released in [false, true] {
