Test: version of a stream that peers know differently (fails)

A host that does not know a stream takes the first version that a peer names. A peer that knows of two versions answers as one that knows of none, so its knowledge is lost, and peers that differ are not compared.

--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -40,6 +40,7 @@
 mod shared_connections;
 mod shared_departures;
 mod small_parts;
+mod stream_queries;
 mod stream_versions;
 mod test_link;
 mod transport;
--- a/src/tests/shared_departures.rs
+++ b/src/tests/shared_departures.rs
@@ -35,6 +35,13 @@
     are_cut: AtomicBool,
 }
 
+impl HostLinks {
+    /// Adds a host, or replaces the one at its address.
+    pub(super) fn insert(&self, address: SocketAddr, mesh: Arc<PeerMesh>) {
+        self.meshes.lock().insert(address, mesh);
+    }
+}
+
 #[async_trait]
 impl PeerTransport for HostLinks {
     fn disconnect(&self, _peer: SocketAddr) {}
