Test: a restarted upstream opens though the store is lost now and then (fails)

Each listing after a gap begins the settle time anew, however short the gap, so contact that is lost more often than every 3 s keeps an upstream closed that was restarted under its id.

--- a/src/tests/leaving_upstreams.rs
+++ b/src/tests/leaving_upstreams.rs
@@ -186,3 +186,24 @@
     pool.reset(vec![restarted(2)], 2, None);
     assert!(is_open(&pool).await, "the host that starts refuses requests for it");
 }
+
+#[tokio::test(start_paused = true)]
+async fn record_leaving_opens_a_restarted_instance_though_contact_to_the_store_is_lost_now_and_then()
+ {
+    let pool = pool_after_statement().await;
+    pool.upsert(restarted(2));
+    let mut contact_time = Duration::ZERO;
+
+    while contact_time < SETTLE_TIME * 4 {
+        let last_contact = Instant::now();
+        pool.set_store_availability(false);
+        sleep(Duration::from_millis(100)).await;
+        let gap = FollowGap { last_contact, last_failure: Instant::now() };
+        pool.reset(vec![restarted(2)], 2, Some(gap));
+        pool.set_store_availability(true);
+        sleep(SETTLE_TIME / 2).await;
+        contact_time += SETTLE_TIME / 2;
+    }
+
+    assert!(is_open(&pool).await, "its entry was renewed since");
+}
