--- a/src/tests/stream_versions.rs
+++ b/src/tests/stream_versions.rs
@@ -43,6 +43,19 @@
     assert_eq!(versions.local_streams(Instant::now()), [stream("r3", "v2")]);
 }
 
+#[tokio::test(start_paused = true)]
+async fn stream_versions_keep_a_stream_that_this_host_goes_on_with_after_another_one() {
+    let mut versions = StreamVersions::default();
+    versions.merge(Instant::now(), &stream("r1", "v1"));
+    advance(LIFETIME.saturating_sub(LAST_STEP)).await;
+    versions.add(Instant::now(), stream("r1", "v1"));
+    assert_eq!(versions.local_streams(Instant::now()), [stream("r1", "v1")]);
+
+    advance(LIFETIME.saturating_sub(LAST_STEP)).await;
+    versions.merge(Instant::now(), &stream("r2", "v2"));
+    assert_eq!(versions.get("r1"), Some(StreamOrigin::Version("v1".into())));
+}
+
 #[tokio::test(start_paused = true)]
 async fn stream_versions_name_none_for_a_stream_that_two_hosts_have_begun_at_different_ones() {
     let (v1, v2) = (stream("r1", "v1"), stream("r1", "v2"));
