--- a/src/tests/entry_streams.rs
+++ b/src/tests/entry_streams.rs
@@ -89,3 +89,17 @@
     history.insert(turn("z", None, "in", "out"), RETENTION);
     assert_eq!(history.chain(&"b".into(), RETENTION), TurnChain::Missing("b".into()));
 }
+
+#[tokio::test(start_paused = true)]
+async fn turn_history_keeps_its_own_turn_when_another_run_of_the_request_has_recorded_one() {
+    let mut history = TurnHistory::default();
+    history.insert(turn("a", None, "in", "received\n"), RETENTION);
+    history.insert(turn("a", None, "in", "of the scheduler that was lost\n"), RETENTION);
+
+    let TurnChain::Complete(chain) = history.chain(&"a".into(), RETENTION) else {
+        panic!("the turn is missing");
+    };
+
+    assert_eq!(&chain_body(&chain, &Bytes::new())[..], b"inreceived\n");
+    assert_eq!(history.cached_bytes(), chain[0].size());
+}
