--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -41,6 +41,7 @@
 mod shared_departures;
 mod small_parts;
 mod store_monitor;
+mod stream_queries;
 mod stream_versions;
 mod test_link;
 mod transport;
