ORDER: a host takes the version of a stream only if all peers that know it agree

Cause: a peer that knows of two versions answered as one that knows none, and the first version that was named was taken. Cost: such an attempt waits for silent peers where one answer used to do. Messages between hosts change.

--- a/src/entry/mesh_answers.rs
+++ b/src/entry/mesh_answers.rs
@@ -10,7 +10,6 @@
     entry::{
         budget_ledger::WriterSpends,
         peer_mesh::PeerMesh,
-        stream_versions::StreamOrigin,
         turn_history::{HistoryTurn, TurnChain},
         upstream_departures::UpstreamDeparture,
     },
@@ -67,11 +66,7 @@
                 PeerMessage::Done
             }
             PeerMessage::StreamQuery { request } => {
-                let version = match self.state.streams.lock().get(&request) {
-                    Some(StreamOrigin::Version(version)) => Some(version),
-                    Some(StreamOrigin::Disputed) | None => None,
-                };
-                PeerMessage::StreamVersion { version }
+                PeerMessage::StreamFound { origin: self.state.streams.lock().get(&request) }
             }
             PeerMessage::TurnQuery { turn } => {
                 // The query of a peer does not extend the time for which this host caches the turns.
--- a/src/entry/mesh_queries.rs
+++ b/src/entry/mesh_queries.rs
@@ -13,6 +13,7 @@
     entry::{
         mesh_peer::MeshPeer,
         peer_mesh::{PEER_TIMEOUT, PeerMesh},
+        stream_versions::StreamOrigin,
         turn_history::HistoryTurn,
     },
 };
@@ -133,8 +134,9 @@
         }
     }
 
-    /// Queries all peers for the software version that has begun a stream, and returns the first answer that names one.
-    pub(crate) async fn find_stream_version(&self, request: &Arc<str>) -> Option<Arc<str>> {
+    /// Queries all peers for the software version that has begun a stream, and returns what all answers together say. Waits
+    /// for each peer, since one may know of another version than the others.
+    pub(crate) async fn find_stream_origin(&self, request: &Arc<str>) -> Option<StreamOrigin> {
         let query = PeerMessage::StreamQuery { request: Arc::clone(request) };
         let addresses: Vec<SocketAddr> =
             self.peers.lock().values().map(|peer| peer.address).collect();
@@ -142,14 +144,15 @@
             .into_iter()
             .map(|address| timeout(STREAM_QUERY_TIMEOUT, self.connector.exchange(address, &query)))
             .collect();
+        let mut origin: Option<StreamOrigin> = None;
 
         while let Some(response) = responses.next().await {
-            if let Ok(Ok(PeerMessage::StreamVersion { version: Some(version) })) = response {
-                return Some(version);
+            if let Ok(Ok(PeerMessage::StreamFound { origin: Some(other) })) = response {
+                origin = Some(origin.map_or(other.clone(), |known| known.merge(other)));
             }
         }
 
-        None
+        origin
     }
 
     /// Queries all peers that are not in backoff for a turn. Returns the turn and those before it from a peer that has
--- a/src/entry/stream_versions.rs
+++ b/src/entry/stream_versions.rs
@@ -28,15 +28,22 @@
 }
 
 /// What is known of the version at which a stream has begun.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub(crate) enum StreamOrigin {
     /// The stream has begun at this version only.
     Version(Arc<str>),
     /// The request was forwarded again after a host was lost, and began at another version. Which of them the client has
-    /// heard is not known.
+    /// received is not known.
     Disputed,
 }
 
+impl StreamOrigin {
+    /// What this host and another one know together.
+    pub(crate) fn merge(self, other: Self) -> Self {
+        if self == other { self } else { Self::Disputed }
+    }
+}
+
 #[derive(Debug)]
 struct KnownStream {
     /// Versions at which the stream has begun; not empty.
--- a/src/entry/version_finder.rs
+++ b/src/entry/version_finder.rs
@@ -68,15 +68,16 @@
     ) -> Option<(Arc<str>, &'static str)> {
         if let Some(origin) = &request.resumed_request {
             let known = self.streams.lock().get(origin);
+            let (found, source) = match known {
+                Some(known) => (Some(known), "here"),
+                None => (self.mesh.find_stream_origin(origin).await, "peer"),
+            };
 
-            match known {
-                Some(StreamOrigin::Version(version)) => return Some((version, "here")),
+            match found {
+                Some(StreamOrigin::Version(version)) => return Some((version, source)),
                 Some(StreamOrigin::Disputed) => return None,
                 None => (),
             }
-            if let Some(version) = self.mesh.find_stream_version(origin).await {
-                return Some((version, "peer"));
-            }
         }
 
         let version = self.pool.sole_version(service, Instant::now(), route.stream_lifetime())?;
--- a/src/membership/peer_message.rs
+++ b/src/membership/peer_message.rs
@@ -12,7 +12,7 @@
         EntryRefusal, RouteLimits,
         batch_index::IndexedBatch,
         budget_ledger::{SpendNote, SpendRecord, WriterSpends},
-        stream_versions::BegunStream,
+        stream_versions::{BegunStream, StreamOrigin},
         turn_history::HistoryTurn,
         upstream_departures::UpstreamDeparture,
     },
@@ -236,14 +236,14 @@
     UpstreamsLeaving {
         departures: Vec<UpstreamDeparture>,
     },
-    /// Entry: request for the software version that has begun a client's stream. The response is `StreamVersion`.
+    /// Entry: request for the software version that has begun a client's stream. The response is `StreamFound`.
     StreamQuery {
         /// Id of the attempt that has brought the stream's first event.
         request: Arc<str>,
     },
-    /// Entry: the version, if the sender knows the stream.
-    StreamVersion {
-        version: Option<Arc<str>>,
+    /// Entry: what the sender knows of the version at which the stream has begun, if it knows the stream.
+    StreamFound {
+        origin: Option<StreamOrigin>,
     },
 }
 
@@ -267,7 +267,7 @@
                 | Self::TurnQuery { .. }
                 | Self::Turns { .. }
                 | Self::StreamQuery { .. }
-                | Self::StreamVersion { .. }
+                | Self::StreamFound { .. }
                 | Self::ForwardOffer { .. }
                 | Self::ForwardAccepted { .. }
                 | Self::ForwardDeclined { .. }
