A stream that a host goes on with is kept as long as one that it has begun

Callers could see: a third attempt refused with 503 though the version serves. Cause: a host that goes on with another one's stream changed nothing in its memory: the time ended with the first attempt's, and hosts that join were not told. Found by review.

--- a/src/entry/stream_versions.rs
+++ b/src/entry/stream_versions.rs
@@ -113,9 +113,9 @@
             let is_new = !known.software_versions.contains(&version);
             if is_new && known.software_versions.len() < MAX_VERSIONS {
                 known.software_versions.push(version);
-                known.is_local |= is_local;
-                known.expires_at = known.expires_at.max(now + stream.lifetime);
             }
+            known.is_local |= is_local;
+            known.expires_at = known.expires_at.max(now + stream.lifetime);
             return is_new;
         }
 
