The first copy of a finished turn stays in a host's memory

Cause: a copy that is read later replaced the one that the host has sent, and the count of cached bytes went wrong with it. Found by review. Which of two records a third host should believe stays open.

--- a/src/entry/turn_history.rs
+++ b/src/entry/turn_history.rs
@@ -57,15 +57,20 @@
 }
 
 impl TurnHistory {
-    /// Adds a durable turn, and keeps it for `retention`.
+    /// Adds a durable turn, and keeps it for `retention`. The first copy of a turn stays: a run of the request on a host that
+    /// was taken for lost may have recorded another output than the one that the client has received.
     pub(crate) fn insert(&mut self, turn: Arc<HistoryTurn>, retention: Duration) {
         let now = Instant::now();
         let expires_at = now + retention;
         let id = Arc::clone(&turn.id);
         let size = turn.size();
-        let cached = CachedTurn { turn, expires_at, recorded_at: now };
 
-        if self.turns.insert(Arc::clone(&id), cached).is_none() {
+        if let Some(cached) = self.turns.get_mut(&id) {
+            cached.expires_at = cached.expires_at.max(expires_at);
+            cached.recorded_at = now;
+        } else {
+            let cached = CachedTurn { turn, expires_at, recorded_at: now };
+            self.turns.insert(Arc::clone(&id), cached);
             self.cached_bytes += size;
         }
 
