A short gap in following the store no longer closes restarted upstreams anew

Callers could see: an upstream that has restarted under its id gets no requests as long as contact with the store is lost every few seconds. Cause: each gap began the time anew in which no run of the id is used after a statement. Found by review. Change: the time counts while the store is followed; a gap extends it by its length.

--- a/src/entry/upstream_departures.rs
+++ b/src/entry/upstream_departures.rs
@@ -122,7 +122,7 @@
         known.is_some_and(|it| record.revision <= it.departure.withdrawn_revision)
     }
 
-    /// Called with each listing of the upstreams. After a gap, the time begins anew in which a run that leaves would have
+    /// Called with each listing of the upstreams. A gap does not count for the time in which a run that leaves would have
     /// lost its entry or changed it.
     pub(crate) fn record_listing(&mut self, gap: Option<FollowGap>) {
         self.is_following = true;
@@ -130,9 +130,9 @@
             return;
         };
 
-        let settled_at = Instant::now() + self.settle_time;
+        let gap_time = gap.last_contact.elapsed();
         let unsettled = self.departures.values_mut().filter_map(|it| it.unsettled_until.as_mut());
-        unsettled.filter(|until| **until > gap.last_contact).for_each(|until| *until = settled_at);
+        unsettled.filter(|until| **until > gap.last_contact).for_each(|until| *until += gap_time);
     }
 
     /// Adds what an upstream has stated in a response, which may come from a later run than the one in the entry that was
