A late answer to a probe clears the suspicion

Cause: the probe drops its ping after one heartbeat interval, so an answer that comes later is thrown away with it. A host that answers each probe a little late is never heard again, and is dead once the suspicion ends. Change: the ping goes on for 5 s after the probe has failed, and its answer counts.

--- a/src/membership/membership_service.rs
+++ b/src/membership/membership_service.rs
@@ -25,6 +25,9 @@
 /// Time for a peer to respond to a sync request of a starting host, or to an announcement.
 const SYNC_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time for which the response to a probe counts, also after the probe has failed.
+const LATE_ACK_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// This host's part in the membership protocol.
 #[derive(Debug)]
 pub(crate) struct MembershipService {
@@ -171,7 +174,13 @@
             return;
         };
 
-        if let Ok(Ok(())) = timeout(self.heartbeat_interval, self.ping(&host, address)).await {
+        // A late response shows as well that the host lives, so the ping goes on after the probe has failed.
+        let (service, pinged_host) = (Arc::clone(&self), host.clone());
+        let mut ping = tokio::spawn(async move {
+            timeout(LATE_ACK_TIMEOUT, service.ping(&pinged_host, address)).await
+        });
+
+        if let Ok(Ok(Ok(Ok(())))) = timeout(self.heartbeat_interval, &mut ping).await {
             return;
         }
 
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -20,6 +20,7 @@
 mod host_registry;
 mod http_upstream;
 mod journal_audit;
+mod late_acks;
 mod leaving_upstreams;
 mod log_limiter;
 mod lost_schedulers;
