--- a/src/entry/turn_locator.rs
+++ b/src/entry/turn_locator.rs
@@ -237,12 +237,21 @@
         }
 
         let started = Instant::now();
+        let pages = match self.list_records(hosts).await {
+            Ok(pages) => pages,
+            Err(error) => {
+                log::warn!(
+                    "the records of {} unresponsive hosts can't be read: {error}",
+                    hosts.len()
+                );
+                return false;
+            }
+        };
 
-        if let Err(error) = self.list_records(hosts).await {
-            log::warn!("the records of {} unresponsive hosts can't be read: {error}", hosts.len());
-            return false;
-        }
-
+        log::info!(
+            hosts = hosts.len(), pages, took_ms = started.elapsed().as_millis() as u64;
+            "read the records of unresponsive hosts"
+        );
         last_listings.extend(hosts.iter().map(|host| (Arc::clone(host), started)));
         true
     }
@@ -250,6 +259,7 @@
     /// Lists the indexes, and the batches that no index covers. Records about runs of `unresponsive_hosts` replace lower
     /// reports of theirs, see [`BudgetLedger::merge_recorded`]. Returns the number of pages read.
     async fn list_records(&self, unresponsive_hosts: &[Arc<str>]) -> Result<usize, StoreError> {
+        let started = Instant::now();
         let mut pages = PageReader::new(&*self.store, INDEX_KIND, None);
         let mut page_count = 0;
         let mut open_segments: HashMap<Arc<str>, SegmentPosition> = HashMap::new();
@@ -271,6 +281,11 @@
         }
 
         self.index.lock().retain_merged(&listed);
+        log::info!(
+            pages = page_count, indexes = listed.len(), writers = open_segments.len(),
+            took_ms = started.elapsed().as_millis() as u64;
+            "listed the indexes of recorded turns"
+        );
 
         for (writer, position) in open_segments {
             page_count += self.list_open_segment(&writer, position, unresponsive_hosts).await?;
