--- a/src/entry/mesh_queries.rs
+++ b/src/entry/mesh_queries.rs
@@ -115,6 +115,13 @@
         unresponsive
     }
 
+    /// The given hosts and all peers that do not respond at present.
+    pub(crate) fn silent_hosts_with(&self, hosts: &[Arc<str>]) -> Vec<Arc<str>> {
+        let peers = self.peers.lock();
+        let silent = peers.iter().filter(|(host, peer)| peer.failures > 0 && !hosts.contains(host));
+        hosts.iter().chain(silent.map(|(host, _)| host)).cloned().collect()
+    }
+
     /// Sends a peer a spend query and merges its response. Returns the peer's name if it did not respond.
     async fn query_spend(&self, peer: QueriedPeer, query: &PeerMessage) -> Option<Arc<str>> {
         // The regular updates find out when the peer responds again, so a query need not wait for its timeout.
--- a/src/entry/turn_locator.rs
+++ b/src/entry/turn_locator.rs
@@ -5,6 +5,7 @@
     sync::Arc,
 };
 
+use futures_util::{StreamExt, TryStreamExt, stream};
 use parking_lot::Mutex;
 use serde::Deserialize;
 use tokio::{
@@ -29,6 +30,10 @@
 /// Batches that are read concurrently. Each takes up to three times its size in memory while it is decoded.
 const CONCURRENT_READ_LIMIT: usize = 3;
 
+/// Open segments that are listed concurrently. A page of up to 1 MB takes three times its size in memory while it is
+/// decoded.
+const CONCURRENT_LISTING_LIMIT: usize = 4;
+
 /// Result of a search for a chain of turns.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum TurnSearch {
@@ -85,8 +90,8 @@
     last_listing: tokio::sync::Mutex<Option<Instant>>,
     /// Limits the batches that are read concurrently, since they are large.
     read_permits: Semaphore,
-    /// Start of the last listing of each host by [`TurnLocator::list_batches_of`].
-    last_host_listings: tokio::sync::Mutex<HashMap<Arc<str>, Instant>>,
+    /// Start of the last listing of each host by [`TurnLocator::list_batches_of`]. Locked while one is running.
+    last_host_listings: Arc<tokio::sync::Mutex<HashMap<Arc<str>, Instant>>>,
 }
 
 impl TurnLocator {
@@ -105,7 +110,7 @@
             index,
             last_listing: tokio::sync::Mutex::default(),
             read_permits: Semaphore::new(CONCURRENT_READ_LIMIT),
-            last_host_listings: tokio::sync::Mutex::default(),
+            last_host_listings: Arc::default(),
         }
     }
 
@@ -226,9 +231,15 @@
     }
 
     /// Reads the records again for the spends of unresponsive hosts, unless the last such reading for each of them was
-    /// started at `since` or later. Returns false if they can't be read.
-    pub(crate) async fn list_batches_of(&self, hosts: &[Arc<str>], since: Instant) -> bool {
-        let mut last_listings = self.last_host_listings.lock().await;
+    /// started at `since` or later. Returns false if they can't be read. A reading covers all peers that are silent when it
+    /// starts, and goes on if the caller stops waiting, as later callers need it too: in a large fleet it takes longer than a
+    /// turn can wait.
+    pub(crate) async fn list_batches_of(
+        self: &Arc<Self>,
+        hosts: &[Arc<str>],
+        since: Instant,
+    ) -> bool {
+        let mut last_listings = Arc::clone(&self.last_host_listings).lock_owned().await;
         let is_recent =
             |host| last_listings.get(host).is_some_and(|started: &Instant| *started >= since);
 
@@ -236,24 +247,29 @@
             return true;
         }
 
-        let started = Instant::now();
-        let pages = match self.list_records(hosts).await {
-            Ok(pages) => pages,
-            Err(error) => {
-                log::warn!(
-                    "the records of {} unresponsive hosts can't be read: {error}",
-                    hosts.len()
-                );
-                return false;
-            }
-        };
+        let locator = Arc::clone(self);
+        let hosts = self.mesh.silent_hosts_with(hosts);
+        let listing = tokio::spawn(async move {
+            let started = Instant::now();
+            let pages = match locator.list_records(&hosts).await {
+                Ok(pages) => pages,
+                Err(error) => {
+                    log::warn!(
+                        "the records of {} unresponsive hosts can't be read: {error}",
+                        hosts.len()
+                    );
+                    return false;
+                }
+            };
 
-        log::info!(
-            hosts = hosts.len(), pages, took_ms = started.elapsed().as_millis() as u64;
-            "read the records of unresponsive hosts"
-        );
-        last_listings.extend(hosts.iter().map(|host| (Arc::clone(host), started)));
-        true
+            log::info!(
+                hosts = hosts.len(), pages, took_ms = started.elapsed().as_millis() as u64;
+                "read the records of unresponsive hosts"
+            );
+            last_listings.extend(hosts.into_iter().map(|host| (host, started)));
+            true
+        });
+        listing.await.unwrap_or(false)
     }
 
     /// Lists the indexes, and the batches that no index covers. Records about runs of `unresponsive_hosts` replace lower
@@ -287,11 +303,14 @@
             "listed the indexes of recorded turns"
         );
 
-        for (writer, position) in open_segments {
-            page_count += self.list_open_segment(&writer, position, unresponsive_hosts).await?;
-        }
-
-        Ok(page_count)
+        let segment_pages: Vec<usize> = stream::iter(open_segments)
+            .map(|(writer, position)| async move {
+                self.list_open_segment(&writer, position, unresponsive_hosts).await
+            })
+            .buffer_unordered(CONCURRENT_LISTING_LIMIT)
+            .try_collect()
+            .await?;
+        Ok(page_count + segment_pages.iter().sum::<usize>())
     }
 
     /// Merges an index that was not merged before. Its spends are merged again for unresponsive hosts.
