Ask running recorders for the spends in their open segments instead of reading these

Cause: a page that lists an open segment is up to 1 MB, with the content of turns, or with whatever follows in the store; a small host has a link of 30 Mbit/s and 0.12 of a core. So a reading that lasts loads links and processors on which peers wait for answers. The reader asks after its listing of the indexes, so that no segment falls between. It reads the segments of runs that don't answer.

--- a/src/entry/mesh_answers.rs
+++ b/src/entry/mesh_answers.rs
@@ -56,6 +56,13 @@
                 PeerMessage::Knowledge { spends, batches, departures }
             }
             PeerMessage::KnowledgeQuery => PeerMessage::NoAck,
+            PeerMessage::RecentSpendsQuery { writer, sequence } => {
+                let journal = self.journal.get().filter(|_| writer == self.identity.writer);
+                match journal.and_then(|it| it.recent_spends(sequence)) {
+                    Some(spends) => PeerMessage::RecentSpends { spends },
+                    None => PeerMessage::NoAck,
+                }
+            }
             PeerMessage::RequestCrashesNoted { notes } => {
                 let mut crashes = self.state.crashes.lock();
                 notes.into_iter().for_each(|note| crashes.merge(note));
--- a/src/entry/mesh_queries.rs
+++ b/src/entry/mesh_queries.rs
@@ -11,6 +11,7 @@
 use crate::{
     PeerMessage,
     entry::{
+        budget_ledger::SpendRecord,
         mesh_peer::MeshPeer,
         peer_mesh::{PEER_TIMEOUT, PeerMesh},
         turn_history::HistoryTurn,
@@ -140,6 +141,28 @@
         }
     }
 
+    /// Queries a run for the spends that it has recorded in its segments after the one with the number `sequence`. Returns
+    /// `None` if that run does not answer in time, is over, or no longer has them all.
+    pub(crate) async fn query_recent_spends(
+        &self,
+        writer: &Arc<str>,
+        sequence: u64,
+    ) -> Option<Vec<SpendRecord>> {
+        if *writer == self.identity.writer {
+            return self.journal.get()?.recent_spends(sequence);
+        }
+
+        let is_of_writer =
+            |peer: &&MeshPeer| peer.failures == 0 && peer.writer.as_ref() == Some(writer);
+        let address = self.peers.lock().values().find(is_of_writer)?.address;
+        let query = PeerMessage::RecentSpendsQuery { writer: Arc::clone(writer), sequence };
+
+        match timeout(SPEND_QUERY_TIMEOUT, self.connector.exchange(address, &query)).await {
+            Ok(Ok(PeerMessage::RecentSpends { spends })) => Some(spends),
+            _ => None,
+        }
+    }
+
     /// Queries all peers for the software version that has begun a stream, and returns the first answer that names one.
     pub(crate) async fn find_stream_version(&self, request: &Arc<str>) -> Option<Arc<str>> {
         let query = PeerMessage::StreamQuery { request: Arc::clone(request) };
--- a/src/entry/turn_locator.rs
+++ b/src/entry/turn_locator.rs
@@ -60,8 +60,8 @@
 
 /// Where a writer's open segment is, by its latest index.
 #[derive(Clone, Copy, Debug, Default)]
-struct SegmentPosition {
-    sequence: u64,
+pub(super) struct SegmentPosition {
+    pub(super) sequence: u64,
     position: u32,
     /// Number of the last batch that an index covers.
     last_number: u64,
@@ -91,7 +91,7 @@
     /// Limits the batches that are read concurrently, since they are large.
     read_permits: Semaphore,
     /// Start of the last listing of each host by [`TurnLocator::list_batches_of`]. Locked while one is running.
-    last_host_listings: Arc<tokio::sync::Mutex<HashMap<Arc<str>, Instant>>>,
+    pub(super) last_host_listings: Arc<tokio::sync::Mutex<HashMap<Arc<str>, Instant>>>,
 }
 
 impl TurnLocator {
@@ -230,51 +230,12 @@
         Ok(())
     }
 
-    /// Reads the records again for the spends of unresponsive hosts, unless the last such reading for each of them was
-    /// started at `since` or later. Returns false if they can't be read. A reading covers all peers that are silent when it
-    /// starts, and goes on if the caller stops waiting, as later callers need it too: in a large fleet it takes longer than a
-    /// turn can wait.
-    pub(crate) async fn list_batches_of(
-        self: &Arc<Self>,
-        hosts: &[Arc<str>],
-        since: Instant,
-    ) -> bool {
-        let mut last_listings = Arc::clone(&self.last_host_listings).lock_owned().await;
-        let is_recent =
-            |host| last_listings.get(host).is_some_and(|started: &Instant| *started >= since);
-
-        if hosts.iter().all(is_recent) {
-            return true;
-        }
-
-        let locator = Arc::clone(self);
-        let hosts = self.mesh.silent_hosts_with(hosts);
-        let listing = tokio::spawn(async move {
-            let started = Instant::now();
-            let pages = match locator.list_records(&hosts).await {
-                Ok(pages) => pages,
-                Err(error) => {
-                    log::warn!(
-                        "the records of {} unresponsive hosts can't be read: {error}",
-                        hosts.len()
-                    );
-                    return false;
-                }
-            };
-
-            log::info!(
-                hosts = hosts.len(), pages, took_ms = started.elapsed().as_millis() as u64;
-                "read the records of unresponsive hosts"
-            );
-            last_listings.extend(hosts.into_iter().map(|host| (host, started)));
-            true
-        });
-        listing.await.unwrap_or(false)
-    }
-
     /// Lists the indexes, and the batches that no index covers. Records about runs of `unresponsive_hosts` replace lower
     /// reports of theirs, see [`BudgetLedger::merge_recorded`]. Returns the number of pages read.
-    async fn list_records(&self, unresponsive_hosts: &[Arc<str>]) -> Result<usize, StoreError> {
+    pub(super) async fn list_records(
+        &self,
+        unresponsive_hosts: &[Arc<str>],
+    ) -> Result<usize, StoreError> {
         let started = Instant::now();
         let mut pages = PageReader::new(&*self.store, INDEX_KIND, None);
         let mut page_count = 0;
@@ -303,6 +264,11 @@
             "listed the indexes of recorded turns"
         );
 
+        let open_segments = if unresponsive_hosts.is_empty() {
+            open_segments.into_iter().collect()
+        } else {
+            self.query_open_segments(open_segments, unresponsive_hosts).await
+        };
         let segment_pages: Vec<usize> = stream::iter(open_segments)
             .map(|(writer, position)| async move {
                 self.list_open_segment(&writer, position, unresponsive_hosts).await
--- a/src/membership/peer_message.rs
+++ b/src/membership/peer_message.rs
@@ -241,6 +241,16 @@
     StreamVersion {
         version: Option<Arc<str>>,
     },
+    /// Entry: request for the spends that a run has recorded in its segments after the one with the number `sequence`. The
+    /// response is [`PeerMessage::RecentSpends`], or `NoAck` from another run or one that no longer has them all.
+    RecentSpendsQuery {
+        writer: Arc<str>,
+        sequence: u64,
+    },
+    /// Entry: spends that the sender has recorded, for itself and for other writers.
+    RecentSpends {
+        spends: Vec<SpendRecord>,
+    },
 }
 
 impl PeerMessage {
@@ -262,6 +272,8 @@
                 | Self::Knowledge { .. }
                 | Self::TurnQuery { .. }
                 | Self::Turns { .. }
+                | Self::RecentSpendsQuery { .. }
+                | Self::RecentSpends { .. }
                 | Self::StreamQuery { .. }
                 | Self::StreamVersion { .. }
                 | Self::ForwardOffer { .. }
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -34,6 +34,7 @@
 mod shard_state;
 mod shared_connections;
 mod shared_departures;
+mod silent_records;
 mod small_parts;
 mod stream_versions;
 mod test_link;
