A run that is over is read once, not with each reading of silent hosts' records

Change: a host that answers as another run than the one that is asked shows that the latter is over. The open segment is read after the next listing of the indexes, which has all of that run's, and its spends are kept in memory.

--- a/src/entry/mesh_answers.rs
+++ b/src/entry/mesh_answers.rs
@@ -56,9 +56,11 @@
                 PeerMessage::Knowledge { spends, batches, departures }
             }
             PeerMessage::KnowledgeQuery => PeerMessage::NoAck,
-            PeerMessage::RecentSpendsQuery { writer, sequence } => {
-                let journal = self.journal.get().filter(|_| writer == self.identity.writer);
-                match journal.and_then(|it| it.recent_spends(sequence)) {
+            PeerMessage::RecentSpendsQuery { writer, .. } if writer != self.identity.writer => {
+                PeerMessage::OtherRun { writer: Arc::clone(&self.identity.writer) }
+            }
+            PeerMessage::RecentSpendsQuery { sequence, .. } => {
+                match self.journal.get().and_then(|it| it.recent_spends(sequence)) {
                     Some(spends) => PeerMessage::RecentSpends { spends },
                     None => PeerMessage::NoAck,
                 }
--- a/src/entry/mesh_queries.rs
+++ b/src/entry/mesh_queries.rs
@@ -11,7 +11,7 @@
 use crate::{
     PeerMessage,
     entry::{
-        budget_ledger::SpendRecord,
+        budget_ledger::{SpendRecord, is_writer_of},
         mesh_peer::MeshPeer,
         peer_mesh::{PEER_TIMEOUT, PeerMesh},
         turn_history::HistoryTurn,
@@ -24,6 +24,22 @@
 /// Time for a peer to respond to the query for a stream that a client takes up.
 const STREAM_QUERY_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// What is known of the spends that a run has recorded lately.
+#[derive(Clone, Debug)]
+pub(crate) enum RecentSpendsAnswer {
+    Spends(Vec<SpendRecord>),
+    /// Another run of its host has answered, so it records nothing more.
+    RunIsOver,
+    /// It has not answered in time, or no longer has them all.
+    Unknown,
+}
+
+/// Whether two writers are runs of the same host. A writer's name is that of its host, a dot and the name of the run.
+fn is_same_host(writer: &str, other: &str) -> bool {
+    let host = |writer: &str| writer.rsplit_once('.').map(|(host, _)| host.to_owned());
+    host(writer).is_some() && host(writer) == host(other)
+}
+
 /// A peer to which a spend query may be sent.
 #[derive(Debug)]
 struct QueriedPeer {
@@ -141,28 +157,44 @@
         }
     }
 
-    /// Queries a run for the spends that it has recorded in its segments after the one with the number `sequence`. Returns
-    /// `None` if that run does not answer in time, is over, or no longer has them all.
+    /// Queries a run for the spends that it has recorded in its segments after the one with the number `sequence`.
     pub(crate) async fn query_recent_spends(
         &self,
         writer: &Arc<str>,
         sequence: u64,
-    ) -> Option<Vec<SpendRecord>> {
+    ) -> RecentSpendsAnswer {
         if *writer == self.identity.writer {
-            return self.journal.get()?.recent_spends(sequence);
+            let spends = self.journal.get().and_then(|it| it.recent_spends(sequence));
+            return spends.map_or(RecentSpendsAnswer::Unknown, RecentSpendsAnswer::Spends);
+        }
+        if is_writer_of(&self.identity.host, writer) {
+            return RecentSpendsAnswer::RunIsOver;
         }
 
-        let is_of_writer =
-            |peer: &&MeshPeer| peer.failures == 0 && peer.writer.as_ref() == Some(writer);
-        let address = self.peers.lock().values().find(is_of_writer)?.address;
+        let Some(address) = self.responsive_address_of(writer) else {
+            return RecentSpendsAnswer::Unknown;
+        };
         let query = PeerMessage::RecentSpendsQuery { writer: Arc::clone(writer), sequence };
 
         match timeout(SPEND_QUERY_TIMEOUT, self.connector.exchange(address, &query)).await {
-            Ok(Ok(PeerMessage::RecentSpends { spends })) => Some(spends),
-            _ => None,
+            Ok(Ok(PeerMessage::RecentSpends { spends })) => RecentSpendsAnswer::Spends(spends),
+            // A host has one process at a time, so one that answers now has replaced the run that has written before.
+            Ok(Ok(PeerMessage::OtherRun { writer: current })) if is_same_host(writer, &current) => {
+                RecentSpendsAnswer::RunIsOver
+            }
+            _ => RecentSpendsAnswer::Unknown,
         }
     }
 
+    /// Address of the host that a run belongs to, if that host responds.
+    fn responsive_address_of(&self, writer: &str) -> Option<SocketAddr> {
+        let peers = self.peers.lock();
+        let mut peers = peers.iter();
+        let (_, peer) =
+            peers.find(|(host, peer)| peer.failures == 0 && is_writer_of(host, writer))?;
+        Some(peer.address)
+    }
+
     /// Queries all peers for the software version that has begun a stream, and returns the first answer that names one.
     pub(crate) async fn find_stream_version(&self, request: &Arc<str>) -> Option<Arc<str>> {
         let query = PeerMessage::StreamQuery { request: Arc::clone(request) };
--- a/src/entry/turn_locator.rs
+++ b/src/entry/turn_locator.rs
@@ -92,6 +92,8 @@
     read_permits: Semaphore,
     /// Start of the last listing of each host by [`TurnLocator::list_batches_of`]. Locked while one is running.
     pub(super) last_host_listings: Arc<tokio::sync::Mutex<HashMap<Arc<str>, Instant>>>,
+    /// Writers whose run is known to be over, with the spends of their open segments once these have been read.
+    pub(super) ended_runs: Mutex<HashMap<Arc<str>, Option<Vec<SpendRecord>>>>,
 }
 
 impl TurnLocator {
@@ -111,6 +113,7 @@
             last_listing: tokio::sync::Mutex::default(),
             read_permits: Semaphore::new(CONCURRENT_READ_LIMIT),
             last_host_listings: Arc::default(),
+            ended_runs: Mutex::default(),
         }
     }
 
@@ -241,6 +244,11 @@
         let mut page_count = 0;
         let mut open_segments: HashMap<Arc<str>, SegmentPosition> = HashMap::new();
         let mut listed = HashSet::new();
+        // Other listings skip what was read before, so they don't have all spends of a segment.
+        let ended_runs = match unresponsive_hosts {
+            [] => HashSet::new(),
+            _ => self.known_ended_runs(),
+        };
 
         while let Some(page) = pages.next().await? {
             page_count += 1;
@@ -269,9 +277,13 @@
         } else {
             self.query_open_segments(open_segments, unresponsive_hosts).await
         };
+        let ended_runs = &ended_runs;
         let segment_pages: Vec<usize> = stream::iter(open_segments)
             .map(|(writer, position)| async move {
-                self.list_open_segment(&writer, position, unresponsive_hosts).await
+                let (pages, spends) =
+                    self.list_open_segment(&writer, position, unresponsive_hosts).await?;
+                self.keep_ended_run(&writer, spends, ended_runs.contains(&writer));
+                Ok::<usize, StoreError>(pages)
             })
             .buffer_unordered(CONCURRENT_LISTING_LIMIT)
             .try_collect()
@@ -295,56 +307,58 @@
         }
     }
 
-    /// Reads the batches of a writer's open segment. Returns the number of pages read.
+    /// Reads the batches of a writer's open segment. Returns the number of pages read, and the spends in the batches that
+    /// were merged.
     async fn list_open_segment(
         &self,
         writer: &str,
         position: SegmentPosition,
         unresponsive_hosts: &[Arc<str>],
-    ) -> Result<usize, StoreError> {
+    ) -> Result<(usize, Vec<SpendRecord>), StoreError> {
         let prefix: Arc<str> = segment_prefix(writer, position.position).into();
         let mut pages = PageReader::new(&*self.store, JOURNAL_KIND, Some(Arc::clone(&prefix)));
         let mut page_count = 0;
+        let mut spends = Vec::new();
 
         while let Some(page) = pages.next().await? {
             page_count += 1;
             let in_segment = |object: &&StoredObject| object.name.starts_with(&*prefix);
-            page.items
-                .iter()
-                .take_while(in_segment)
-                .for_each(|object| self.merge_batch(object, position, unresponsive_hosts));
+            for object in page.items.iter().take_while(in_segment) {
+                spends.extend(self.merge_batch(object, position, unresponsive_hosts));
+            }
 
             if !page.items.last().is_some_and(|object| in_segment(&object)) {
                 break;
             }
         }
 
-        Ok(page_count)
+        Ok((page_count, spends))
     }
 
     /// Merges a batch of an open segment into the index and the ledger. Objects of the segment that was at the same
-    /// position before have lower numbers. A revision that was read before is merged again for unresponsive hosts only.
+    /// position before have lower numbers. A revision that was read before is merged again for unresponsive hosts only. Returns
+    /// the spends that were merged.
     fn merge_batch(
         &self,
         object: &StoredObject,
         position: SegmentPosition,
         unresponsive_hosts: &[Arc<str>],
-    ) {
+    ) -> Vec<SpendRecord> {
         let mut index = self.index.lock();
 
         if unresponsive_hosts.is_empty() && index.is_read(&object.name, object.revision) {
-            return;
+            return Vec::new();
         }
 
         let Some(batch) = object.decode::<BatchSummary>() else {
             log::warn!(batch:% = object.name; "a recorded batch can't be decoded");
-            return;
+            return Vec::new();
         };
 
         index.mark_read(&object.name, object.revision);
 
         if batch.number <= position.last_number {
-            return;
+            return Vec::new();
         }
 
         for turn in &batch.turns {
@@ -353,5 +367,6 @@
 
         drop(index);
         self.ledger.lock().merge_recorded(&batch.writer, &batch.spends, unresponsive_hosts);
+        batch.spends
     }
 }
--- a/src/membership/peer_message.rs
+++ b/src/membership/peer_message.rs
@@ -242,7 +242,7 @@
         version: Option<Arc<str>>,
     },
     /// Entry: request for the spends that a run has recorded in its segments after the one with the number `sequence`. The
-    /// response is [`PeerMessage::RecentSpends`], or `NoAck` from another run or one that no longer has them all.
+    /// response is [`PeerMessage::RecentSpends`], `NoAck` if the run no longer has them all, or [`PeerMessage::OtherRun`].
     RecentSpendsQuery {
         writer: Arc<str>,
         sequence: u64,
@@ -251,6 +251,10 @@
     RecentSpends {
         spends: Vec<SpendRecord>,
     },
+    /// Entry: the sender is another run than the one that is asked.
+    OtherRun {
+        writer: Arc<str>,
+    },
 }
 
 impl PeerMessage {
@@ -274,6 +278,7 @@
                 | Self::Turns { .. }
                 | Self::RecentSpendsQuery { .. }
                 | Self::RecentSpends { .. }
+                | Self::OtherRun { .. }
                 | Self::StreamQuery { .. }
                 | Self::StreamVersion { .. }
                 | Self::ForwardOffer { .. }
--- a/src/tests/silent_records.rs
+++ b/src/tests/silent_records.rs
@@ -208,17 +208,20 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn list_batches_of_reads_segment_of_earlier_run_of_recorder() {
+async fn list_batches_of_stops_reading_segment_of_a_run_that_another_has_replaced() {
     let (store, transport) = (Arc::new(MemoryStore::default()), Arc::<HostTransport>::default());
     let program: Arc<str> = "program".into();
     let recorder = HostRun::start(&store, &transport, "recorder.1", 1);
     let reader = HostRun::start(&store, &transport, "reader.1", 2);
     recorder.record_for_silent_host(&program).await;
-    // The new run answers at the address of the old one.
-    let next_run = HostRun::start(&store, &transport, "recorder.2", 1);
-    reader.hear(&next_run, "recorder.2").await;
+    reader.hear(&recorder, "recorder.1").await;
+    // The next run answers at the address of the old one.
+    HostRun::start(&store, &transport, "recorder.2", 1);
 
+    // The first reading finds out that the run is over, and the second one is the last that reads its segment.
+    assert_eq!(reader.read_silent_host(&program, &store).await, (70, 2));
     assert_eq!(reader.read_silent_host(&program, &store).await, (70, 2));
+    assert_eq!(reader.read_silent_host(&program, &store).await, (70, 1));
 }
 
 #[tokio::test(start_paused = true)]
