--- a/src/entry/silent_records.rs
+++ b/src/entry/silent_records.rs
@@ -1,6 +1,9 @@
 //! Reads what hosts that do not respond have recorded, to count their spends. See docs/design/platform.md, "Budgets".
 
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+};
 
 use futures_util::future::join_all;
 use tokio::time::Instant;
@@ -60,7 +63,7 @@
         &self,
         segments: HashMap<Arc<str>, SegmentPosition>,
         unresponsive_hosts: &[Arc<str>],
-    ) -> HashMap<Arc<str>, SegmentPosition> {
+    ) -> Vec<(Arc<str>, SegmentPosition)> {
         self.ended_runs.lock().retain(|writer, _| segments.contains_key(writer));
         let queries = segments.into_iter().map(|(writer, position)| async move {
             let spends = self.spends_of_run(&writer, position).await;
@@ -73,9 +76,9 @@
         join_all(queries).await.into_iter().flatten().collect()
     }
 
-    /// Whether a run is known to be over whose open segment has not been read since.
-    pub(super) fn has_unread_ended_run(&self) -> bool {
-        self.ended_runs.lock().values().any(Option::is_none)
+    /// Runs that are known to be over.
+    pub(super) fn known_ended_runs(&self) -> HashSet<Arc<str>> {
+        self.ended_runs.lock().keys().cloned().collect()
     }
 
     /// Returns the spends of a run's open segment, if they can be known without reading it.
@@ -101,10 +104,15 @@
         }
     }
 
-    /// Keeps the spends of an open segment that was read, if its run was known to be over before the last listing of the
-    /// indexes: that listing then has all indexes of the run, and the run records nothing more.
-    pub(super) fn keep_ended_run(&self, writer: &Arc<str>, spends: Vec<SpendRecord>) {
-        if let Some(kept) = self.ended_runs.lock().get_mut(writer) {
+    /// Keeps the spends of an open segment that was read, if its run was known to be over before the indexes were listed: the
+    /// listing then has all its indexes, and it records nothing more.
+    pub(super) fn keep_ended_run(
+        &self,
+        writer: &Arc<str>,
+        spends: Vec<SpendRecord>,
+        was_over: bool,
+    ) {
+        if was_over && let Some(kept) = self.ended_runs.lock().get_mut(writer) {
             *kept = Some(spends);
         }
     }
--- a/src/entry/turn_locator.rs
+++ b/src/entry/turn_locator.rs
@@ -239,46 +239,16 @@
         &self,
         unresponsive_hosts: &[Arc<str>],
     ) -> Result<usize, StoreError> {
-        let (mut page_count, mut open_segments) = self.list_indexes(unresponsive_hosts).await?;
-
-        if !unresponsive_hosts.is_empty() {
-            open_segments = self.query_open_segments(open_segments, unresponsive_hosts).await;
-
-            // The first listing may lack indexes of a run that was not known to be over then.
-            if self.has_unread_ended_run() {
-                let (pages, mut segments) = self.list_indexes(unresponsive_hosts).await?;
-                page_count += pages;
-                segments.retain(|writer, _| open_segments.contains_key(writer));
-                open_segments = segments;
-            }
-        }
-
-        let segment_pages: Vec<usize> = stream::iter(open_segments)
-            .map(|(writer, position)| async move {
-                let (pages, spends) =
-                    self.list_open_segment(&writer, position, unresponsive_hosts).await?;
-                // Other listings skip what was read before, so they don't have all spends of a segment.
-                if !unresponsive_hosts.is_empty() {
-                    self.keep_ended_run(&writer, spends);
-                }
-                Ok::<usize, StoreError>(pages)
-            })
-            .buffer_unordered(CONCURRENT_LISTING_LIMIT)
-            .try_collect()
-            .await?;
-        Ok(page_count + segment_pages.iter().sum::<usize>())
-    }
-
-    /// Lists and merges the indexes. Returns the number of pages read and the open segment of each writer.
-    async fn list_indexes(
-        &self,
-        unresponsive_hosts: &[Arc<str>],
-    ) -> Result<(usize, HashMap<Arc<str>, SegmentPosition>), StoreError> {
         let started = Instant::now();
         let mut pages = PageReader::new(&*self.store, INDEX_KIND, None);
         let mut page_count = 0;
         let mut open_segments: HashMap<Arc<str>, SegmentPosition> = HashMap::new();
         let mut listed = HashSet::new();
+        // Other listings skip what was read before, so they don't have all spends of a segment.
+        let ended_runs = match unresponsive_hosts {
+            [] => HashSet::new(),
+            _ => self.known_ended_runs(),
+        };
 
         while let Some(page) = pages.next().await? {
             page_count += 1;
@@ -301,7 +271,24 @@
             took_ms = started.elapsed().as_millis() as u64;
             "listed the indexes of recorded turns"
         );
-        Ok((page_count, open_segments))
+
+        let open_segments = if unresponsive_hosts.is_empty() {
+            open_segments.into_iter().collect()
+        } else {
+            self.query_open_segments(open_segments, unresponsive_hosts).await
+        };
+        let ended_runs = &ended_runs;
+        let segment_pages: Vec<usize> = stream::iter(open_segments)
+            .map(|(writer, position)| async move {
+                let (pages, spends) =
+                    self.list_open_segment(&writer, position, unresponsive_hosts).await?;
+                self.keep_ended_run(&writer, spends, ended_runs.contains(&writer));
+                Ok::<usize, StoreError>(pages)
+            })
+            .buffer_unordered(CONCURRENT_LISTING_LIMIT)
+            .try_collect()
+            .await?;
+        Ok(page_count + segment_pages.iter().sum::<usize>())
     }
 
     /// Merges an index that was not merged before. Its spends are merged again for unresponsive hosts.
