Log the names of silent hosts with each reading, not with each turn

Cause: names up to 25 hosts in the line of each turn that is not confirmed, up to 700 a second in a fleet. Change: the turn's line has their number, the reading's line their names.

--- a/src/entry/silent_records.rs
+++ b/src/entry/silent_records.rs
@@ -48,7 +48,7 @@
             };
 
             log::info!(
-                hosts = hosts.len(), pages, took_ms = started.elapsed().as_millis() as u64;
+                hosts:? = hosts, pages, took_ms = started.elapsed().as_millis() as u64;
                 "read the records of unresponsive hosts"
             );
             last_listings.extend(hosts.into_iter().map(|host| (host, started)));
--- a/src/entry/turn_budget.rs
+++ b/src/entry/turn_budget.rs
@@ -87,7 +87,7 @@
             unresponsive_hosts.iter().filter(|host| ledger.has_tokens(program, host)).count()
         };
         log::info!(
-            program:% = program, silent:? = unresponsive_hosts, holders, exchange_ms,
+            program:% = program, silent = unresponsive_hosts.len(), holders, exchange_ms,
             took_ms = started.elapsed().as_millis() as u64, is_confirmed;
             "peers do not answer, so their recorded spends were looked up in the store"
         );
