Count requests that wait for their number as ones that may run

Cause: a refusal keeps not_run only if no other request under the number is on its way, but only the number that runs was looked at. Requests that wait in admission for earlier numbers, or as repeats of one that runs, were not seen. A repeat that was refused at once, for a malformed receipt or because eight requests of the program wait already, told its caller not_run, while the first request under the number ran later. A caller may then use the number for something else, or take the effect for absent.

Change: the slot of a program counts the requests in admission by number. The guard that holds a request's place takes it out of the count when its wait ends, also if its task is cancelled, and after the number runs if it is admitted, so there is no gap in between. A request without a place is counted too, since a repeat waits for the answer of a running request without one. Such requests have the running number, so the count has at most one number more than there are places.

--- a/src/programs/attempt_evidence.rs
+++ b/src/programs/attempt_evidence.rs
@@ -29,7 +29,7 @@
         match has_entry {
             Ok(has_entry) => {
                 has_entry
-                    || self.owner.is_running_number(self.id, key.number)
+                    || self.owner.has_number(self.id, key.number)
                     || self.owner.attempts.history(self.id).may_have_run(key)
             }
             // The team has no such program.
--- a/src/programs/slot_admission.rs
+++ b/src/programs/slot_admission.rs
@@ -38,12 +38,12 @@
         fingerprint: u64,
     ) -> Result<SlotAdmission, Problem> {
         let slot = self.owner.slot(self.id);
-        let waiter = slot.add_waiter();
+        let waiter = slot.add_waiter(number);
         let deadline = Instant::now() + ADMISSION_TIMEOUT;
 
         loop {
             // Created before the state is read, so that no change in between is missed.
-            let changed = waiter.as_ref().map(|it| it.changed());
+            let changed = waiter.changed();
 
             match self.read(|program| program.admit(number, fingerprint))? {
                 ProgramAdmission::Settled => return self.settled_entry(number),
--- a/src/state/program_slot.rs
+++ b/src/state/program_slot.rs
@@ -1,6 +1,9 @@
 //! Coordination of one program's requests on its owner.
 
-use std::sync::Arc;
+use std::{
+    collections::{BTreeMap, btree_map::Entry},
+    sync::Arc,
+};
 
 use parking_lot::Mutex;
 use tokio::sync::{Notify, watch};
@@ -21,7 +24,11 @@
 #[derive(Debug, Default)]
 struct SlotState {
     running: Option<RunningRequest>,
+    /// Waiters that have a place.
     waiters: u32,
+    /// Requests that may still run, by number, the waiters and the joined repeats included. Those without a place don't
+    /// wait unless they join, so there are at most as many numbers as places and one more.
+    candidates: BTreeMap<u32, u32>,
 }
 
 /// Result of entering a slot with a request.
@@ -77,8 +84,11 @@
         self.state.lock().running.is_some()
     }
 
-    pub(crate) fn is_running_number(&self, number: u32) -> bool {
-        self.state.lock().running.as_ref().is_some_and(|running| running.number == number)
+    /// Tells whether a request under the number runs, or may still run after its wait.
+    pub(crate) fn has_number(&self, number: u32) -> bool {
+        let state = self.state.lock();
+        let is_running = state.running.as_ref().is_some_and(|running| running.number == number);
+        is_running || state.candidates.contains_key(&number)
     }
 
     /// Wakes all waiters, so that they check the program's state again.
@@ -86,35 +96,43 @@
         self.changed.notify_waiters();
     }
 
-    /// Adds a waiter for changes, unless there are too many.
-    pub(crate) fn add_waiter(&self) -> Option<SlotWaiter<'_>> {
+    /// Adds a request that may wait for changes, unless too many do.
+    pub(crate) fn add_waiter(&self, number: u32) -> SlotWaiter<'_> {
         let mut state = self.state.lock();
-
-        if state.waiters >= WAITER_LIMIT {
-            return None;
-        }
-
-        state.waiters += 1;
-        Some(SlotWaiter { slot: self })
+        let has_place = state.waiters < WAITER_LIMIT;
+        state.waiters += u32::from(has_place);
+        *state.candidates.entry(number).or_default() += 1;
+        SlotWaiter { slot: self, number, has_place }
     }
 }
 
-/// A waiter of a slot. Dropping it removes it from the count.
+/// A request that is not admitted yet. Dropping it frees its place, also if the task is cancelled.
 #[derive(Debug)]
 pub(crate) struct SlotWaiter<'a> {
     slot: &'a ProgramSlot,
+    number: u32,
+    has_place: bool,
 }
 
 impl SlotWaiter<'_> {
-    /// Returns a future that completes at the next change after this call.
-    pub(crate) fn changed(&self) -> tokio::sync::futures::Notified<'_> {
-        self.slot.changed.notified()
+    /// Returns a future that completes at the next change after this call, or `None` without a place to wait.
+    pub(crate) fn changed(&self) -> Option<tokio::sync::futures::Notified<'_>> {
+        self.has_place.then(|| self.slot.changed.notified())
     }
 }
 
 impl Drop for SlotWaiter<'_> {
     fn drop(&mut self) {
-        self.slot.state.lock().waiters -= 1;
+        let mut state = self.slot.state.lock();
+        state.waiters -= u32::from(self.has_place);
+
+        if let Entry::Occupied(mut count) = state.candidates.entry(self.number) {
+            *count.get_mut() -= 1;
+
+            if *count.get() == 0 {
+                count.remove();
+            }
+        }
     }
 }
 
--- a/src/state/shard_owner.rs
+++ b/src/state/shard_owner.rs
@@ -180,9 +180,9 @@
         self.slots.lock().get(&program).is_some_and(|slot| slot.is_running())
     }
 
-    /// Tells whether a request under a number of a program runs, or waits for an upstream.
-    pub(crate) fn is_running_number(&self, program: ProgramId, number: u32) -> bool {
-        self.slots.lock().get(&program).is_some_and(|slot| slot.is_running_number(number))
+    /// Tells whether a request under a number of a program runs, or may still run after its wait.
+    pub(crate) fn has_number(&self, program: ProgramId, number: u32) -> bool {
+        self.slots.lock().get(&program).is_some_and(|slot| slot.has_number(number))
     }
 
     /// Removes the slot of a program unless a request uses it.
