Say what refusals state, in tests and pages; name where a request was tried

Cause: a reviewer who read the diff as a newcomer stumbled over the words of the users' pages, a record that could be cloned, and a read in a select loop whose safety was not said.

--- a/src/entry/run_record.rs
+++ b/src/entry/run_record.rs
@@ -9,7 +9,7 @@
 use crate::entry::{EntryRefusal, EntryRequest, EntryResponse};
 
 /// Number of attempts in which a request may have run, on this host and on those that were lost with it before. The task
-/// that has forwarded the request follows it, so that the number is known if this host is lost as well.
+/// that has forwarded the request follows it, so that the number is known if this host is lost as well. Clones share the number.
 #[derive(Clone, Debug, Default)]
 pub struct PossibleRuns {
     count: watch::Sender<u32>,
@@ -33,24 +33,24 @@
 ///
 /// Each attempt knows only about itself, while a client reads a refusal as a statement about the whole request. So every
 /// place that makes several attempts returns their refusals through [`RunRecord::final_response`].
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(crate) struct RunRecord {
     request: Arc<str>,
     runs: PossibleRuns,
-    places: Vec<Arc<str>>,
+    tried_at: Vec<Arc<str>>,
 }
 
 impl RunRecord {
     /// Begins with the attempts that were made before the request came to this host.
     pub(crate) fn new(request: &EntryRequest) -> Self {
         let (request, runs) = (Arc::clone(&request.id), request.possible_runs.clone());
-        Self { request, runs, places: Vec::new() }
+        Self { request, runs, tried_at: Vec::new() }
     }
 
     /// Records an attempt at an upstream or a host that ended without a response, so that the request may have run there,
     /// or may still run.
     pub(crate) fn record_possible_run(&mut self, place: &Arc<str>) {
-        self.places.push(Arc::clone(place));
+        self.tried_at.push(Arc::clone(place));
         self.runs.count.send_modify(|count| *count += 1);
     }
 
@@ -60,8 +60,8 @@
     }
 
     /// Upstreams or hosts that were tried here and at which the request may have run, one for each attempt.
-    pub(crate) fn places(&self) -> &[Arc<str>] {
-        &self.places
+    pub(crate) fn tried_at(&self) -> &[Arc<str>] {
+        &self.tried_at
     }
 
     /// Number of attempts in which the request may have run, on all hosts.
@@ -82,7 +82,7 @@
                 if self.may_have_run() && refusal.states_not_run() =>
             {
                 log::info!(
-                    request:% = self.request, refusal:% = refusal, places:? = self.places,
+                    request:% = self.request, refusal:% = refusal, tried_at:? = self.tried_at,
                     possible_runs = self.possible_runs();
                     "a refusal is passed on as a lost response, as the request may have run before: {reason}"
                 );
--- a/src/gateway/forward_server.rs
+++ b/src/gateway/forward_server.rs
@@ -56,6 +56,7 @@
                 let possible_runs = *possible_runs.borrow_and_update();
                 stream.send(&PeerMessage::ForwardRunsReported { possible_runs }).await?;
             }
+            // Nothing but its end follows the confirmation, so a read that is dropped halfway loses no message.
             _ = stream.receive() => {
                 log::info!(request:% = id; "the forwarding host has cancelled a request");
                 return Ok(());
--- a/src/gateway/request_forwarder.rs
+++ b/src/gateway/request_forwarder.rs
@@ -68,7 +68,7 @@
 impl RequestForwarder {
     /// Forwards a request to the first of the candidates that accepts it, and returns its response, or `None` if none
     /// of them does, so that the request has not run. If that scheduler is lost, a retryable request is forwarded to the
-    /// next one, whose refusal says nothing about the first. Dropping the future cancels the request.
+    /// next one, whose refusal does not cover the first attempt. Dropping the future cancels the request.
     pub(crate) async fn forward(
         &self,
         request: &EntryRequest,
@@ -146,7 +146,7 @@
         }
 
         log::info!(
-            request:% = request.id, refusal:% = EntryRefusal::ResponseLost, lost_schedulers:? = record.places(), offers,
+            request:% = request.id, refusal:% = EntryRefusal::ResponseLost, lost_schedulers:? = record.tried_at(), offers,
             took_ms = request.received.elapsed().as_millis() as u64;
             "refused: each scheduler that was to run the request was lost"
         );
@@ -165,11 +165,11 @@
             return self.metrics.count_forwarded("answered");
         };
 
-        let is_after_loss = !record.places().is_empty();
+        let is_after_loss = !record.tried_at().is_empty();
         let outcome = if is_after_loss { "refused_after_loss" } else { "answered" };
         self.metrics.count_forwarded(outcome);
         log::info!(
-            request:% = request.id, scheduler:% = scheduler.host, refusal:%, lost_schedulers:? = record.places(),
+            request:% = request.id, scheduler:% = scheduler.host, refusal:%, lost_schedulers:? = record.tried_at(),
             took_ms = request.received.elapsed().as_millis() as u64;
             "a forwarded request is refused: {reason}"
         );
--- a/src/interface/problem.rs
+++ b/src/interface/problem.rs
@@ -44,7 +44,7 @@
         Self { outcome: RequestOutcome::Unknown, ..Self::failed(kind, detail) }
     }
 
-    /// Problem of the same refusal if an earlier attempt may have run: it states nothing about earlier attempts.
+    /// Returns the problem without the statement that the request has not run.
     pub(crate) fn without_not_run(self) -> Self {
         match self.outcome {
             RequestOutcome::NotRun => Self { outcome: RequestOutcome::Failed, ..self },
--- a/src/tests/gateway_forwarding.rs
+++ b/src/tests/gateway_forwarding.rs
@@ -241,7 +241,7 @@
 }
 
 /// Refusals of a scheduler that tell the client that its request has not run.
-fn promising_refusals() -> [EntryRefusal; 4] {
+fn refusals_that_state_not_run() -> [EntryRefusal; 4] {
     let retry_after = Duration::from_millis(200);
     [
         EntryRefusal::BudgetSpent,
@@ -256,12 +256,12 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn forward_never_promises_not_run_after_a_scheduler_was_lost() {
+async fn forward_never_states_not_run_after_a_scheduler_was_lost() {
     let lost = || Some(vec![accepted(true)]);
     let declined = || Some(vec![PeerMessage::ForwardDeclined { reason: DeclineReason::Draining }]);
-    let mut promised = Vec::new();
+    let mut false_refusals = Vec::new();
 
-    for refusal in promising_refusals() {
+    for refusal in refusals_that_state_not_run() {
         let cases = [
             ("refused by the next", [lost(), Some(refused(refusal)), None]),
             ("a silent one between", [lost(), None, Some(refused(refusal))]),
@@ -276,12 +276,12 @@
                 Some(EntryResponse::Refused { refusal: EntryRefusal::ResponseLost, .. })
             );
             if !is_lost {
-                promised.push(format!("{label}: {response:?}"));
+                false_refusals.push(format!("{label}: {response:?}"));
             }
         }
     }
 
-    assert!(promised.is_empty(), "refusals that promise: {promised:#?}");
+    assert!(false_refusals.is_empty(), "{false_refusals:#?}");
 }
 
 #[tokio::test(start_paused = true)]
@@ -308,7 +308,7 @@
 async fn forward_keeps_a_refusal_if_no_scheduler_before_was_to_run_the_request() {
     let declined = || Some(vec![PeerMessage::ForwardDeclined { reason: DeclineReason::Draining }]);
 
-    for refusal in promising_refusals() {
+    for refusal in refusals_that_state_not_run() {
         for first in [None, Some(Vec::new()), declined()] {
             let (response, _) = forward([first, Some(refused(refusal))]).await;
             let Some(EntryResponse::Refused { refusal: returned, .. }) = response else {
--- a/src/tests/lost_schedulers.rs
+++ b/src/tests/lost_schedulers.rs
@@ -143,15 +143,15 @@
     })
 }
 
-/// Sends a turn for each refusal that promises, and returns those that the client gets.
-async fn promises(node: &EntryNode, shared: &SharedState) -> Vec<EntryRefusal> {
+/// Sends a turn for each refusal that states "not run", and returns those that the client gets.
+async fn false_refusals(node: &EntryNode, shared: &SharedState) -> Vec<EntryRefusal> {
     let refusals = [
         EntryRefusal::BudgetSpent,
         EntryRefusal::NotRun { retry_after: Duration::from_millis(200) },
         EntryRefusal::UnknownTurn,
         EntryRefusal::NoRoute,
     ];
-    let mut promises = Vec::new();
+    let mut received = Vec::new();
 
     // Each turn loses one scheduler, so that two are left for the last one.
     for (refusal, program) in refusals.into_iter().zip(programs_of_schedulers(shared)) {
@@ -164,21 +164,21 @@
 
         match response {
             EntryResponse::Refused { refusal: EntryRefusal::ResponseLost, .. } => (),
-            EntryResponse::Refused { refusal, .. } => promises.push(refusal),
+            EntryResponse::Refused { refusal, .. } => received.push(refusal),
             EntryResponse::Relayed(_) => panic!("a response from nowhere"),
         }
     }
 
-    promises
+    received
 }
 
 #[tokio::test]
-async fn gateway_never_promises_not_run_after_a_scheduler_was_lost() {
+async fn gateway_never_states_not_run_after_a_scheduler_was_lost() {
     let store = Arc::new(MemoryStore::default());
     let shared = start_schedulers(&store, MAX_SCHEDULERS).await;
     let node = start_node(&store, NODE, route_table(1, "/new/")).await;
     wait_until_ready(&node).await;
-    assert_eq!(promises(&node, &shared).await, [], "of a gateway");
+    assert_eq!(false_refusals(&node, &shared).await, [], "of a gateway");
 }
 
 #[tokio::test]
@@ -187,7 +187,7 @@
     let shared = start_schedulers(&store, MAX_SCHEDULERS).await;
     let node = start_node(&store, NODE, route_table(1, "/new/")).await;
     wait_until_ready(&node).await;
-    promises(&node, &shared).await;
+    false_refusals(&node, &shared).await;
     let text = node.metrics_text().expect("metrics");
 
     for (outcome, count) in
@@ -201,10 +201,10 @@
 }
 
 #[tokio::test]
-async fn scheduler_never_promises_not_run_after_an_owner_was_lost() {
+async fn scheduler_never_states_not_run_after_an_owner_was_lost() {
     let store = Arc::new(MemoryStore::default());
     let shared = start_schedulers(&store, MAX_SCHEDULERS - 1).await;
     let node = start_node(&store, NODE, route_table(1, "/new/")).await;
     wait_until_ready(&node).await;
-    assert_eq!(promises(&node, &shared).await, [], "of a scheduler that forwards to owners");
+    assert_eq!(false_refusals(&node, &shared).await, [], "of a scheduler that forwards to owners");
 }
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -34,7 +34,7 @@
 mod program_outcomes;
 mod program_routes;
 mod receipts;
-mod refusal_promises;
+mod refusal_statements;
 mod settings;
 mod shard_log_model;
 mod shard_state;
--- a/src/tests/refusal_promises.rs
+++ b/src/tests/refusal_statements.rs
@@ -1,4 +1,4 @@
-//! Refusals which promise that a request has not run, inside one scheduler.
+//! Refusals which state that a request has not run, inside one scheduler.
 
 use std::{net::SocketAddr, sync::Arc};
 
@@ -28,13 +28,13 @@
 /// Time for a response to a request that runs.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// An answer with a status that promises, and without the upstream's statement that the request has not run.
+/// An answer with a status that clients read as "not run", and without the upstream's statement that the request has not run.
 fn unstated(status: StatusCode) -> ScriptedResponse {
     ScriptedResponse::Whole { status, has_not_run: false, is_signed: false }
 }
 
 #[tokio::test(start_paused = true)]
-async fn runner_never_promises_not_run_after_an_attempt_that_may_have_run() {
+async fn runner_never_states_not_run_after_an_attempt_that_may_have_run() {
     let unsigned = unstated(StatusCode::OK);
     let failed = unstated(StatusCode::INTERNAL_SERVER_ERROR);
     let firsts = [ScriptedResponse::Broken, ScriptedResponse::Silent, unsigned, failed];
@@ -53,7 +53,7 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn runner_relays_no_promise_without_the_statement_of_its_upstream() {
+async fn runner_relays_no_refusal_without_the_statement_of_its_upstream() {
     let statuses = [
         StatusCode::SERVICE_UNAVAILABLE,
         StatusCode::TOO_MANY_REQUESTS,
@@ -128,7 +128,7 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn forward_never_promises_not_run_after_a_confirmation_that_failed() {
+async fn forward_never_states_not_run_after_a_confirmation_that_failed() {
     let forwarder = RequestForwarder {
         connector: Arc::new(MeshConnector::new(Arc::new(BrokenTransport))),
         directory: Arc::new(SchedulerDirectory::new("north".into())),
