BUDGET: the lasting readings of silent hosts' records are taken back

Callers saw, with: after a restart of all hosts a fleet serves 0.05 to 0.6 of its requests for 14 s, which it serves to 0.95 without. Cause: each reading of what silent hosts have recorded goes on when its turns have gone, and after such a restart it covers the open segments of every run that is over, 26 pages of up to 1 MB for each of some 30 hosts, of which small ones have 30 Mbit/s and 0.12 of a core and are still loading their own records. Hosts that load are late, late ones count as silent, and the next reading begins. Before it can come back, a start has to read what it needs once, and a reading has to leave the links to those that start.

--- a/src/entry/budget_ledger.rs
+++ b/src/entry/budget_ledger.rs
@@ -155,8 +155,7 @@
     }
 }
 
-/// Whether `writer` is a run of `host`: its name begins with the host and a dot.
-pub(crate) fn is_writer_of(host: &str, writer: &str) -> bool {
+fn is_writer_of(host: &str, writer: &str) -> bool {
     writer.strip_prefix(host).is_some_and(|rest| rest.starts_with('.'))
 }
 
--- a/src/entry/mesh_answers.rs
+++ b/src/entry/mesh_answers.rs
@@ -56,15 +56,6 @@
                 PeerMessage::Knowledge { spends, batches, departures }
             }
             PeerMessage::KnowledgeQuery => PeerMessage::NoAck,
-            PeerMessage::RecentSpendsQuery { writer, .. } if writer != self.identity.writer => {
-                PeerMessage::OtherRun { writer: Arc::clone(&self.identity.writer) }
-            }
-            PeerMessage::RecentSpendsQuery { sequence, .. } => {
-                match self.journal.get().and_then(|it| it.recent_spends(sequence)) {
-                    Some(spends) => PeerMessage::RecentSpends { spends },
-                    None => PeerMessage::NoAck,
-                }
-            }
             PeerMessage::RequestCrashesNoted { notes } => {
                 let mut crashes = self.state.crashes.lock();
                 notes.into_iter().for_each(|note| crashes.merge(note));
--- a/src/entry/mesh_queries.rs
+++ b/src/entry/mesh_queries.rs
@@ -11,7 +11,6 @@
 use crate::{
     PeerMessage,
     entry::{
-        budget_ledger::{SpendRecord, is_writer_of},
         mesh_peer::MeshPeer,
         peer_mesh::{PEER_TIMEOUT, PeerMesh},
         stream_versions::StreamOrigin,
@@ -25,22 +24,6 @@
 /// Time for a peer to respond to the query for a stream that a client takes up.
 const STREAM_QUERY_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// What is known of the spends that a run has recorded lately.
-#[derive(Clone, Debug)]
-pub(crate) enum RecentSpendsAnswer {
-    Spends(Vec<SpendRecord>),
-    /// Another run of its host has answered, so it records nothing more.
-    RunIsOver,
-    /// It has not answered in time, or no longer has them all.
-    Unknown,
-}
-
-/// Whether two writers are runs of the same host. A writer's name is that of its host, a dot and the name of the run.
-fn is_same_host(writer: &str, other: &str) -> bool {
-    let host = |writer: &str| writer.rsplit_once('.').map(|(host, _)| host.to_owned());
-    host(writer).is_some() && host(writer) == host(other)
-}
-
 /// A peer to which a spend query may be sent.
 #[derive(Debug)]
 struct QueriedPeer {
@@ -133,13 +116,6 @@
         unresponsive
     }
 
-    /// The given hosts and all peers that do not respond at present.
-    pub(crate) fn silent_hosts_with(&self, hosts: &[Arc<str>]) -> Vec<Arc<str>> {
-        let peers = self.peers.lock();
-        let silent = peers.iter().filter(|(host, peer)| peer.failures > 0 && !hosts.contains(host));
-        hosts.iter().chain(silent.map(|(host, _)| host)).cloned().collect()
-    }
-
     /// Sends a peer a spend query and merges its response. Returns the peer's name if it did not respond.
     async fn query_spend(&self, peer: QueriedPeer, query: &PeerMessage) -> Option<Arc<str>> {
         // The regular updates find out when the peer responds again, so a query need not wait for its timeout.
@@ -158,44 +134,6 @@
         }
     }
 
-    /// Queries a run for the spends that it has recorded in its segments after the one with the number `sequence`.
-    pub(crate) async fn query_recent_spends(
-        &self,
-        writer: &Arc<str>,
-        sequence: u64,
-    ) -> RecentSpendsAnswer {
-        if *writer == self.identity.writer {
-            let spends = self.journal.get().and_then(|it| it.recent_spends(sequence));
-            return spends.map_or(RecentSpendsAnswer::Unknown, RecentSpendsAnswer::Spends);
-        }
-        if is_writer_of(&self.identity.host, writer) {
-            return RecentSpendsAnswer::RunIsOver;
-        }
-
-        let Some(address) = self.responsive_address_of(writer) else {
-            return RecentSpendsAnswer::Unknown;
-        };
-        let query = PeerMessage::RecentSpendsQuery { writer: Arc::clone(writer), sequence };
-
-        match timeout(SPEND_QUERY_TIMEOUT, self.connector.exchange(address, &query)).await {
-            Ok(Ok(PeerMessage::RecentSpends { spends })) => RecentSpendsAnswer::Spends(spends),
-            // A host has one process at a time, so one that answers now has replaced the run that has written before.
-            Ok(Ok(PeerMessage::OtherRun { writer: current })) if is_same_host(writer, &current) => {
-                RecentSpendsAnswer::RunIsOver
-            }
-            _ => RecentSpendsAnswer::Unknown,
-        }
-    }
-
-    /// Address of the host that a run belongs to, if that host responds.
-    fn responsive_address_of(&self, writer: &str) -> Option<SocketAddr> {
-        let peers = self.peers.lock();
-        let mut peers = peers.iter();
-        let (_, peer) =
-            peers.find(|(host, peer)| peer.failures == 0 && is_writer_of(host, writer))?;
-        Some(peer.address)
-    }
-
     /// Queries all peers for the software version that has begun a stream, and returns what all answers together say. Waits
     /// for each peer, since one may know of another version than the others.
     pub(crate) async fn find_stream_origin(&self, request: &Arc<str>) -> Option<StreamOrigin> {
--- a/src/entry/turn_budget.rs
+++ b/src/entry/turn_budget.rs
@@ -68,9 +68,7 @@
     /// Merges the other hosts' totals for a program into the ledger. For unresponsive hosts it reads their records in
     /// the store. Returns false if these can't be read in time either.
     async fn confirm_spend(&self, program: &Arc<str>) -> bool {
-        let started = Instant::now();
         let unresponsive_hosts = self.mesh.exchange_spend(program).await;
-        let exchange_ms = started.elapsed().as_millis() as u64;
 
         if unresponsive_hosts.is_empty() {
             return true;
@@ -82,13 +80,8 @@
                 .await;
         let is_confirmed = matches!(listing, Ok(true));
 
-        let holders = {
-            let ledger = self.ledger.lock();
-            unresponsive_hosts.iter().filter(|host| ledger.has_tokens(program, host)).count()
-        };
         log::info!(
-            program:% = program, silent = unresponsive_hosts.len(), holders, exchange_ms,
-            took_ms = started.elapsed().as_millis() as u64, is_confirmed;
+            program:% = program, silent = unresponsive_hosts.len(), is_confirmed;
             "peers do not answer, so their recorded spends were looked up in the store"
         );
         is_confirmed
--- a/src/entry/turn_locator.rs
+++ b/src/entry/turn_locator.rs
@@ -5,7 +5,6 @@
     sync::Arc,
 };
 
-use futures_util::{StreamExt, TryStreamExt, stream};
 use parking_lot::Mutex;
 use serde::Deserialize;
 use tokio::{
@@ -30,10 +29,6 @@
 /// Batches that are read concurrently. Each takes up to three times its size in memory while it is decoded.
 const CONCURRENT_READ_LIMIT: usize = 3;
 
-/// Open segments that are listed concurrently. A page of up to 1 MB takes three times its size in memory while it is
-/// decoded.
-const CONCURRENT_LISTING_LIMIT: usize = 4;
-
 /// Result of a search for a chain of turns.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum TurnSearch {
@@ -60,8 +55,8 @@
 
 /// Where a writer's open segment is, by its latest index.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct SegmentPosition {
-    pub(super) sequence: u64,
+struct SegmentPosition {
+    sequence: u64,
     position: u32,
     /// Number of the last batch that an index covers.
     last_number: u64,
@@ -90,10 +85,8 @@
     last_listing: tokio::sync::Mutex<Option<Instant>>,
     /// Limits the batches that are read concurrently, since they are large.
     read_permits: Semaphore,
-    /// Start of the last listing of each host by [`TurnLocator::list_batches_of`]. Locked while one is running.
-    pub(super) last_host_listings: Arc<tokio::sync::Mutex<HashMap<Arc<str>, Instant>>>,
-    /// Writers whose run is known to be over, with the spends of their open segments once these have been read.
-    pub(super) ended_runs: Mutex<HashMap<Arc<str>, Option<Vec<SpendRecord>>>>,
+    /// Start of the last listing of each host by [`TurnLocator::list_batches_of`].
+    last_host_listings: tokio::sync::Mutex<HashMap<Arc<str>, Instant>>,
 }
 
 impl TurnLocator {
@@ -112,8 +105,7 @@
             index,
             last_listing: tokio::sync::Mutex::default(),
             read_permits: Semaphore::new(CONCURRENT_READ_LIMIT),
-            last_host_listings: Arc::default(),
-            ended_runs: Mutex::default(),
+            last_host_listings: tokio::sync::Mutex::default(),
         }
     }
 
@@ -233,22 +225,35 @@
         Ok(())
     }
 
+    /// Reads the records again for the spends of unresponsive hosts, unless the last such reading for each of them was
+    /// started at `since` or later. Returns false if they can't be read.
+    pub(crate) async fn list_batches_of(&self, hosts: &[Arc<str>], since: Instant) -> bool {
+        let mut last_listings = self.last_host_listings.lock().await;
+        let is_recent =
+            |host| last_listings.get(host).is_some_and(|started: &Instant| *started >= since);
+
+        if hosts.iter().all(is_recent) {
+            return true;
+        }
+
+        let started = Instant::now();
+
+        if let Err(error) = self.list_records(hosts).await {
+            log::warn!("the records of {} unresponsive hosts can't be read: {error}", hosts.len());
+            return false;
+        }
+
+        last_listings.extend(hosts.iter().map(|host| (Arc::clone(host), started)));
+        true
+    }
+
     /// Lists the indexes, and the batches that no index covers. Records about runs of `unresponsive_hosts` replace lower
     /// reports of theirs, see [`BudgetLedger::merge_recorded`]. Returns the number of pages read.
-    pub(super) async fn list_records(
-        &self,
-        unresponsive_hosts: &[Arc<str>],
-    ) -> Result<usize, StoreError> {
-        let started = Instant::now();
+    async fn list_records(&self, unresponsive_hosts: &[Arc<str>]) -> Result<usize, StoreError> {
         let mut pages = PageReader::new(&*self.store, INDEX_KIND, None);
         let mut page_count = 0;
         let mut open_segments: HashMap<Arc<str>, SegmentPosition> = HashMap::new();
         let mut listed = HashSet::new();
-        // Other listings skip what was read before, so they don't have all spends of a segment.
-        let ended_runs = match unresponsive_hosts {
-            [] => HashSet::new(),
-            _ => self.known_ended_runs(),
-        };
 
         while let Some(page) = pages.next().await? {
             page_count += 1;
@@ -266,29 +271,12 @@
         }
 
         self.index.lock().retain_merged(&listed);
-        log::info!(
-            pages = page_count, indexes = listed.len(), writers = open_segments.len(),
-            took_ms = started.elapsed().as_millis() as u64;
-            "listed the indexes of recorded turns"
-        );
 
-        let open_segments = if unresponsive_hosts.is_empty() {
-            open_segments.into_iter().collect()
-        } else {
-            self.query_open_segments(open_segments, unresponsive_hosts).await
-        };
-        let ended_runs = &ended_runs;
-        let segment_pages: Vec<usize> = stream::iter(open_segments)
-            .map(|(writer, position)| async move {
-                let (pages, spends) =
-                    self.list_open_segment(&writer, position, unresponsive_hosts).await?;
-                self.keep_ended_run(&writer, spends, ended_runs.contains(&writer));
-                Ok::<usize, StoreError>(pages)
-            })
-            .buffer_unordered(CONCURRENT_LISTING_LIMIT)
-            .try_collect()
-            .await?;
-        Ok(page_count + segment_pages.iter().sum::<usize>())
+        for (writer, position) in open_segments {
+            page_count += self.list_open_segment(&writer, position, unresponsive_hosts).await?;
+        }
+
+        Ok(page_count)
     }
 
     /// Merges an index that was not merged before. Its spends are merged again for unresponsive hosts.
@@ -307,58 +295,56 @@
         }
     }
 
-    /// Reads the batches of a writer's open segment. Returns the number of pages read, and the spends in the batches that
-    /// were merged.
+    /// Reads the batches of a writer's open segment. Returns the number of pages read.
     async fn list_open_segment(
         &self,
         writer: &str,
         position: SegmentPosition,
         unresponsive_hosts: &[Arc<str>],
-    ) -> Result<(usize, Vec<SpendRecord>), StoreError> {
+    ) -> Result<usize, StoreError> {
         let prefix: Arc<str> = segment_prefix(writer, position.position).into();
         let mut pages = PageReader::new(&*self.store, JOURNAL_KIND, Some(Arc::clone(&prefix)));
         let mut page_count = 0;
-        let mut spends = Vec::new();
 
         while let Some(page) = pages.next().await? {
             page_count += 1;
             let in_segment = |object: &&StoredObject| object.name.starts_with(&*prefix);
-            for object in page.items.iter().take_while(in_segment) {
-                spends.extend(self.merge_batch(object, position, unresponsive_hosts));
-            }
+            page.items
+                .iter()
+                .take_while(in_segment)
+                .for_each(|object| self.merge_batch(object, position, unresponsive_hosts));
 
             if !page.items.last().is_some_and(|object| in_segment(&object)) {
                 break;
             }
         }
 
-        Ok((page_count, spends))
+        Ok(page_count)
     }
 
     /// Merges a batch of an open segment into the index and the ledger. Objects of the segment that was at the same
-    /// position before have lower numbers. A revision that was read before is merged again for unresponsive hosts only. Returns
-    /// the spends that were merged.
+    /// position before have lower numbers. A revision that was read before is merged again for unresponsive hosts only.
     fn merge_batch(
         &self,
         object: &StoredObject,
         position: SegmentPosition,
         unresponsive_hosts: &[Arc<str>],
-    ) -> Vec<SpendRecord> {
+    ) {
         let mut index = self.index.lock();
 
         if unresponsive_hosts.is_empty() && index.is_read(&object.name, object.revision) {
-            return Vec::new();
+            return;
         }
 
         let Some(batch) = object.decode::<BatchSummary>() else {
             log::warn!(batch:% = object.name; "a recorded batch can't be decoded");
-            return Vec::new();
+            return;
         };
 
         index.mark_read(&object.name, object.revision);
 
         if batch.number <= position.last_number {
-            return Vec::new();
+            return;
         }
 
         for turn in &batch.turns {
@@ -367,6 +353,5 @@
 
         drop(index);
         self.ledger.lock().merge_recorded(&batch.writer, &batch.spends, unresponsive_hosts);
-        batch.spends
     }
 }
--- a/src/membership/peer_message.rs
+++ b/src/membership/peer_message.rs
@@ -245,20 +245,6 @@
     StreamFound {
         origin: Option<StreamOrigin>,
     },
-    /// Entry: request for the spends that a run has recorded in its segments after the one with the number `sequence`. The
-    /// response is [`PeerMessage::RecentSpends`], `NoAck` if the run no longer has them all, or [`PeerMessage::OtherRun`].
-    RecentSpendsQuery {
-        writer: Arc<str>,
-        sequence: u64,
-    },
-    /// Entry: spends that the sender has recorded, for itself and for other writers.
-    RecentSpends {
-        spends: Vec<SpendRecord>,
-    },
-    /// Entry: the sender is another run than the one that is asked.
-    OtherRun {
-        writer: Arc<str>,
-    },
 }
 
 impl PeerMessage {
@@ -280,9 +266,6 @@
                 | Self::Knowledge { .. }
                 | Self::TurnQuery { .. }
                 | Self::Turns { .. }
-                | Self::RecentSpendsQuery { .. }
-                | Self::RecentSpends { .. }
-                | Self::OtherRun { .. }
                 | Self::StreamQuery { .. }
                 | Self::StreamFound { .. }
                 | Self::ForwardOffer { .. }
