--- a/src/tests/entry_runner.rs
+++ b/src/tests/entry_runner.rs
@@ -100,6 +100,16 @@
     pool: &Arc<PlacementPool>,
     channel: &Arc<ScriptedChannel>,
     kind: RequestKind,
+) -> RequestRunner {
+    runner_with_crashes(pool, channel, kind, &Arc::default())
+}
+
+/// As [`runner`], on a host with these crash counts.
+pub(super) fn runner_with_crashes(
+    pool: &Arc<PlacementPool>,
+    channel: &Arc<ScriptedChannel>,
+    kind: RequestKind,
+    crashes: &Arc<Mutex<CrashTracker>>,
 ) -> RequestRunner {
     let store = Arc::new(MemoryStore::default());
     let metrics = Arc::new(EntryMetrics::new().expect("metrics"));
@@ -111,7 +121,7 @@
         journal: Arc::new(TurnJournal::new(store, ledger, Arc::clone(&metrics), "host-a.1".into())),
         history: Arc::default(),
         streams: Arc::default(),
-        crashes: Arc::new(Mutex::new(CrashTracker::default())),
+        crashes: Arc::clone(crashes),
         metrics,
     });
 
@@ -177,11 +187,18 @@
 
 /// Reads a stream to its end. Returns the text that the client has received and whether the stream is complete.
 async fn read_stream(mut result: RunResult) -> (String, bool, RunResult) {
-    let EntryResponse::Relayed(response) = &mut result.response else {
-        panic!("the request was not relayed: {}", result.outcome());
+    let events = read_events(&mut result.response).await;
+    let (text, is_complete) = events.expect("a stream of events");
+    (text, is_complete, result)
+}
+
+/// Reads the stream of a response to its end. Returns its text and whether it is complete, or `None` for another response.
+pub(super) async fn read_events(response: &mut EntryResponse) -> Option<(String, bool)> {
+    let EntryResponse::Relayed(response) = response else {
+        return None;
     };
     let RelayedBody::Events(events) = &mut response.body else {
-        panic!("the response has no stream of events");
+        return None;
     };
 
     let mut text = String::new();
@@ -194,7 +211,7 @@
         }
     }
 
-    (text, is_complete, result)
+    Some((text, is_complete))
 }
 
 #[tokio::test(start_paused = true)]
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -5,6 +5,7 @@
 mod cell_queue;
 mod cluster_view;
 mod config_model;
+mod crash_counts;
 mod entry_budget;
 mod entry_fakes;
 mod entry_journal;
