--- a/src/entry/mesh_queries.rs
+++ b/src/entry/mesh_queries.rs
@@ -24,6 +24,15 @@
 /// Time for a peer to respond to the query for a stream that a client takes up.
 const STREAM_QUERY_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Result of an exchange of spends with the peers that may hand out a program's tokens as well.
+#[derive(Debug)]
+pub(crate) struct SpendExchange {
+    /// Number of peers that were asked, or would have been if they responded.
+    pub(crate) asked: usize,
+    /// Peers that did not respond.
+    pub(crate) unresponsive: Vec<Arc<str>>,
+}
+
 /// A peer to which a spend query may be sent.
 #[derive(Debug)]
 struct QueriedPeer {
@@ -75,8 +84,8 @@
     /// connections to hosts of other regions long after their own region is back. All peers are queried as well while
     /// clients may fail over, and if the region has no other host. Where programs have owners, only peers that have spent
     /// tokens and those that do not respond are queried after the first exchange: any other one would announce itself
-    /// with its own first exchange. Returns the peers that did not respond.
-    pub(crate) async fn exchange_spend(&self, program: &Arc<str>) -> Vec<Arc<str>> {
+    /// with its own first exchange.
+    pub(crate) async fn exchange_spend(&self, program: &Arc<str>) -> SpendExchange {
         let peers: Vec<QueriedPeer> = {
             let ledger = self.state.ledger.lock();
             let peers = self.peers.lock();
@@ -110,10 +119,11 @@
             note: self.state.ledger.lock().local_note(program),
         };
 
+        let asked = peers.len();
         let queries = peers.into_iter().map(|peer| self.query_spend(peer, &query));
         let unresponsive = join_all(queries).await.into_iter().flatten().collect();
         self.state.ledger.lock().mark_announced(program);
-        unresponsive
+        SpendExchange { asked, unresponsive }
     }
 
     /// Sends a peer a spend query and merges its response. Returns the peer's name if it did not respond.
--- a/src/entry/turn_budget.rs
+++ b/src/entry/turn_budget.rs
@@ -68,20 +68,23 @@
     /// Merges the other hosts' totals for a program into the ledger. For unresponsive hosts it reads their records in
     /// the store. Returns false if these can't be read in time either.
     async fn confirm_spend(&self, program: &Arc<str>) -> bool {
-        let unresponsive_hosts = self.mesh.exchange_spend(program).await;
+        let started = Instant::now();
+        let exchange = self.mesh.exchange_spend(program).await;
 
-        if unresponsive_hosts.is_empty() {
+        if exchange.unresponsive.is_empty() {
             return true;
         }
 
+        let asked_ms = started.elapsed().as_millis() as u64;
         let since = Instant::now().checked_sub(MAX_LISTING_AGE).unwrap_or_else(Instant::now);
         let listing =
-            timeout(LISTING_TIMEOUT, self.locator.list_batches_of(&unresponsive_hosts, since))
+            timeout(LISTING_TIMEOUT, self.locator.list_batches_of(&exchange.unresponsive, since))
                 .await;
         let is_confirmed = matches!(listing, Ok(true));
 
         log::info!(
-            program:% = program, silent = unresponsive_hosts.len(), is_confirmed;
+            program:% = program, asked = exchange.asked, silent = exchange.unresponsive.len(), asked_ms,
+            took_ms = started.elapsed().as_millis() as u64, is_confirmed;
             "peers do not answer, so their recorded spends were looked up in the store"
         );
         is_confirmed
--- a/src/tests/peer_mesh.rs
+++ b/src/tests/peer_mesh.rs
@@ -93,7 +93,7 @@
 /// Exchanges a program's spend and returns the ports of the peers that were queried.
 async fn queried_ports(mesh: &PeerMesh, transport: &RecordingTransport) -> Vec<u16> {
     transport.queried.lock().clear();
-    let unresponsive_peers = mesh.exchange_spend(&"program".into()).await;
+    let unresponsive_peers = mesh.exchange_spend(&"program".into()).await.unresponsive;
     assert!(unresponsive_peers.is_empty(), "peers did not respond: {unresponsive_peers:?}");
     transport.queried.lock().iter().map(SocketAddr::port).collect()
 }
