Crashes that several hosts have seen add up

Callers: a request under which three upstreams had ended was sent to further ones. Cause: a CrashNote carried a number, and the larger one won, as if all hosts had seen the same crash. Evidence: crash_count_adds_up_what_several_hosts_have_seen, counts of 1, 1, 1 before, 3, 3, 3 now. Change: a crash is named by the run of the upstream that ended, and a count is the size of the set, so that notes may come late, twice and in any order. Two numbers a run, which only grow, say how often it seemed to end and which of that no longer counts. The own interface uses the same tracker; its runs are told apart by the tickets that ran. Each crash of the entry host is logged with the run and the count. Messages between hosts change: replace all entry hosts at a time without programs under way.

--- a/src/dispatch/cell_queue.rs
+++ b/src/dispatch/cell_queue.rs
@@ -7,8 +7,8 @@
 
 use crate::{
     CellDecision, CellEvent, CellPolicy, CellReport, CellRequest, CellResult, CrashTracker,
-    PrefixModel, QueuedRequest, RefusalReason, RequestGrant, RequestPosition, TeamName, TeamQueue,
-    TeamStatus, TicketNumber, UpstreamCrash, UpstreamName, UpstreamState,
+    CrashedRun, PrefixModel, QueuedRequest, RefusalReason, RequestGrant, RequestPosition, TeamName,
+    TeamQueue, TeamStatus, TicketNumber, UpstreamCrash, UpstreamName, UpstreamState,
     dispatch::placement_round::{PlacementChoice, PlacementRound},
 };
 
@@ -90,7 +90,7 @@
             CellEvent::Serving { upstream, is_serving } => self.set_serving(upstream, *is_serving),
             CellEvent::Crashed { upstream } => self.handle_crash(upstream),
             CellEvent::CrashesNoted { notes } => {
-                notes.iter().for_each(|note| self.crashes.merge(*note));
+                notes.iter().for_each(|note| self.crashes.merge(note));
             }
             CellEvent::Finished { ticket, report } => self.finish(now_ms, *ticket, report),
             CellEvent::Withdrawn { ticket } => self.withdraw(*ticket),
@@ -543,7 +543,7 @@
             && let Some(crash) = state.crash.take()
             && !crash.is_confirmed
         {
-            self.crashes.retract_crash(&crash.suspects);
+            self.crashes.retract_crash(&crash.crashed, &crash.suspects);
         }
     }
 
@@ -567,9 +567,12 @@
 
         let running =
             state.in_flight.iter().map(|it| self.requests[*it].request.fingerprint).collect();
+        // No earlier run of the upstream had these tickets.
+        let run = state.in_flight.iter().map(|it| self.requests[*it].ticket).min().unwrap_or(0);
+        let crashed = CrashedRun { upstream: state.name.as_str().into(), run };
 
-        let suspects = self.crashes.record_crash(running);
-        state.crash = Some(UpstreamCrash { suspects, is_confirmed });
+        let suspects = self.crashes.record_crash(&crashed, running);
+        state.crash = Some(UpstreamCrash { crashed, suspects, is_confirmed });
     }
 }
 
--- a/src/dispatch/dispatcher_table.rs
+++ b/src/dispatch/dispatcher_table.rs
@@ -121,7 +121,7 @@
     /// Merges crash counts of a cell, here or on a peer, into those of all other cells of this host, also of those that
     /// start later.
     pub(crate) fn merge_crashes(&self, from: &CellId, notes: &[CrashNote]) {
-        notes.iter().for_each(|note| self.crashes.lock().merge(*note));
+        notes.iter().for_each(|note| self.crashes.lock().merge(note));
 
         let dispatchers: Vec<Arc<CellDispatcher>> = {
             let active = self.active.lock();
--- a/src/dispatch/upstream_state.rs
+++ b/src/dispatch/upstream_state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use crate::{RequestKey, UpstreamName};
+use crate::{CrashedRun, RequestKey, UpstreamName};
 
 /// A new sample enters a running mean with the weight 1 / `SAMPLE_WEIGHT_DIVISOR`.
 const SAMPLE_WEIGHT_DIVISOR: u64 = 8;
@@ -13,6 +13,8 @@
 /// A presumed crash of an upstream.
 #[derive(Clone, Debug)]
 pub(crate) struct UpstreamCrash {
+    /// The run that ended.
+    pub(crate) crashed: CrashedRun,
     /// Fingerprints of the requests that the crash was counted against.
     pub(crate) suspects: Vec<u64>,
     /// Whether a probe got no answer either; a broken connection alone does not prove a crash.
--- a/src/entry/mesh_answers.rs
+++ b/src/entry/mesh_answers.rs
@@ -58,7 +58,7 @@
             PeerMessage::KnowledgeQuery => PeerMessage::NoAck,
             PeerMessage::RequestCrashesNoted { notes } => {
                 let mut crashes = self.state.crashes.lock();
-                notes.into_iter().for_each(|note| crashes.merge(note));
+                notes.iter().for_each(|note| crashes.merge(note));
                 PeerMessage::Done
             }
             PeerMessage::UpstreamsLeaving { departures } => {
--- a/src/entry/request_runner.rs
+++ b/src/entry/request_runner.rs
@@ -255,7 +255,17 @@
     /// Ends an attempt whose connection broke or whose response is unusable; the upstream may have crashed.
     fn finish_broken(&self, lease: UpstreamLease, reason: Arc<str>) -> AttemptResult {
         self.context.metrics.count_attempt(&self.routed.service.name, "broken");
-        self.context.crashes.lock().record_crash(vec![self.routed.fingerprint]);
+        let fingerprint = self.routed.fingerprint;
+        let count = {
+            let mut crashes = self.context.crashes.lock();
+            crashes.record_crash(&lease.crashed_run(), vec![fingerprint]);
+            crashes.crash_count(fingerprint)
+        };
+        log::warn!(
+            request:% = self.routed.request.id, upstream:% = lease.record.id, born_ms = lease.record.started_at_ms,
+            fingerprint, count;
+            "the upstream may have crashed under the request: {reason}"
+        );
         lease.finish(LeaseOutcome::Failed);
         AttemptResult::ResponseLost { reason }
     }
--- a/src/entry/upstream_lease.rs
+++ b/src/entry/upstream_lease.rs
@@ -5,10 +5,13 @@
 use hyper::StatusCode;
 use tokio::time::Instant;
 
-use crate::entry::{
-    PlacementPool, SendGuard, UpstreamRecord, pool_state::UpstreamKey,
-    pooled_upstream::LeaseOutcome, upstream_channel::UpstreamResponse,
-    upstream_departures::UpstreamDeparture,
+use crate::{
+    CrashedRun,
+    entry::{
+        PlacementPool, SendGuard, UpstreamRecord, pool_state::UpstreamKey,
+        pooled_upstream::LeaseOutcome, upstream_channel::UpstreamResponse,
+        upstream_departures::UpstreamDeparture,
+    },
 };
 
 /// A lease of one slot on an upstream. Dropping it returns the slot.
@@ -29,6 +32,11 @@
         self.outcome = outcome;
     }
 
+    /// The run of the upstream, as crashes are counted.
+    pub(crate) fn crashed_run(&self) -> CrashedRun {
+        CrashedRun { upstream: Arc::clone(&self.record.id), run: self.record.started_at_ms }
+    }
+
     /// Records what a response tells about the upstream: its load, and whether it is leaving.
     pub(crate) fn record_response(&self, response: &UpstreamResponse) {
         if let Some(load) = response.load {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -144,7 +144,7 @@
         turn_record::TurnRecord,
     },
     upstreams::{
-        crash_note::CrashNote,
+        crash_note::{CrashNote, CrashedRun},
         crash_tracker::CrashTracker,
         http_upstream::HttpUpstream,
         upstream_client::{
--- a/src/tests/crash_counts.rs
+++ b/src/tests/crash_counts.rs
@@ -52,7 +52,7 @@
     for (index, crashes) in hosts.iter().enumerate() {
         let notes = crashes.lock().take_pending_notes();
         let others = hosts.iter().enumerate().filter(|(other, _)| *other != index);
-        others.for_each(|(_, it)| notes.iter().for_each(|note| it.lock().merge(*note)));
+        others.for_each(|(_, it)| notes.iter().for_each(|note| it.lock().merge(note)));
     }
 
     let counts: Vec<u32> = hosts.iter().map(|it| it.lock().crash_count(FINGERPRINT)).collect();
--- a/src/upstreams/crash_tracker.rs
+++ b/src/upstreams/crash_tracker.rs
@@ -1,22 +1,62 @@
-//! Counts the upstream crashes that each request is suspected of.
+//! Counts the upstream runs that have ended under each request.
+//!
+//! Each host knows of other crashes, so a count is the size of a set: one run of an upstream ends once, whoever sees it.
+//! See docs/design/platform.md, "Requests that crash upstreams".
 
 use std::collections::BTreeMap;
 
-use crate::CrashNote;
+use crate::{CrashNote, CrashedRun};
 
 /// Requests that are tracked at once. The one that was added first is dropped first.
 const MAX_ENTRIES: usize = 4_096;
 
-/// Crash count of one request.
-#[derive(Clone, Copy, Debug)]
+/// Runs that are kept for one request. It is refused long before as many count.
+const MAX_RUNS: usize = 32;
+
+/// Crashes of one request.
+#[derive(Clone, Debug, Default)]
 struct CrashEntry {
-    crashes: u32,
+    /// What is known of each run, `presumed` and `cleared` as in [`CrashNote`].
+    runs: BTreeMap<CrashedRun, (u32, u32)>,
     /// Value of `change_counter` when the entry was added.
     added_at_change: u64,
+    /// Whether this tracker has seen one of the crashes itself.
+    is_witness: bool,
+    /// Count that is recorded in the store.
+    recorded_count: u32,
+}
+
+impl CrashEntry {
+    fn count(&self) -> u32 {
+        self.runs.values().filter(|(presumed, cleared)| presumed > cleared).count() as u32
+    }
+
+    /// What is known of a run. A new one replaces one that no longer counts if there are many.
+    fn run(&mut self, crashed: &CrashedRun) -> &mut (u32, u32) {
+        if self.runs.len() >= MAX_RUNS && !self.runs.contains_key(crashed) {
+            let replaced =
+                self.runs.iter().min_by_key(|(_, (presumed, cleared))| presumed > cleared);
+
+            if let Some(replaced) = replaced.map(|(crashed, _)| crashed.clone()) {
+                self.runs.remove(&replaced);
+            }
+        }
+
+        self.runs.entry(crashed.clone()).or_default()
+    }
+
+    fn notes(&self, fingerprint: u64) -> impl Iterator<Item = CrashNote> + '_ {
+        self.runs.iter().map(move |(crashed, (presumed, cleared))| CrashNote {
+            fingerprint,
+            crashed: crashed.clone(),
+            presumed: *presumed,
+            cleared: *cleared,
+        })
+    }
 }
 
-/// Crash counts by the fingerprint of the requests that ran during a crash. A request that completes elsewhere is
-/// cleared, so that those that only ran beside the one that caused a crash don't stay suspected.
+/// Crashes by the fingerprint of the requests that ran meanwhile. A request that completes elsewhere is cleared, so that
+/// those that only ran beside the one that caused a crash don't stay suspected.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct CrashTracker {
     entries: BTreeMap<u64, CrashEntry>,
@@ -26,36 +66,36 @@
 }
 
 impl CrashTracker {
-    /// Resets a request's count, as it has completed.
+    /// Clears a request of the crashes that are known here, as it has completed.
     pub(crate) fn clear(&mut self, fingerprint: u64) {
-        if self.entries.remove(&fingerprint).is_some() {
-            self.pending_notes.push(CrashNote { fingerprint, crashes: 0 });
-        }
-    }
-
-    /// Merges a change of another tracker: 0 clears a request, any other count is a lower bound.
-    pub(crate) fn merge(&mut self, note: CrashNote) {
-        if note.crashes == 0 {
-            self.entries.remove(&note.fingerprint);
+        let Some(entry) = self.entries.get_mut(&fingerprint) else {
             return;
+        };
+
+        for (crashed, (presumed, cleared)) in &mut entry.runs {
+            if *presumed > *cleared {
+                *cleared = *presumed;
+                self.pending_notes.push(CrashNote {
+                    fingerprint,
+                    crashed: crashed.clone(),
+                    presumed: *presumed,
+                    cleared: *cleared,
+                });
+            }
         }
+    }
 
-        self.change_counter += 1;
-        let added_at_change = self.change_counter;
-        let entry = self.entries.entry(note.fingerprint);
-        let entry = entry.or_insert(CrashEntry { crashes: 0, added_at_change });
-        entry.crashes = entry.crashes.max(note.crashes);
+    /// Merges what another tracker knows.
+    pub(crate) fn merge(&mut self, note: &CrashNote) {
+        let (presumed, cleared) = self.entry(note.fingerprint).run(&note.crashed);
+        *presumed = note.presumed.max(*presumed);
+        *cleared = note.cleared.max(*cleared);
         self.evict_oldest();
     }
 
-    /// All counts, for a tracker that starts.
+    /// All that is known, for a tracker that starts.
     pub(crate) fn notes(&self) -> Vec<CrashNote> {
-        let entries = self.entries.iter();
-        let note = |(fingerprint, entry): (&u64, &CrashEntry)| CrashNote {
-            fingerprint: *fingerprint,
-            crashes: entry.crashes,
-        };
-        entries.map(note).collect()
+        self.entries.iter().flat_map(|(fingerprint, entry)| entry.notes(*fingerprint)).collect()
     }
 
     /// Takes the changes since the last call, for the other trackers.
@@ -63,44 +103,78 @@
         std::mem::take(&mut self.pending_notes)
     }
 
-    /// Number of upstreams that crashed while a request ran on them, since it last completed.
+    /// Number of upstream runs that have ended under a request, as far as it has not been cleared of them.
     pub(crate) fn crash_count(&self, fingerprint: u64) -> u32 {
-        self.entries.get(&fingerprint).map_or(0, |entry| entry.crashes)
+        self.entries.get(&fingerprint).map_or(0, CrashEntry::count)
     }
 
     /// Takes back a crash that proved to be none, given the requests that [`CrashTracker::record_crash`] returned.
-    pub(crate) fn retract_crash(&mut self, suspects: &[u64]) {
+    pub(crate) fn retract_crash(&mut self, crashed: &CrashedRun, suspects: &[u64]) {
         for fingerprint in suspects {
-            if let Some(entry) = self.entries.get_mut(fingerprint) {
-                entry.crashes = entry.crashes.saturating_sub(1);
-                let crashes = entry.crashes;
-                self.pending_notes.push(CrashNote { fingerprint: *fingerprint, crashes });
+            let run = self.entries.get_mut(fingerprint).and_then(|it| it.runs.get_mut(crashed));
+
+            if let Some((presumed, cleared)) = run
+                && *presumed > *cleared
+            {
+                *cleared = *presumed;
+                self.pending_notes.push(CrashNote {
+                    fingerprint: *fingerprint,
+                    crashed: crashed.clone(),
+                    presumed: *presumed,
+                    cleared: *cleared,
+                });
             }
         }
-
-        self.entries.retain(|_, entry| entry.crashes > 0);
     }
 
-    /// Counts a crash against the requests that ran and returns their fingerprints. If some of them were suspected
-    /// already, it counts against those alone.
-    pub(crate) fn record_crash(&mut self, running: Vec<u64>) -> Vec<u64> {
+    /// Counts the end of a run against the requests that ran there and returns their fingerprints. If some of them were
+    /// suspected already, it counts against those alone.
+    pub(crate) fn record_crash(&mut self, crashed: &CrashedRun, running: Vec<u64>) -> Vec<u64> {
         let previous_suspects: Vec<u64> =
             running.iter().copied().filter(|it| self.crash_count(*it) > 0).collect();
 
         let suspects = if previous_suspects.is_empty() { running } else { previous_suspects };
-        suspects.iter().for_each(|fingerprint| self.increment_count(*fingerprint));
+        suspects.iter().for_each(|fingerprint| self.add_run(*fingerprint, crashed));
         suspects
     }
 
-    fn increment_count(&mut self, fingerprint: u64) {
+    fn add_run(&mut self, fingerprint: u64, crashed: &CrashedRun) {
+        let entry = self.entry(fingerprint);
+        entry.is_witness = true;
+        let (presumed, cleared) = entry.run(crashed);
+        // Another host may have seen the same end of this run.
+        *presumed = (*cleared + 1).max(*presumed);
+        let (presumed, cleared) = (*presumed, *cleared);
+        let crashed = crashed.clone();
+        self.pending_notes.push(CrashNote { fingerprint, crashed, presumed, cleared });
+        self.evict_oldest();
+    }
+
+    /// Takes what the store lacks of the requests that have reached a count of `limit`, or had when they were last
+    /// recorded, and of which this tracker is a witness. A request that is refused can't reach further upstreams, so its
+    /// count would not be found again after the loss of all trackers.
+    pub(crate) fn take_unrecorded(&mut self, limit: u32) -> Vec<Vec<CrashNote>> {
+        let mut unrecorded = Vec::new();
+
+        for (fingerprint, entry) in &mut self.entries {
+            let count = entry.count();
+            let is_due = count >= limit && entry.recorded_count < limit
+                || count < limit && entry.recorded_count >= limit;
+
+            if entry.is_witness && is_due {
+                entry.recorded_count = count;
+                unrecorded.push(entry.notes(*fingerprint).collect());
+            }
+        }
+
+        unrecorded
+    }
+
+    fn entry(&mut self, fingerprint: u64) -> &mut CrashEntry {
         self.change_counter += 1;
         let added_at_change = self.change_counter;
-        let entry =
-            self.entries.entry(fingerprint).or_insert(CrashEntry { crashes: 0, added_at_change });
-        entry.crashes += 1;
-        let crashes = entry.crashes;
-        self.pending_notes.push(CrashNote { fingerprint, crashes });
-        self.evict_oldest();
+        let new_entry = || CrashEntry { added_at_change, ..CrashEntry::default() };
+        self.entries.entry(fingerprint).or_insert_with(new_entry)
     }
 
     fn evict_oldest(&mut self) {
