Crashes count however the upstream ends, and before each attempt

Callers: a request under which three upstreams had ended was sent to further ones. Cause: the count was looked at where a request arrives, once; and only a connection that breaks before the first event counted. Copies that waited, were tried again or resumed were sent all the same; a stream that broke after its first event, and an upstream that fell silent until the time was over or the client had left, counted as nothing. Change: a watch goes with each attempt, of first and of resumed streams; when it ends with a broken or silent upstream, the run counts. The limit is asked before and after the wait for a slot and before a resumption. A mismatched, unsigned or overlong response comes from an upstream that lives, and counts no longer.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -5,6 +5,7 @@
 
 pub(crate) mod batch_index;
 pub(crate) mod budget_ledger;
+mod crash_guard;
 mod entry_host;
 pub(crate) mod entry_metrics;
 mod entry_request;
@@ -30,6 +31,7 @@
 mod pool_listing;
 mod pool_state;
 pub(crate) mod pooled_upstream;
+pub(crate) mod presumed_crashes;
 mod prompt_cache;
 pub(crate) mod request_runner;
 mod retirement_keeper;
--- /dev/null
+++ b/src/entry/crash_guard.rs
@@ -0,0 +1,119 @@
+//! What the attempts of requests tell about crashes of upstreams, and whether a request may be sent to further ones.
+
+use std::sync::Arc;
+
+use tokio::time::{Duration, Instant};
+
+use crate::{
+    CrashedRun,
+    entry::{
+        placement_request::PlacementRefusal, request_runner::RunnerContext,
+        routed_request::RoutedRequest, upstream_lease::UpstreamLease,
+    },
+};
+
+/// Number of upstreams that a request may crash before it is refused.
+pub(crate) const CRASH_LIMIT: u32 = 3;
+
+/// Time after which a client is asked to retry a request that has crashed upstreams.
+const CRASHED_RETRY_AFTER: Duration = Duration::from_secs(5);
+
+impl RunnerContext {
+    /// Fails if a request has crashed so many upstreams that it must not reach another one. It is asked again before each
+    /// attempt, since other copies of the request may run meanwhile.
+    pub(crate) fn check_crashes(&self, fingerprint: u64) -> Result<(), PlacementRefusal> {
+        let count = self.crashes.lock().crash_count(fingerprint);
+
+        if count < CRASH_LIMIT {
+            return Ok(());
+        }
+
+        log::info!(fingerprint, count; "a request is kept from further upstreams, as it has crashed several");
+        let reason = "upstreams have crashed under this request";
+        Err(PlacementRefusal { reason, retry_after: CRASHED_RETRY_AFTER })
+    }
+
+    /// Records that an upstream has responded, which may prove that it did not crash before.
+    pub(super) fn record_life(&self, lease: &UpstreamLease) {
+        let crashed = lease.crashed_run();
+        let disproved = self.presumed_crashes.lock().take_disproved(&crashed, lease.granted_at);
+
+        if let Some(suspects) = disproved {
+            log::info!(upstream:% = crashed.upstream, born_ms = crashed.run; "an upstream that was presumed to have crashed responds");
+            self.crashes.lock().retract_crash(&crashed, &suspects);
+        }
+    }
+}
+
+/// Watches one attempt of a request at an upstream. If it ends while the upstream has been silent for too long, or breaks, the
+/// upstream may have crashed under the request. That holds as well if the client leaves, since clients leave silent streams.
+#[derive(Debug)]
+pub(super) struct AttemptWatch {
+    context: Arc<RunnerContext>,
+    request: Arc<str>,
+    fingerprint: u64,
+    crashed: CrashedRun,
+    /// Time without data after which the upstream counts as silent.
+    silence_limit: Duration,
+    heard_at: Instant,
+    is_over: bool,
+}
+
+impl AttemptWatch {
+    pub(super) fn start(
+        context: &Arc<RunnerContext>,
+        routed: &RoutedRequest,
+        lease: &UpstreamLease,
+        silence_limit: Duration,
+    ) -> Self {
+        Self {
+            context: Arc::clone(context),
+            request: Arc::clone(&routed.request.id),
+            fingerprint: routed.fingerprint,
+            crashed: lease.crashed_run(),
+            silence_limit,
+            heard_at: Instant::now(),
+            is_over: false,
+        }
+    }
+
+    /// Records that the upstream has sent data.
+    pub(super) fn record_data(&mut self) {
+        self.heard_at = Instant::now();
+    }
+
+    /// Ends the attempt of an upstream that lives.
+    pub(super) fn finish(mut self) {
+        self.is_over = true;
+    }
+
+    /// Ends an attempt whose connection broke.
+    pub(super) fn finish_broken(mut self, reason: &str) {
+        self.record_crash(reason);
+    }
+
+    fn record_crash(&mut self, reason: &str) {
+        self.is_over = true;
+        let (count, suspects) = {
+            let mut crashes = self.context.crashes.lock();
+            let suspects = crashes.record_crash(&self.crashed, vec![self.fingerprint]);
+            (crashes.crash_count(self.fingerprint), suspects)
+        };
+
+        log::warn!(
+            request:% = self.request, upstream:% = self.crashed.upstream, born_ms = self.crashed.run,
+            fingerprint = self.fingerprint, count;
+            "the upstream may have crashed under the request: {reason}"
+        );
+        let crashed = self.crashed.clone();
+        self.context.presumed_crashes.lock().add(Instant::now(), crashed, suspects);
+    }
+}
+
+impl Drop for AttemptWatch {
+    fn drop(&mut self) {
+        if !self.is_over && self.heard_at.elapsed() >= self.silence_limit {
+            self.record_crash("it is silent");
+        }
+    }
+}
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -33,9 +33,6 @@
     hex_text,
 };
 
-/// Number of upstreams that a request may crash before it is refused.
-const CRASH_LIMIT: u32 = 3;
-
 /// Time by which the final response precedes the client's deadline, so that it reaches the client in time.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(12);
 
@@ -43,9 +40,6 @@
 /// service, or the recorded turns and budgets.
 const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// Time after which a client is asked to retry a request that has crashed upstreams.
-const CRASHED_RETRY_AFTER: Duration = Duration::from_secs(5);
-
 /// Backoff between attempts to read the recorded turns and budgets.
 const RESTORE_BACKOFF: BackoffPolicy =
     BackoffPolicy { first: Duration::from_millis(50), limit: Duration::from_millis(500) };
@@ -150,6 +144,7 @@
             journal: Arc::clone(&journal),
             history: state.history,
             crashes: state.crashes,
+            presumed_crashes: Mutex::default(),
             streams: state.streams,
             metrics,
         });
@@ -376,9 +371,8 @@
 
         let fingerprint = fingerprint(&request);
 
-        if self.context.crashes.lock().crash_count(fingerprint) >= CRASH_LIMIT {
-            let reason = "upstreams have crashed under this request";
-            return EntryResponse::not_run(CRASHED_RETRY_AFTER, reason);
+        if let Err(refusal) = self.context.check_crashes(fingerprint) {
+            return EntryResponse::not_run(refusal.retry_after, refusal.reason);
         }
 
         let route_deadline = request.received + route.time_limit();
--- a/src/entry/request_runner.rs
+++ b/src/entry/request_runner.rs
@@ -16,11 +16,13 @@
     entry::{
         ChannelError, EntryRefusal, EntryResponse, PlacementPool, RelayedBody, RelayedResponse,
         RequestKind, UpstreamChannel, UpstreamResponse,
+        crash_guard::AttemptWatch,
         entry_metrics::EntryMetrics,
         entry_response::MAX_BUFFERED_ITEMS,
         event_framer::EventFramer,
         placement_request::PlacementRefusal,
         pooled_upstream::LeaseOutcome,
+        presumed_crashes::PresumedCrashes,
         route_table::STREAM_LIFETIME_FACTOR,
         routed_request::RoutedRequest,
         run_record::RunRecord,
@@ -54,6 +56,7 @@
     pub(crate) journal: Arc<TurnJournal>,
     pub(crate) history: Arc<Mutex<TurnHistory>>,
     pub(crate) crashes: Arc<Mutex<CrashTracker>>,
+    pub(crate) presumed_crashes: Mutex<PresumedCrashes>,
     pub(crate) streams: Arc<Mutex<StreamVersions>>,
     pub(crate) metrics: Arc<EntryMetrics>,
 }
@@ -155,8 +158,10 @@
 
     async fn acquire(&self) -> Result<UpstreamLease, PlacementRefusal> {
         let queued_at = Instant::now();
+        self.context.check_crashes(self.routed.fingerprint)?;
         let lease =
             self.context.pool.acquire(self.routed.placement_request(&self.excluded)).await?;
+        self.context.check_crashes(self.routed.fingerprint)?;
         self.context.metrics.record_queue_time(queued_at.elapsed());
 
         log::info!(
@@ -191,6 +196,8 @@
 
     /// Sends the request to the leased upstream and reads a whole response or the first event of a stream.
     async fn attempt(&self, lease: UpstreamLease) -> AttemptResult {
+        let silence_limit = self.routed.route.latency_objective * RETRY_TIMEOUT_FACTOR;
+        let mut watch = AttemptWatch::start(&self.context, &self.routed, &lease, silence_limit);
         let attempt_deadline = self.attempt_deadline();
         let request = self.routed.upstream_request(None);
         let service = &self.routed.service.name;
@@ -201,12 +208,14 @@
         let response = match result {
             Ok(Ok(response)) => response,
             Ok(Err(ChannelError::NotSent { reason })) => {
+                watch.finish();
                 self.context.metrics.count_attempt(service, "not_sent");
                 log::info!(request:% = self.routed.request.id, upstream:% = lease.record.id; "the request could not be sent: {reason}");
                 lease.finish(LeaseOutcome::Unreachable);
                 return AttemptResult::NotRun { reason: "the upstream can't be reached" };
             }
             Ok(Err(error @ ChannelError::Leaving)) => {
+                watch.finish();
                 self.context.metrics.count_attempt(service, "not_sent");
                 log::info!(request:% = self.routed.request.id, upstream:% = lease.record.id; "the request was not sent: {error}");
                 return AttemptResult::Skipped;
@@ -215,17 +224,21 @@
                 if is_leaving {
                     lease.record_leaving();
                 }
-                return self.finish_broken(lease, error.to_string().into());
+                watch.finish();
+                return self.finish_unusable(lease, error.to_string().into());
             }
             Ok(Err(ChannelError::Broken { reason })) => {
-                return self.finish_broken(lease, reason);
+                watch.finish_broken(&reason);
+                return self.finish_unusable(lease, reason);
             }
             Err(_) => return self.finish_timed_out(lease, attempt_deadline),
         };
 
         lease.record_response(&response);
+        watch.record_data();
 
         if response.has_not_run || response.status == StatusCode::MISDIRECTED_REQUEST {
+            watch.finish();
             self.context.metrics.count_attempt(service, "not_run");
             return finish_rejected(lease, response.status);
         }
@@ -233,10 +246,10 @@
         if response.status.is_success()
             && matches!(self.routed.route.kind, RequestKind::Stream { .. })
         {
-            return self.read_first_event(lease, response, attempt_deadline).await;
+            return self.read_first_event(lease, watch, response, attempt_deadline).await;
         }
 
-        self.read_whole_response(lease, response, attempt_deadline).await
+        self.read_whole_response(lease, watch, response, attempt_deadline).await
     }
 
     /// Ends an attempt whose whole response, or first event of a stream, did not arrive in time.
@@ -252,20 +265,9 @@
         }
     }
 
-    /// Ends an attempt whose connection broke or whose response is unusable; the upstream may have crashed.
-    fn finish_broken(&self, lease: UpstreamLease, reason: Arc<str>) -> AttemptResult {
+    /// Ends an attempt whose connection broke or whose response is unusable.
+    fn finish_unusable(&self, lease: UpstreamLease, reason: Arc<str>) -> AttemptResult {
         self.context.metrics.count_attempt(&self.routed.service.name, "broken");
-        let fingerprint = self.routed.fingerprint;
-        let count = {
-            let mut crashes = self.context.crashes.lock();
-            crashes.record_crash(&lease.crashed_run(), vec![fingerprint]);
-            crashes.crash_count(fingerprint)
-        };
-        log::warn!(
-            request:% = self.routed.request.id, upstream:% = lease.record.id, born_ms = lease.record.started_at_ms,
-            fingerprint, count;
-            "the upstream may have crashed under the request: {reason}"
-        );
         lease.finish(LeaseOutcome::Failed);
         AttemptResult::ResponseLost { reason }
     }
@@ -273,6 +275,7 @@
     async fn read_whole_response(
         &self,
         lease: UpstreamLease,
+        mut watch: AttemptWatch,
         mut response: UpstreamResponse,
         attempt_deadline: Instant,
     ) -> AttemptResult {
@@ -282,21 +285,28 @@
             match timeout_at(attempt_deadline, response.body.next()).await {
                 Ok(Ok(Some(chunk))) => body.extend_from_slice(&chunk),
                 Ok(Ok(None)) => break,
-                Ok(Err(error)) => return self.finish_broken(lease, error.to_string().into()),
+                Ok(Err(error)) => {
+                    watch.finish_broken(&error.to_string());
+                    return self.finish_unusable(lease, error.to_string().into());
+                }
                 Err(_) => return self.finish_timed_out(lease, attempt_deadline),
             }
 
+            watch.record_data();
+
             if body.len() > MAX_RESPONSE_BYTES {
-                return self.finish_broken(lease, "the answer is too long".into());
+                watch.finish();
+                return self.finish_unusable(lease, "the answer is too long".into());
             }
         }
 
+        watch.finish();
         let status = response.status;
 
         // Without the upstream's explicit statement that the request has not run, the status may be false.
         if self.reads_as_not_run(status) || (status.is_success() && !response.is_signed) {
             return self
-                .finish_broken(lease, format!("an unusable answer with status {status}").into());
+                .finish_unusable(lease, format!("an unusable answer with status {status}").into());
         }
 
         let can_retry = self.routed.route.kind.is_retryable()
@@ -336,17 +346,20 @@
     async fn read_first_event(
         &self,
         lease: UpstreamLease,
+        mut watch: AttemptWatch,
         mut response: UpstreamResponse,
         attempt_deadline: Instant,
     ) -> AttemptResult {
         if !response.is_signed {
-            return self.finish_broken(lease, "the stream bears no signature".into());
+            watch.finish();
+            return self.finish_unusable(lease, "the stream bears no signature".into());
         }
 
         let mut framer = EventFramer::default();
 
         loop {
             if let Some(event) = framer.next_event() {
+                watch.finish();
                 let departure = lease.departure(&response);
                 let (status, headers) = (response.status, response.headers);
                 return AttemptResult::Stream(StreamSource {
@@ -362,13 +375,22 @@
 
             match timeout_at(attempt_deadline, response.body.next()).await {
                 Ok(Ok(Some(chunk))) => framer.push(&chunk),
-                Ok(Ok(None)) => return self.finish_broken(lease, "the stream has no event".into()),
-                Ok(Err(error)) => return self.finish_broken(lease, error.to_string().into()),
+                Ok(Ok(None)) => {
+                    watch.finish_broken("the stream has no event");
+                    return self.finish_unusable(lease, "the stream has no event".into());
+                }
+                Ok(Err(error)) => {
+                    watch.finish_broken(&error.to_string());
+                    return self.finish_unusable(lease, error.to_string().into());
+                }
                 Err(_) => return self.finish_timed_out(lease, attempt_deadline),
             }
 
+            watch.record_data();
+
             if framer.is_event_too_long() {
-                return self.finish_broken(lease, "an event exceeds the size limit".into());
+                watch.finish();
+                return self.finish_unusable(lease, "an event exceeds the size limit".into());
             }
         }
     }
--- a/src/entry/stream_relay.rs
+++ b/src/entry/stream_relay.rs
@@ -12,6 +12,7 @@
 
 use crate::entry::{
     UpstreamBody,
+    crash_guard::AttemptWatch,
     entry_response::StreamItem,
     event_framer::{EventFramer, StreamEvent},
     pooled_upstream::LeaseOutcome,
@@ -182,6 +183,8 @@
         progress: &mut StreamProgress,
     ) -> SourceEnd {
         let StreamSource { lease, mut body, mut framer, first_event, .. } = source;
+        let mut watch =
+            AttemptWatch::start(&self.context, &self.routed, &lease, self.gap_timeout());
         let mut first_event = Some(first_event);
         // Only whole events with data count, so that an upstream which sends a byte now and then is stalled as well.
         let mut silent_at = Instant::now() + self.gap_timeout();
@@ -191,15 +194,18 @@
                 let has_data = event.data.is_some();
 
                 if let Err(end) = self.forward_event(event, progress).await {
+                    watch.finish();
                     lease.finish(LeaseOutcome::Cancelled);
                     return end;
                 }
+                watch.record_data();
                 if has_data {
                     silent_at = Instant::now() + self.gap_timeout();
                 }
             }
 
             if progress.empty_events > MAX_EMPTY_EVENTS {
+                watch.finish();
                 lease.finish(LeaseOutcome::Failed);
                 return SourceEnd::Broken("too many events without data".into());
             }
@@ -211,16 +217,22 @@
             };
 
             match timeout_at(read_deadline, body.next()).await {
-                Ok(Ok(Some(chunk))) => framer.push(&chunk),
+                Ok(Ok(Some(chunk))) => {
+                    watch.record_data();
+                    framer.push(&chunk);
+                }
                 Ok(Ok(None)) if !framer.has_partial_event() => {
+                    watch.finish();
                     lease.finish(LeaseOutcome::Answered);
                     return SourceEnd::Complete;
                 }
                 Ok(Ok(None)) => {
+                    watch.finish_broken("the stream ended inside an event");
                     lease.finish(LeaseOutcome::Failed);
                     return SourceEnd::Broken("the stream ended inside an event".into());
                 }
                 Ok(Err(error)) => {
+                    watch.finish_broken(&error.to_string());
                     lease.finish(LeaseOutcome::Failed);
                     return SourceEnd::Broken(error.to_string().into());
                 }
@@ -254,6 +266,7 @@
             }
 
             if framer.is_event_too_long() {
+                watch.finish();
                 lease.finish(LeaseOutcome::Failed);
                 return SourceEnd::Broken("an event exceeds the size limit".into());
             }
--- a/src/entry/stream_resume.rs
+++ b/src/entry/stream_resume.rs
@@ -7,6 +7,7 @@
 
 use crate::entry::{
     ChannelError, UpstreamResponse,
+    crash_guard::AttemptWatch,
     event_framer::EventFramer,
     pooled_upstream::LeaseOutcome,
     request_runner::RETRY_TIMEOUT_FACTOR,
@@ -18,6 +19,7 @@
 #[derive(Debug)]
 pub(super) struct ResumedResponse {
     pub(super) lease: UpstreamLease,
+    watch: AttemptWatch,
     response: UpstreamResponse,
     deadline: Instant,
 }
@@ -29,6 +31,7 @@
 
     /// Takes a free slot on another upstream than the one whose stream is silent. Returns `None` if there is none now.
     pub(super) fn try_successor(&self, silent_upstream: &Arc<str>) -> Option<UpstreamLease> {
+        self.context.check_crashes(self.routed.fingerprint).ok()?;
         let mut excluded = self.excluded.clone();
         excluded.push(Arc::clone(silent_upstream));
         self.context.pool.try_acquire(&self.routed.placement_request(&excluded))
@@ -70,8 +73,15 @@
 
     async fn acquire(&self) -> Option<UpstreamLease> {
         let request = self.routed.placement_request(&self.excluded);
+        let fingerprint = self.routed.fingerprint;
 
-        match self.context.pool.acquire(request).await {
+        let slot = async {
+            self.context.check_crashes(fingerprint)?;
+            let lease = self.context.pool.acquire(request).await?;
+            self.context.check_crashes(fingerprint).map(|()| lease)
+        };
+
+        match slot.await {
             Ok(lease) => Some(lease),
             Err(refusal) => {
                 log::warn!(request:% = self.routed.request.id; "a stream can't be resumed: {}", refusal.reason);
@@ -88,6 +98,8 @@
         progress: &StreamProgress,
     ) -> Option<ResumedResponse> {
         self.excluded.push(Arc::clone(&lease.record.id));
+        let silence_limit = self.routed.route.latency_objective * RETRY_TIMEOUT_FACTOR;
+        let mut watch = AttemptWatch::start(&self.context, &self.routed, &lease, silence_limit);
         // The first event may take as long as that of a first attempt, which includes the prefill.
         let resume_timeout = self.routed.route.latency_objective * RETRY_TIMEOUT_FACTOR;
         let deadline = if self.attempts + 1 < self.routed.route.attempt_limit {
@@ -101,14 +113,25 @@
 
         let response = match result {
             Ok(Ok(response)) => response,
-            Ok(Err(ChannelError::Leaving)) => return None,
+            Ok(Err(ChannelError::Leaving)) => {
+                watch.finish();
+                return None;
+            }
             Ok(Err(ChannelError::NotSent { .. })) => {
+                watch.finish();
                 lease.finish(LeaseOutcome::Unreachable);
                 return None;
             }
             result => {
-                if let Ok(Err(ChannelError::Mismatched { is_leaving: true })) = result {
-                    lease.record_leaving();
+                match result {
+                    Ok(Err(ChannelError::Mismatched { is_leaving })) => {
+                        watch.finish();
+                        if is_leaving {
+                            lease.record_leaving();
+                        }
+                    }
+                    Ok(Err(error)) => watch.finish_broken(&error.to_string()),
+                    _ => drop(watch),
                 }
                 self.attempts += 1;
                 lease.finish(LeaseOutcome::Failed);
@@ -117,8 +140,10 @@
         };
 
         lease.record_response(&response);
+        watch.record_data();
 
         if response.has_not_run || response.status == StatusCode::MISDIRECTED_REQUEST {
+            watch.finish();
             lease.finish(LeaseOutcome::Full);
             return None;
         }
@@ -126,11 +151,12 @@
         self.attempts += 1;
 
         if !response.status.is_success() || !response.is_signed {
+            watch.finish();
             lease.finish(LeaseOutcome::Failed);
             return None;
         }
 
-        Some(ResumedResponse { lease, response, deadline })
+        Some(ResumedResponse { lease, watch, response, deadline })
     }
 }
 
@@ -139,12 +165,13 @@
     resumed: ResumedResponse,
     progress: &StreamProgress,
 ) -> Option<StreamSource> {
-    let ResumedResponse { lease, mut response, deadline } = resumed;
+    let ResumedResponse { lease, mut watch, mut response, deadline } = resumed;
     let mut framer = EventFramer::default();
 
     loop {
         while let Some(event) = framer.next_event() {
             if is_new_event(progress.last_event_id.as_deref(), event.id.as_deref()) {
+                watch.finish();
                 let departure = lease.departure(&response);
                 let (status, headers, body) = (response.status, response.headers, response.body);
                 return Some(StreamSource {
@@ -159,14 +186,25 @@
             }
         }
 
-        let Ok(Ok(Some(chunk))) = timeout_at(deadline, response.body.next()).await else {
-            lease.finish(LeaseOutcome::Failed);
-            return None;
+        let chunk = match timeout_at(deadline, response.body.next()).await {
+            Ok(Ok(Some(chunk))) => chunk,
+            Ok(end) => {
+                let reason = end.err().map_or("the stream has ended".into(), |it| it.to_string());
+                watch.finish_broken(&reason);
+                lease.finish(LeaseOutcome::Failed);
+                return None;
+            }
+            Err(_) => {
+                lease.finish(LeaseOutcome::Failed);
+                return None;
+            }
         };
 
+        watch.record_data();
         framer.push(&chunk);
 
         if framer.is_event_too_long() {
+            watch.finish();
             lease.finish(LeaseOutcome::Failed);
             return None;
         }
--- a/src/tests/entry_runner.rs
+++ b/src/tests/entry_runner.rs
@@ -122,6 +122,7 @@
         history: Arc::default(),
         streams: Arc::default(),
         crashes: Arc::clone(crashes),
+        presumed_crashes: Mutex::default(),
         metrics,
     });
 
