An upstream that responds right after a broken connection has not crashed

Callers: a request that does no harm could be refused for good: three broken connections, in which no upstream had ended, count as three crashes, and a request that is refused can't complete. Cause: a broken connection proves no crash; nothing took the count back on the users' front door, as probes do on the own interface. Change: a response to a request that was sent within a second after the presumed crash comes from the same run, since an upstream needs longer to start again; it takes the crash back on all hosts. Later responses prove nothing.

--- a/src/entry/crash_guard.rs
+++ b/src/entry/crash_guard.rs
@@ -2,12 +2,13 @@
 
 use std::sync::Arc;
 
+use hyper::StatusCode;
 use tokio::time::{Duration, Instant};
 
 use crate::{
     CrashedRun,
     entry::{
-        placement_request::PlacementRefusal, request_runner::RunnerContext,
+        UpstreamResponse, placement_request::PlacementRefusal, request_runner::RunnerContext,
         routed_request::RoutedRequest, upstream_lease::UpstreamLease,
     },
 };
@@ -33,8 +34,15 @@
         Err(PlacementRefusal { reason, retry_after: CRASHED_RETRY_AFTER })
     }
 
-    /// Records that an upstream has responded, which may prove that it did not crash before.
-    pub(super) fn record_life(&self, lease: &UpstreamLease) {
+    /// Records what a response tells about its upstream, also whether it proves that the upstream did not crash before.
+    pub(super) fn record_response(&self, lease: &UpstreamLease, response: &UpstreamResponse) {
+        lease.record_response(response);
+
+        // A misdirected request has reached another upstream at the same address.
+        if response.status == StatusCode::MISDIRECTED_REQUEST {
+            return;
+        }
+
         let crashed = lease.crashed_run();
         let disproved = self.presumed_crashes.lock().take_disproved(&crashed, lease.granted_at);
 
--- a/src/entry/request_runner.rs
+++ b/src/entry/request_runner.rs
@@ -234,7 +234,7 @@
             Err(_) => return self.finish_timed_out(lease, attempt_deadline),
         };
 
-        lease.record_response(&response);
+        self.context.record_response(&lease, &response);
         watch.record_data();
 
         if response.has_not_run || response.status == StatusCode::MISDIRECTED_REQUEST {
--- a/src/entry/stream_resume.rs
+++ b/src/entry/stream_resume.rs
@@ -139,7 +139,7 @@
             }
         };
 
-        lease.record_response(&response);
+        self.context.record_response(&lease, &response);
         watch.record_data();
 
         if response.has_not_run || response.status == StatusCode::MISDIRECTED_REQUEST {
--- a/src/tests/crash_counts.rs
+++ b/src/tests/crash_counts.rs
@@ -4,19 +4,25 @@
 
 use hyper::StatusCode;
 use parking_lot::Mutex;
+use rand::{RngExt, SeedableRng, rngs::StdRng, seq::SliceRandom};
+use tokio::time::{Duration, sleep};
 
 use super::{
     entry_fakes::{ScriptedChannel, ScriptedResponse, upstream},
     entry_runner::{pool, read_events, runner_with_crashes},
 };
 use crate::{
-    CrashTracker,
+    CrashTracker, CrashedRun,
     entry::{EntryResponse, RequestKind},
 };
 
 /// Fingerprint of the requests that `runner_with_crashes` makes.
 const FINGERPRINT: u64 = 1;
 
+fn answer() -> ScriptedResponse {
+    ScriptedResponse::Whole { status: StatusCode::OK, has_not_run: false, is_signed: true }
+}
+
 /// Runs a request once on two upstreams that are numbered from `first`, and reads its stream to the end if there is one.
 async fn run(
     crashes: &Arc<Mutex<CrashTracker>>,
@@ -76,6 +82,80 @@
     assert_eq!(crashes.lock().crash_count(FINGERPRINT), 1);
 }
 
+/// Runs a request whose connection to `u1` breaks, and another one there that is sent after `pause` and answered.
+async fn break_and_answer(crashes: &Arc<Mutex<CrashTracker>>, pause: Duration) -> u32 {
+    let channel = Arc::new(ScriptedChannel::new(vec![ScriptedResponse::Broken, answer()]));
+    let pool = pool();
+    pool.upsert(upstream("u1", "service", 4));
+    let first = runner_with_crashes(&pool, &channel, RequestKind::AtMostOnce, crashes);
+    let mut second = runner_with_crashes(&pool, &channel, RequestKind::AtMostOnce, crashes);
+    second.context = Arc::clone(&first.context);
+    second.routed.fingerprint = FINGERPRINT + 1;
+    first.run().await;
+    sleep(pause).await;
+    second.run().await;
+    let count = crashes.lock().crash_count(FINGERPRINT);
+    count
+}
+
+#[tokio::test(start_paused = true)]
+async fn crash_count_drops_run_that_responds_to_request_sent_right_after() {
+    assert_eq!(break_and_answer(&Arc::default(), Duration::from_millis(200)).await, 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn crash_count_keeps_run_that_may_have_started_anew() {
+    assert_eq!(break_and_answer(&Arc::default(), Duration::from_secs(2)).await, 1);
+}
+
+#[test]
+fn crash_count_keeps_crash_that_is_newer_than_a_late_clear() {
+    let run = |upstream: &str| CrashedRun { upstream: upstream.into(), run: 1 };
+    let (mut first, mut second) = (CrashTracker::default(), CrashTracker::default());
+    first.record_crash(&run("u1"), vec![FINGERPRINT]);
+    first.take_pending_notes().iter().for_each(|note| second.merge(note));
+    second.clear(FINGERPRINT);
+    first.record_crash(&run("u2"), vec![FINGERPRINT]);
+    second.take_pending_notes().iter().for_each(|note| first.merge(note));
+    assert_eq!(first.crash_count(FINGERPRINT), 1);
+}
+
+#[test]
+fn crash_count_counts_run_again_after_it_proved_to_be_alive() {
+    let run = CrashedRun { upstream: "u1".into(), run: 1 };
+    let mut crashes = CrashTracker::default();
+    let suspects = crashes.record_crash(&run, vec![FINGERPRINT]);
+    crashes.retract_crash(&run, &suspects);
+    assert_eq!(crashes.crash_count(FINGERPRINT), 0);
+    crashes.record_crash(&run, vec![FINGERPRINT]);
+    assert_eq!(crashes.crash_count(FINGERPRINT), 1);
+}
+
+#[test]
+fn crash_count_is_the_same_in_any_order_of_notes() {
+    bolero::check!().exhaustive().with_generator(0..2_000_u64).cloned().for_each(|seed| {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut origin = CrashTracker::default();
+
+        for _ in 0..random.random_range(1..20) {
+            let upstream = format!("u{}", random.random_range(0..4)).into();
+            let run = CrashedRun { upstream, run: 1 };
+            match random.random_range(0..3) {
+                0 => drop(origin.record_crash(&run, vec![FINGERPRINT])),
+                1 => origin.retract_crash(&run, &[FINGERPRINT]),
+                _ => origin.clear(FINGERPRINT),
+            }
+        }
+
+        let mut notes = origin.take_pending_notes();
+        notes.extend(notes.clone());
+        notes.shuffle(&mut random);
+        let mut receiver = CrashTracker::default();
+        notes.iter().for_each(|note| receiver.merge(note));
+        assert_eq!(receiver.crash_count(FINGERPRINT), origin.crash_count(FINGERPRINT), "{seed}");
+    });
+}
+
 #[tokio::test(start_paused = true)]
 async fn crash_limit_ends_retries_that_are_under_way() {
     let crashes: Arc<Mutex<CrashTracker>> = Arc::default();
@@ -83,9 +163,7 @@
         run(&crashes, first, RequestKind::AtMostOnce, vec![ScriptedResponse::Broken]).await;
     }
 
-    let answer =
-        ScriptedResponse::Whole { status: StatusCode::OK, has_not_run: false, is_signed: true };
-    let responses = vec![ScriptedResponse::Broken, answer];
+    let responses = vec![ScriptedResponse::Broken, answer()];
     let (outcome, attempts) = run(&crashes, 5, RequestKind::Idempotent, responses).await;
     assert_eq!((outcome.as_str(), attempts), ("answer_lost", 1));
 }
