Requests that have crashed three upstreams stay refused after the loss of all hosts

Cause: the counts were only in memory, while a refused request reaches no further upstream from which they could be found again. A host that reads the records at its start reads these as well: a call a start. Counts below the limit are lost with all hosts, which allows two attempts more, within the three that the rule allows.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -5,7 +5,8 @@
 
 pub(crate) mod batch_index;
 pub(crate) mod budget_ledger;
-mod crash_guard;
+pub(crate) mod crash_guard;
+pub(crate) mod crash_records;
 mod entry_host;
 pub(crate) mod entry_metrics;
 mod entry_request;
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -16,6 +16,8 @@
         BudgetLedger, EntryBackends, EntryRefusal, EntryRequest, EntryResponse, EntrySettings,
         KindFollower, ObjectListener, PlacementPool, RelayedBody, RouteTable, ServiceConfig,
         ServiceRoute, StoreError, StoreMonitor,
+        crash_guard::CRASH_LIMIT,
+        crash_records::CrashRecords,
         entry_metrics::EntryMetrics,
         host_registry::{HostRegistry, REGISTRY_KIND},
         mesh_peer::MeshIdentity,
@@ -69,6 +71,7 @@
     budgets: BudgetContext,
     versions: VersionFinder,
     registry: HostRegistry,
+    crash_records: CrashRecords,
     context: Arc<RunnerContext>,
     forwarded_requests: ForwardedRequests,
     /// Whether the turns and budgets of earlier runs have been loaded.
@@ -166,6 +169,7 @@
             budgets,
             versions,
             registry: network.registry.clone(),
+            crash_records: CrashRecords::new(Arc::clone(&backends.store)),
             context: runner_context,
             forwarded_requests: ForwardedRequests::default(),
             is_restored: watch::Sender::new(false),
@@ -203,6 +207,9 @@
 
         if !mesh.load_records_from_peers().await {
             self.budgets.locator.list_batches(Instant::now()).await?;
+            let notes = self.crash_records.read().await?;
+            let mut crashes = self.context.crashes.lock();
+            notes.iter().for_each(|note| crashes.merge(note));
         }
 
         mesh.mark_records_loaded();
@@ -229,6 +236,10 @@
                 self.registry.remove(&host).await;
             }
 
+            for notes in self.context.crashes.lock().take_unrecorded(CRASH_LIMIT) {
+                tokio::spawn(self.crash_records.clone().write(notes));
+            }
+
             self.budgets.ledger.lock().prune(Instant::now());
             self.context.metrics.record_history_bytes(self.context.history.lock().cached_bytes());
         }
--- a/src/tests/crash_counts.rs
+++ b/src/tests/crash_counts.rs
@@ -8,12 +8,12 @@
 use tokio::time::{Duration, sleep};
 
 use super::{
-    entry_fakes::{ScriptedChannel, ScriptedResponse, upstream},
+    entry_fakes::{MemoryStore, ScriptedChannel, ScriptedResponse, upstream},
     entry_runner::{pool, read_events, runner_with_crashes},
 };
 use crate::{
     CrashTracker, CrashedRun,
-    entry::{EntryResponse, RequestKind},
+    entry::{EntryResponse, RequestKind, crash_guard::CRASH_LIMIT, crash_records::CrashRecords},
 };
 
 /// Fingerprint of the requests that `runner_with_crashes` makes.
@@ -108,6 +108,33 @@
     assert_eq!(break_and_answer(&Arc::default(), Duration::from_secs(2)).await, 1);
 }
 
+#[tokio::test(start_paused = true)]
+async fn crash_records_keep_request_refused_after_all_hosts_are_lost() {
+    let store = Arc::new(MemoryStore::default());
+    let records = CrashRecords::new(Arc::clone(&store) as Arc<_>);
+    let mut crashes = CrashTracker::default();
+
+    for upstream in ["u1", "u2", "u3"] {
+        let run = CrashedRun { upstream: upstream.into(), run: 1 };
+        crashes.record_crash(&run, vec![FINGERPRINT]);
+    }
+    for notes in crashes.take_unrecorded(CRASH_LIMIT) {
+        records.clone().write(notes).await;
+    }
+    assert!(crashes.take_unrecorded(CRASH_LIMIT).is_empty(), "recorded twice");
+
+    let mut restarted = CrashTracker::default();
+    records.read().await.expect("the store answers").iter().for_each(|it| restarted.merge(it));
+    assert_eq!(restarted.crash_count(FINGERPRINT), 3);
+
+    crashes.clear(FINGERPRINT);
+    for notes in crashes.take_unrecorded(CRASH_LIMIT) {
+        records.clone().write(notes).await;
+    }
+    records.read().await.expect("the store answers").iter().for_each(|it| restarted.merge(it));
+    assert_eq!(restarted.crash_count(FINGERPRINT), 0);
+}
+
 #[test]
 fn crash_count_keeps_crash_that_is_newer_than_a_late_clear() {
     let run = |upstream: &str| CrashedRun { upstream: upstream.into(), run: 1 };
