--- a/src/entry/budget_ledger.rs
+++ b/src/entry/budget_ledger.rs
@@ -100,10 +100,12 @@
     running_spent: u64,
     /// This writer's total in the store.
     recorded: u64,
+    /// Whether this host has reserved tokens of the program.
+    is_served: bool,
     /// Whether the program's turns are recorded as they end.
     has_history: bool,
-    /// Whether all other hosts have been notified that this host serves the program.
-    is_announced: bool,
+    /// Hosts that have not acknowledged yet that this host serves the program. `None` before the first exchange with them.
+    unannounced: Option<HashSet<Arc<str>>>,
     last_used: Instant,
 }
 
@@ -116,8 +118,9 @@
             reserved: 0,
             running_spent: 0,
             recorded: 0,
+            is_served: false,
             has_history: false,
-            is_announced: false,
+            unannounced: None,
             last_used: now,
         }
     }
@@ -155,7 +158,8 @@
     }
 }
 
-fn is_writer_of(host: &str, writer: &str) -> bool {
+/// Whether `writer` is a run of `host`: its name begins with the host and a dot.
+pub(crate) fn is_writer_of(host: &str, writer: &str) -> bool {
     writer.strip_prefix(host).is_some_and(|rest| rest.starts_with('.'))
 }
 
@@ -201,6 +205,7 @@
         }
 
         account.reserved += tokens;
+        account.is_served = true;
         self.unreported.insert(Arc::clone(program));
 
         if total <= budget / host_count.max(1) {
@@ -215,14 +220,22 @@
         self.total(program) <= budget
     }
 
-    /// Marks a program as announced to all other hosts.
-    pub(crate) fn mark_announced(&mut self, program: &Arc<str>) {
-        self.account(program).is_announced = true;
+    /// Begins to announce a program to these hosts, unless it has been announced before.
+    pub(crate) fn begin_announcement(&mut self, program: &Arc<str>, hosts: HashSet<Arc<str>>) {
+        self.account(program).unannounced.get_or_insert(hosts);
     }
 
-    /// Whether all other hosts have been notified that this host serves the program.
-    pub(crate) fn is_announced(&self, program: &Arc<str>) -> bool {
-        self.accounts.get(program).is_some_and(|it| it.is_announced)
+    /// Records that a host knows that this host serves the program.
+    pub(crate) fn mark_announced(&mut self, program: &Arc<str>, host: &Arc<str>) {
+        if let Some(hosts) = &mut self.account(program).unannounced {
+            hosts.remove(host);
+        }
+    }
+
+    /// Whether a host may not know yet that this host serves the program.
+    pub(crate) fn is_unannounced(&self, program: &Arc<str>, host: &Arc<str>) -> bool {
+        let hosts = self.accounts.get(program).and_then(|it| it.unannounced.as_ref());
+        hosts.is_none_or(|it| it.contains(host))
     }
 
     /// Whether any run of `host` is known to have spent or reserved tokens of a program.
@@ -326,18 +339,16 @@
     /// Marks totals as recorded, once their batch is durable.
     pub(crate) fn mark_recorded(&mut self, records: &[SpendRecord]) {
         for record in records {
-            let Some(account) = self.accounts.get_mut(&record.program) else {
-                continue;
-            };
+            // A recorder also knows of programs of which it has heard nothing else.
+            let account = self.account(&record.program);
 
-            let recorded = match &record.writer {
-                None => &mut account.recorded,
-                Some(writer) => {
-                    &mut account.other_writers.entry(Arc::clone(writer)).or_default().recorded
-                }
-            };
-            *recorded = (*recorded).max(record.tokens);
-            self.unreported.insert(Arc::clone(&record.program));
+            if let Some(writer) = &record.writer {
+                let total = account.other_writers.entry(Arc::clone(writer)).or_default();
+                total.recorded = total.recorded.max(record.tokens);
+            } else {
+                account.recorded = account.recorded.max(record.tokens);
+                self.unreported.insert(Arc::clone(&record.program));
+            }
         }
     }
 
@@ -347,9 +358,10 @@
         programs.iter().map(|program| self.local_note(program)).collect()
     }
 
-    /// Returns this writer's totals of all programs, for a peer that has just joined or has missed reports.
+    /// Returns this writer's totals of all programs that it has served, for a peer that has just joined or has missed reports.
     pub(crate) fn local_notes(&self) -> Vec<SpendNote> {
-        self.accounts.keys().map(|program| self.local_note(program)).collect()
+        let served = self.accounts.iter().filter(|(_, account)| account.is_served);
+        served.map(|(program, _)| self.local_note(program)).collect()
     }
 
     /// Returns the totals of all other writers, for a host that starts.
@@ -388,14 +400,8 @@
     }
 
     /// Merges totals from a batch that `batch_writer` has written. Records contain headroom, so a record counts only if
-    /// the writer that it is about has reported nothing, or if that writer's host does not respond and the record is
-    /// higher than the writer's last report.
-    pub(crate) fn merge_recorded(
-        &mut self,
-        batch_writer: &Arc<str>,
-        records: &[SpendRecord],
-        unresponsive_hosts: &[Arc<str>],
-    ) {
+    /// the writer that it is about has reported nothing, or by [`BudgetLedger::assume_recorded`].
+    pub(crate) fn merge_recorded(&mut self, batch_writer: &Arc<str>, records: &[SpendRecord]) {
         for record in records {
             let writer = record.writer.as_ref().unwrap_or(batch_writer);
 
@@ -403,13 +409,25 @@
                 continue;
             }
 
-            let is_unresponsive = unresponsive_hosts.iter().any(|host| is_writer_of(host, writer));
             let account = self.account(&record.program);
             let total = account.other_writers.entry(Arc::clone(writer)).or_default();
 
             total.recorded = total.recorded.max(record.tokens);
+        }
+    }
+
+    /// Counts what writers that do not respond have recorded for a program, where that is higher than their last reports.
+    pub(crate) fn assume_recorded(
+        &mut self,
+        program: &Arc<str>,
+        is_unresponsive: impl Fn(&str) -> bool,
+    ) {
+        let Some(account) = self.accounts.get_mut(program) else {
+            return;
+        };
 
-            if is_unresponsive {
+        for (writer, total) in &mut account.other_writers {
+            if is_unresponsive(writer) {
                 total.reported = total.reported.map(|reported| reported.max(total.recorded));
             }
         }
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -57,6 +57,9 @@
 /// Time between two rounds of maintenance.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Longest time for which a turn waits for what other hosts have spent of its budget.
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 /// Longest time that a request may spend on the search for the turns that it continues.
 const SEARCH_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -126,6 +129,7 @@
             Arc::clone(&ledger),
             Arc::clone(&mesh),
             state.index,
+            state.readings,
         ));
 
         let budgets = BudgetContext {
@@ -427,7 +431,7 @@
             Err(response) => return response,
         };
 
-        let budget = match self.reserve_budget(&request, &service).await {
+        let budget = match self.reserve_budget(&request, &service, deadline).await {
             Ok(budget) => budget,
             Err(response) => return response,
         };
@@ -493,6 +497,7 @@
         &self,
         request: &EntryRequest,
         service: &ServiceConfig,
+        deadline: Instant,
     ) -> Result<Option<TurnBudget>, EntryResponse> {
         let Some(program) = &request.program else {
             return Ok(None);
@@ -501,9 +506,19 @@
             return Ok(None);
         };
 
-        let reservation =
-            TurnBudget::reserve(&self.budgets, &program.id, budget, request.max_completion_tokens)
-                .await;
+        let now = Instant::now();
+        // The turn needs the rest of its time to run.
+        let confirmation_time =
+            CONFIRMATION_TIMEOUT.min(deadline.saturating_duration_since(now) / 2);
+        let tokens = request.max_completion_tokens;
+        let reservation = TurnBudget::reserve(
+            &self.budgets,
+            &program.id,
+            budget,
+            tokens,
+            now + confirmation_time,
+        )
+        .await;
 
         reservation.map(Some).map_err(|refusal| {
             let spent = self.budgets.ledger.lock().total(&program.id);
--- a/src/entry/mesh_answers.rs
+++ b/src/entry/mesh_answers.rs
@@ -24,17 +24,19 @@
                 region,
                 writer,
                 sequence,
+                run_age_ms,
                 is_draining,
                 notes,
                 streams,
             } => {
-                if !self.update_peer_state(&host, address, &writer, is_draining) {
+                let now = Instant::now();
+                let run_started = now.checked_sub(Duration::from_millis(run_age_ms)).unwrap_or(now);
+                if !self.update_peer_state(&host, address, &writer, run_started, is_draining) {
                     self.add_peer(Arc::clone(&host), address, region);
-                    self.update_peer_state(&host, address, &writer, is_draining);
+                    self.update_peer_state(&host, address, &writer, run_started, is_draining);
                 }
                 self.merge_reported_spends(&writer, sequence, &notes);
                 let mut known = self.state.streams.lock();
-                let now = Instant::now();
                 streams.iter().for_each(|stream| known.merge(now, stream));
                 PeerMessage::Done
             }
@@ -53,9 +55,17 @@
                 spends.push(WriterSpends { writer: Arc::clone(&self.identity.writer), notes });
                 let batches = self.state.index.lock().all_batches();
                 let departures = self.state.departures.lock().all();
-                PeerMessage::Knowledge { spends, batches, departures }
+                let readings = self.state.readings.lock().ages(Instant::now());
+                PeerMessage::Knowledge { spends, batches, readings, departures }
             }
             PeerMessage::KnowledgeQuery => PeerMessage::NoAck,
+            PeerMessage::RecentSpendsQuery { writer, sequence } => {
+                let journal = self.journal.get().filter(|_| writer == self.identity.writer);
+                match journal.and_then(|it| it.recent_spends(sequence)) {
+                    Some(spends) => PeerMessage::RecentSpends { spends },
+                    None => PeerMessage::NoAck,
+                }
+            }
             PeerMessage::RequestCrashesNoted { notes } => {
                 let mut crashes = self.state.crashes.lock();
                 notes.iter().for_each(|note| crashes.merge(note));
--- a/src/entry/mesh_peer.rs
+++ b/src/entry/mesh_peer.rs
@@ -14,6 +14,8 @@
     pub(crate) region: Arc<str>,
     /// Run of the peer's process, by the writer that its last message names; `None` before its first message.
     pub(crate) writer: Option<Arc<str>>,
+    /// Latest time at which that run can have started. Earlier runs of the host have ended before.
+    pub(crate) run_started: Option<Instant>,
     /// Whether the peer has been sent the full state and has missed no change since, so that the next update to it needs
     /// to carry only new changes.
     pub(crate) is_synced: bool,
@@ -39,6 +41,7 @@
             address,
             region,
             writer: None,
+            run_started: None,
             is_synced: false,
             in_flight_since: None,
             is_exchange_wanted: false,
@@ -76,12 +79,13 @@
 
     /// Records which run of the peer has sent a message. A run that was not heard before may lack what was sent to an
     /// earlier one at the same address, so the next update carries the full state. Returns whether the run is new.
-    pub(crate) fn record_writer(&mut self, writer: &Arc<str>) -> bool {
+    pub(crate) fn record_writer(&mut self, writer: &Arc<str>, run_started: Instant) -> bool {
         if self.writer.as_ref() == Some(writer) {
             return false;
         }
 
         self.writer = Some(Arc::clone(writer));
+        self.run_started = Some(run_started);
         self.is_synced = false;
         true
     }
--- a/src/entry/mesh_queries.rs
+++ b/src/entry/mesh_queries.rs
@@ -5,12 +5,17 @@
     sync::{Arc, atomic::Ordering},
 };
 
-use futures_util::{StreamExt, future::join_all, stream::FuturesUnordered};
+use futures_util::{
+    FutureExt, StreamExt,
+    future::{BoxFuture, join_all},
+    stream::FuturesUnordered,
+};
 use tokio::time::{Duration, Instant, timeout};
 
 use crate::{
     PeerMessage,
     entry::{
+        budget_ledger::{SpendRecord, is_writer_of},
         mesh_peer::MeshPeer,
         peer_mesh::{PEER_TIMEOUT, PeerMesh},
         stream_versions::StreamOrigin,
@@ -18,19 +23,39 @@
     },
 };
 
-/// Time for a peer to respond to a spend query. A round trip between regions takes 16 ms.
-const SPEND_QUERY_TIMEOUT: Duration = Duration::from_millis(150);
-
 /// Time for a peer to respond to the query for a stream that a client takes up.
 const STREAM_QUERY_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Result of an exchange of spends with the peers that may hand out a program's tokens as well.
-#[derive(Debug)]
-pub(crate) struct SpendExchange {
-    /// Number of peers that were asked, or would have been if they responded.
+/// Exchange of spends with the peers that may hand out a program's tokens as well.
+pub(crate) struct SpendExchange<'a> {
+    /// Number of peers whose spends are needed.
     pub(crate) asked: usize,
-    /// Peers that did not respond.
-    pub(crate) unresponsive: Vec<Arc<str>>,
+    /// Peers that have not responded.
+    pub(crate) outstanding: Vec<Arc<str>>,
+    /// Number of peers that are not asked, as they do not respond to updates either.
+    failing: usize,
+    answers: FuturesUnordered<BoxFuture<'a, Option<Arc<str>>>>,
+}
+
+impl SpendExchange<'_> {
+    /// Whether some peers do not respond to anything.
+    pub(crate) fn has_failing_peers(&self) -> bool {
+        self.failing > 0
+    }
+
+    /// Waits for the next response. Never returns if all peers that were asked have responded or failed to.
+    pub(crate) async fn receive(&mut self) {
+        loop {
+            match self.answers.next().await {
+                Some(Some(host)) => {
+                    self.outstanding.retain(|it| *it != host);
+                    return;
+                }
+                Some(None) => (),
+                None => std::future::pending().await,
+            }
+        }
+    }
 }
 
 /// A peer to which a spend query may be sent.
@@ -51,6 +76,7 @@
             peers.iter().map(|(host, peer)| (Arc::clone(host), peer.address)).collect()
         };
 
+        let asked = Instant::now();
         let queries = peers.into_iter().map(|(host, address)| async move {
             let query = PeerMessage::KnowledgeQuery;
             (host, timeout(PEER_TIMEOUT, self.connector.exchange(address, &query)).await)
@@ -59,7 +85,8 @@
         let mut has_records = false;
 
         for (host, response) in join_all(queries).await {
-            let Ok(Ok(PeerMessage::Knowledge { spends, batches, departures })) = response else {
+            let Ok(Ok(PeerMessage::Knowledge { spends, batches, readings, departures })) = response
+            else {
                 continue;
             };
 
@@ -70,6 +97,7 @@
                 spends.iter().for_each(|it| ledger.merge_reported(&it.writer, &it.notes));
                 drop(ledger);
                 self.state.index.lock().merge(batches);
+                self.state.readings.lock().merge(asked, &readings);
                 log::info!(peer:% = host; "loaded the recorded spends and the index of turns from a peer");
                 has_records = true;
             }
@@ -78,31 +106,34 @@
         has_records
     }
 
-    /// Exchanges this host's spend of a program for that of each peer that may hand out its tokens as well: the peers
-    /// of this region, where the program's requests arrive, and those that have spent before. The first exchange goes
+    /// Begins to exchange this host's spend of a program for that of each peer that may hand out its tokens as well: the
+    /// peers of this region, where the program's requests arrive, and those that have spent before. The first exchange goes
     /// to all peers, so that each of them includes this host in its own exchanges from then on: clients keep
     /// connections to hosts of other regions long after their own region is back. All peers are queried as well while
     /// clients may fail over, and if the region has no other host. Where programs have owners, only peers that have spent
-    /// tokens and those that do not respond are queried after the first exchange: any other one would announce itself
-    /// with its own first exchange.
-    pub(crate) async fn exchange_spend(&self, program: &Arc<str>) -> SpendExchange {
+    /// tokens, those that have not responded yet and those that do not respond are queried after the first exchange: any
+    /// other one would announce itself with its own first exchange.
+    pub(crate) fn begin_exchange(&self, program: &Arc<str>, limit: Duration) -> SpendExchange<'_> {
         let peers: Vec<QueriedPeer> = {
-            let ledger = self.state.ledger.lock();
+            let mut ledger = self.state.ledger.lock();
             let peers = self.peers.lock();
             let is_same_region = |peer: &MeshPeer| peer.region == self.identity.region;
-            let is_first = !ledger.is_announced(program);
             let has_owners = self.has_owners_among(&peers);
-            let queries_all = is_first
-                || (!has_owners
-                    && (self.is_failover_possible(&peers) || !peers.values().any(is_same_region)));
+            let queries_all = !has_owners
+                && (self.is_failover_possible(&peers) || !peers.values().any(is_same_region));
+            ledger.begin_announcement(program, peers.keys().cloned().collect());
 
             peers
                 .iter()
                 .filter(|(host, peer)| {
+                    let is_unannounced = ledger.is_unannounced(program, host);
                     if has_owners {
-                        queries_all || peer.failures > 0 || ledger.has_tokens(program, host)
+                        is_unannounced || peer.failures > 0 || ledger.has_tokens(program, host)
                     } else {
-                        queries_all || is_same_region(peer) || ledger.has_spent(program, host)
+                        is_unannounced
+                            || queries_all
+                            || is_same_region(peer)
+                            || ledger.has_spent(program, host)
                     }
                 })
                 .map(|(host, peer)| QueriedPeer {
@@ -113,35 +144,88 @@
                 .collect()
         };
 
-        let query = PeerMessage::SpendQuery {
+        let query = Arc::new(PeerMessage::SpendQuery {
             writer: Arc::clone(&self.identity.writer),
             sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
             note: self.state.ledger.lock().local_note(program),
-        };
-
-        let asked = peers.len();
-        let queries = peers.into_iter().map(|peer| self.query_spend(peer, &query));
-        let unresponsive = join_all(queries).await.into_iter().flatten().collect();
-        self.state.ledger.lock().mark_announced(program);
-        SpendExchange { asked, unresponsive }
-    }
+        });
+        // The regular updates find out when a failing peer responds again.
+        let asked = peers.iter().filter(|peer| !peer.is_failing);
+        let answers = asked.map(|peer| {
+            let (host, address) = (Arc::clone(&peer.host), peer.address);
+            self.query_spend(host, address, Arc::clone(&query), limit).boxed()
+        });
 
-    /// Sends a peer a spend query and merges its response. Returns the peer's name if it did not respond.
-    async fn query_spend(&self, peer: QueriedPeer, query: &PeerMessage) -> Option<Arc<str>> {
-        // The regular updates find out when the peer responds again, so a query need not wait for its timeout.
-        if peer.is_failing {
-            return Some(peer.host);
+        SpendExchange {
+            asked: peers.len(),
+            failing: peers.iter().filter(|peer| peer.is_failing).count(),
+            answers: answers.collect(),
+            outstanding: peers.iter().map(|peer| Arc::clone(&peer.host)).collect(),
         }
+    }
 
-        let exchange = self.connector.exchange(peer.address, query);
-
-        match timeout(SPEND_QUERY_TIMEOUT, exchange).await {
+    /// Sends a peer a spend query and merges its response. Returns the peer's name if it responds.
+    async fn query_spend(
+        &self,
+        host: Arc<str>,
+        address: SocketAddr,
+        query: Arc<PeerMessage>,
+        limit: Duration,
+    ) -> Option<Arc<str>> {
+        match timeout(limit, self.connector.exchange(address, &query)).await {
             Ok(Ok(PeerMessage::Spend { writer, sequence, note })) => {
+                let program = Arc::clone(&note.program);
                 self.merge_reported_spends(&writer, sequence, &[note]);
-                None
+                self.state.ledger.lock().mark_announced(&program, &host);
+                Some(host)
             }
-            _ => Some(peer.host),
+            _ => None,
+        }
+    }
+
+    /// Queries a run for the spends that it has recorded in its segments after the one with the number `sequence`. Returns
+    /// `None` if that run does not answer in time, is over, or no longer has them all.
+    pub(crate) async fn query_recent_spends(
+        &self,
+        writer: &Arc<str>,
+        sequence: u64,
+    ) -> Option<Vec<SpendRecord>> {
+        if *writer == self.identity.writer {
+            return self.journal.get()?.recent_spends(sequence);
         }
+
+        let is_of_writer =
+            |peer: &&MeshPeer| peer.failures == 0 && peer.writer.as_ref() == Some(writer);
+        let address = self.peers.lock().values().find(is_of_writer)?.address;
+        let query = PeerMessage::RecentSpendsQuery { writer: Arc::clone(writer), sequence };
+
+        match timeout(PEER_TIMEOUT, self.connector.exchange(address, &query)).await {
+            Ok(Ok(PeerMessage::RecentSpends { spends })) => Some(spends),
+            _ => None,
+        }
+    }
+
+    /// Latest time at which a run can have ended, if it is known to be over: another run of its host was heard, or is this
+    /// one. `None` as well for a host that is not listed.
+    pub(crate) fn run_end(&self, writer: &str) -> Option<Instant> {
+        if is_writer_of(&self.identity.host, writer) {
+            return (*self.identity.writer != *writer).then_some(self.started_at);
+        }
+
+        let peers = self.peers.lock();
+        let (_, peer) = peers.iter().find(|(host, _)| is_writer_of(host, writer))?;
+        let current = peer.writer.as_ref()?;
+        if **current == *writer { None } else { peer.run_started }
+    }
+
+    /// Whether the host of a run is listed.
+    pub(crate) fn is_listed(&self, writer: &str) -> bool {
+        self.peers.lock().keys().any(|host| is_writer_of(host, writer))
+    }
+
+    /// Latest time at which any run of a peer has been replaced by another one.
+    pub(crate) fn last_run_end(&self) -> Option<Instant> {
+        self.peers.lock().values().filter_map(|peer| peer.run_started).max()
     }
 
     /// Queries all peers for the software version that has begun a stream, and returns what all answers together say. Waits
--- a/src/entry/mesh_state.rs
+++ b/src/entry/mesh_state.rs
@@ -7,8 +7,9 @@
 use crate::{
     CrashTracker,
     entry::{
-        BudgetLedger, batch_index::BatchIndex, stream_versions::StreamVersions,
-        turn_history::TurnHistory, upstream_departures::UpstreamDepartures,
+        BudgetLedger, batch_index::BatchIndex, record_readings::RecordReadings,
+        stream_versions::StreamVersions, turn_history::TurnHistory,
+        upstream_departures::UpstreamDepartures,
     },
 };
 
@@ -19,6 +20,7 @@
     pub(crate) history: Arc<Mutex<TurnHistory>>,
     pub(crate) crashes: Arc<Mutex<CrashTracker>>,
     pub(crate) index: Arc<Mutex<BatchIndex>>,
+    pub(crate) readings: Arc<Mutex<RecordReadings>>,
     pub(crate) departures: Arc<Mutex<UpstreamDepartures>>,
     pub(crate) streams: Arc<Mutex<StreamVersions>>,
 }
--- a/src/entry/peer_mesh.rs
+++ b/src/entry/peer_mesh.rs
@@ -75,6 +75,8 @@
 #[derive(Debug)]
 pub(crate) struct PeerMesh {
     pub(super) identity: MeshIdentity,
+    /// Start of this run.
+    pub(super) started_at: Instant,
     pub(super) journal: OnceLock<Arc<TurnJournal>>,
     pub(super) connector: MeshConnector,
     pub(super) state: MeshState,
@@ -107,6 +109,7 @@
     ) -> Self {
         Self {
             identity,
+            started_at: Instant::now(),
             journal: OnceLock::new(),
             connector: MeshConnector::new(transport),
             state,
@@ -151,6 +154,7 @@
         host: &Arc<str>,
         address: SocketAddr,
         writer: &Arc<str>,
+        run_started: Instant,
         is_draining: bool,
     ) -> bool {
         let mut peers = self.peers.lock();
@@ -161,7 +165,7 @@
                     log::info!(peer:% = host, is_draining; "a peer has become reachable again, or has begun or ended draining");
                     self.record_membership_change();
                 }
-                if peer.record_writer(writer) {
+                if peer.record_writer(writer, run_started) {
                     log::info!(peer:% = host, writer:% = writer; "a run of a peer is heard for the first time, so it is sent the full state");
                 }
                 peer.is_draining = is_draining;
@@ -383,6 +387,7 @@
             region: Arc::clone(&self.identity.region),
             writer: Arc::clone(&self.identity.writer),
             sequence,
+            run_age_ms: self.started_at.elapsed().as_millis() as u64,
             is_draining: self.is_draining(),
             notes,
             streams,
--- /dev/null
+++ b/src/entry/silent_records.rs
@@ -0,0 +1,98 @@
+//! Reads what hosts that do not respond have recorded, to count their spends. See docs/design/platform.md, "Budgets".
+
+use std::{collections::HashMap, sync::Arc};
+
+use futures_util::future::join_all;
+use tokio::time::{Duration, Instant};
+
+use crate::entry::turn_locator::{ReadingScope, SegmentPosition, TurnLocator};
+
+/// Time after which a run of a host that is not listed counts as over: a host that lives and reaches the store lists itself
+/// again, and one that does not can't record by itself.
+const UNLISTED_RUN_TIME: Duration = Duration::from_secs(5);
+
+impl TurnLocator {
+    /// Reads what was recorded, unless an earlier reading may be reused by a caller that came at `asked_at` and needs all that was
+    /// recorded before `needed`. Returns false if the records can't be read. One reading at a time serves all callers, and
+    /// goes on if they stop waiting, as later callers need it too.
+    pub(crate) async fn read_spends(
+        self: &Arc<Self>,
+        asked_at: Instant,
+        needed: Option<Instant>,
+    ) -> bool {
+        let guard = Arc::clone(&self.reading).lock_owned().await;
+
+        {
+            let readings = self.readings.lock();
+            let since = needed.max(Some(readings.reused_since(asked_at)));
+            if since.is_some_and(|it| readings.covers(it)) {
+                return true;
+            }
+        }
+
+        let locator = Arc::clone(self);
+        let reading = tokio::spawn(async move {
+            let started = Instant::now();
+            let result = locator.read_records(ReadingScope::Spends).await;
+            drop(guard);
+
+            match result {
+                Ok(pages) => {
+                    log::info!(pages, took_ms = started.elapsed().as_millis() as u64; "read the recorded spends");
+                    true
+                }
+                Err(error) => {
+                    log::warn!("the recorded spends can't be read: {error}");
+                    false
+                }
+            }
+        });
+        reading.await.unwrap_or(false)
+    }
+
+    /// The open segments that have to be read, as their runs were not over when they were read last.
+    pub(super) fn uncovered_segments(
+        &self,
+        segments: HashMap<Arc<str>, SegmentPosition>,
+    ) -> HashMap<Arc<str>, SegmentPosition> {
+        let now = Instant::now();
+        let mut unlisted = self.unlisted_since.lock();
+        unlisted.retain(|writer, _| segments.contains_key(writer) && !self.mesh.is_listed(writer));
+
+        let end = |writer: &Arc<str>, unlisted: &mut HashMap<Arc<str>, Instant>| {
+            self.mesh.run_end(writer).or_else(|| {
+                let is_listed =
+                    *self.mesh.identity.writer == **writer || self.mesh.is_listed(writer);
+                (!is_listed)
+                    .then(|| *unlisted.entry(Arc::clone(writer)).or_insert(now) + UNLISTED_RUN_TIME)
+            })
+        };
+
+        let readings = self.readings.lock();
+        segments
+            .into_iter()
+            .filter(|(writer, _)| {
+                let end = end(writer, &mut unlisted);
+                end.is_none_or(|it| !readings.covers_segment(writer, it))
+            })
+            .collect()
+    }
+
+    /// Asks the runs that write the open segments for the spends in them, since the batches also hold the content of turns.
+    /// Returns the segments of those that do not answer.
+    pub(super) async fn query_open_segments(
+        &self,
+        segments: HashMap<Arc<str>, SegmentPosition>,
+    ) -> HashMap<Arc<str>, SegmentPosition> {
+        let queries = segments.into_iter().map(|(writer, position)| async move {
+            match self.mesh.query_recent_spends(&writer, position.sequence).await {
+                Some(spends) => {
+                    self.ledger.lock().merge_recorded(&writer, &spends);
+                    None
+                }
+                None => Some((writer, position)),
+            }
+        });
+        join_all(queries).await.into_iter().flatten().collect()
+    }
+}
--- a/src/entry/turn_budget.rs
+++ b/src/entry/turn_budget.rs
@@ -3,13 +3,17 @@
 use std::sync::Arc;
 
 use parking_lot::Mutex;
-use tokio::time::{Duration, Instant, timeout, timeout_at};
+use tokio::time::{Duration, Instant, sleep_until, timeout, timeout_at};
 
 use crate::{
     BackoffPolicy,
     entry::{
-        BudgetLedger, budget_ledger::ReserveOutcome, peer_mesh::PeerMesh,
-        turn_journal::TurnJournal, turn_locator::TurnLocator,
+        BudgetLedger,
+        budget_ledger::{ReserveOutcome, is_writer_of},
+        mesh_queries::SpendExchange,
+        peer_mesh::PeerMesh,
+        turn_journal::TurnJournal,
+        turn_locator::TurnLocator,
     },
 };
 
@@ -35,12 +39,8 @@
     reserved - reserved / UNREPORTED_DIVISOR * spending_peers
 }
 
-/// Longest time to read the records of unresponsive hosts.
-const LISTING_TIMEOUT: Duration = Duration::from_millis(300);
-
-/// Age up to which a listing of an unresponsive host's records is reused. A host records its spends once a second, with
-/// headroom.
-const MAX_LISTING_AGE: Duration = Duration::from_secs(1);
+/// Time without a response from a peer after which the records are read. A round trip between regions takes 16 ms.
+const LATE_RESPONSE_TIME: Duration = Duration::from_millis(150);
 
 /// Longest time for which the refusal of a turn waits until the spend is recorded.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(1);
@@ -65,29 +65,73 @@
 }
 
 impl BudgetContext {
-    /// Merges the other hosts' totals for a program into the ledger. For unresponsive hosts it reads their records in
-    /// the store. Returns false if these can't be read in time either.
-    async fn confirm_spend(&self, program: &Arc<str>) -> bool {
+    /// Merges the other hosts' totals for a program into the ledger. Where a host is late, it reads what is recorded, and goes on
+    /// with what comes first. Returns false if neither has come for some host by the deadline.
+    async fn confirm_spend(&self, program: &Arc<str>, deadline: Instant) -> bool {
         let started = Instant::now();
-        let exchange = self.mesh.exchange_spend(program).await;
+        let mut exchange = self.mesh.begin_exchange(program, deadline - started);
+        // A run that has ended may have spent tokens after its last report.
+        let mut needs_reading = !self.are_ended_runs_read();
+        let reading_at = if exchange.has_failing_peers() || needs_reading {
+            started
+        } else {
+            started + LATE_RESPONSE_TIME
+        };
+        let mut reading = Box::pin(async {
+            sleep_until(reading_at).await;
+            let asked_at = Instant::now();
+            self.locator.read_spends(asked_at, self.mesh.last_run_end()).await
+        });
+        let mut is_reading_over = false;
+
+        while needs_reading || !exchange.outstanding.is_empty() {
+            tokio::select! {
+                biased;
+                () = exchange.receive() => (),
+                is_read = &mut reading, if !is_reading_over => {
+                    is_reading_over = true;
+                    if is_read {
+                        break;
+                    }
+                }
+                () = sleep_until(deadline) => {
+                    self.log_confirmation(program, &exchange, started, false);
+                    return false;
+                }
+            }
+            needs_reading &= !self.are_ended_runs_read();
+        }
+
+        let outstanding = &exchange.outstanding;
+        self.ledger.lock().assume_recorded(program, |writer| {
+            self.mesh.run_end(writer).is_some()
+                || outstanding.iter().any(|host| is_writer_of(host, writer))
+        });
 
-        if exchange.unresponsive.is_empty() {
-            return true;
+        if !outstanding.is_empty() {
+            self.log_confirmation(program, &exchange, started, true);
         }
+        true
+    }
 
-        let asked_ms = started.elapsed().as_millis() as u64;
-        let since = Instant::now().checked_sub(MAX_LISTING_AGE).unwrap_or_else(Instant::now);
-        let listing =
-            timeout(LISTING_TIMEOUT, self.locator.list_batches_of(&exchange.unresponsive, since))
-                .await;
-        let is_confirmed = matches!(listing, Ok(true));
+    /// Whether what was recorded has been read since the last run of another host has ended.
+    fn are_ended_runs_read(&self) -> bool {
+        let last_end = self.mesh.last_run_end();
+        last_end.is_none_or(|end| self.locator.readings.lock().covers(end))
+    }
 
+    fn log_confirmation(
+        &self,
+        program: &Arc<str>,
+        exchange: &SpendExchange<'_>,
+        started: Instant,
+        is_confirmed: bool,
+    ) {
         log::info!(
-            program:% = program, asked = exchange.asked, silent = exchange.unresponsive.len(), asked_ms,
+            program:% = program, asked = exchange.asked, silent = exchange.outstanding.len(),
             took_ms = started.elapsed().as_millis() as u64, is_confirmed;
             "peers do not answer, so their recorded spends were looked up in the store"
         );
-        is_confirmed
     }
 
     /// Refuses a turn as [`BudgetRefusal::Spent`] once the program's spend is recorded, so that the refusal still holds
@@ -116,12 +160,14 @@
 
 impl TurnBudget {
     /// Reserves the most tokens that a turn may spend. Each host first enters its own reservation in its ledger and
-    /// then asks the others for theirs, so that of two hosts that reserve concurrently at least one sees the other.
+    /// then asks the others for theirs, so that of two hosts that reserve concurrently at least one sees the other. Waits for
+    /// the others until `deadline`.
     pub(crate) async fn reserve(
         context: &BudgetContext,
         program: &Arc<str>,
         budget: u64,
         tokens: u64,
+        deadline: Instant,
     ) -> Result<Self, BudgetRefusal> {
         let host_count = context.mesh.sharing_host_count().unwrap_or(u64::MAX);
 
@@ -133,7 +179,7 @@
             let outcome = context.ledger.lock().reserve(program, budget, tokens, host_count);
 
             if outcome == ReserveOutcome::OverBudget {
-                if attempt > 0 || !context.confirm_spend(program).await {
+                if attempt > 0 || !context.confirm_spend(program, deadline).await {
                     break;
                 }
                 // Reservations of other hosts may have been settled since their last reports.
@@ -150,7 +196,7 @@
             if outcome == ReserveOutcome::Confirmed {
                 return Ok(reservation);
             }
-            if !context.confirm_spend(program).await {
+            if !context.confirm_spend(program, deadline).await {
                 return Err(BudgetRefusal::Unknown);
             }
             if context.ledger.lock().is_within(program, budget) {
--- a/src/entry/turn_journal.rs
+++ b/src/entry/turn_journal.rs
@@ -26,6 +26,7 @@
         budget_ledger::SpendRecord,
         entry_metrics::EntryMetrics,
         journal_queue::{JournalQueue, PendingBatch, QueuedEntries},
+        recent_spends::RecentSpends,
         segment_index::INDEX_KIND,
         turn_history::HistoryTurn,
         written_batches::{BatchSlot, WrittenBatches},
@@ -113,6 +114,7 @@
     queue: Mutex<JournalQueue>,
     work_added: Notify,
     is_store_reachable: AtomicBool,
+    recent_spends: Mutex<RecentSpends>,
 }
 
 impl TurnJournal {
@@ -130,6 +132,7 @@
             queue: Mutex::default(),
             work_added: Notify::new(),
             is_store_reachable: AtomicBool::new(true),
+            recent_spends: Mutex::default(),
         }
     }
 
@@ -138,6 +141,12 @@
         self.is_store_reachable.load(Ordering::Relaxed)
     }
 
+    /// Returns the spends that this run has recorded in the segments after the one with the number `sequence`, or `None` if
+    /// it no longer has them all. Whoever waits for a record is notified only after the record is among them.
+    pub(crate) fn recent_spends(&self, sequence: u64) -> Option<Vec<SpendRecord>> {
+        self.recent_spends.lock().after(sequence)
+    }
+
     /// Queues what another host has forwarded. The receiver is notified once it is durable, or fails if this host can't
     /// record it.
     pub(crate) fn append_forwarded(
@@ -274,6 +283,7 @@
             match result {
                 Ok(true) => {
                     if let Some(slot) = slot.take() {
+                        self.recent_spends.lock().add(written.open_sequence(), &batch.spends);
                         written.add(slot, &batch);
                     }
                     self.report_recorded(pending, &self.writer, started, attempt);
--- a/src/entry/turn_locator.rs
+++ b/src/entry/turn_locator.rs
@@ -5,6 +5,7 @@
     sync::Arc,
 };
 
+use futures_util::{StreamExt, TryStreamExt, stream};
 use parking_lot::Mutex;
 use serde::Deserialize;
 use tokio::{
@@ -18,7 +19,8 @@
     budget_ledger::SpendRecord,
     page_reader::PageReader,
     peer_mesh::PeerMesh,
-    segment_index::{INDEX_KIND, SegmentIndex, segment_prefix},
+    record_readings::RecordReadings,
+    segment_index::{INDEX_KIND, SegmentIndex, index_writer, segment_prefix},
     turn_history::{HistoryTurn, TurnChain, TurnHistory},
     turn_journal::{JOURNAL_KIND, JournalBatch},
 };
@@ -29,6 +31,10 @@
 /// Batches that are read concurrently. Each takes up to three times its size in memory while it is decoded.
 const CONCURRENT_READ_LIMIT: usize = 3;
 
+/// Open segments that are listed concurrently. A page of up to 1 MB takes three times its size in memory while it is
+/// decoded.
+const CONCURRENT_LISTING_LIMIT: usize = 4;
+
 /// Result of a search for a chain of turns.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum TurnSearch {
@@ -55,8 +61,8 @@
 
 /// Where a writer's open segment is, by its latest index.
 #[derive(Clone, Copy, Debug, Default)]
-struct SegmentPosition {
-    sequence: u64,
+pub(super) struct SegmentPosition {
+    pub(super) sequence: u64,
     position: u32,
     /// Number of the last batch that an index covers.
     last_number: u64,
@@ -73,6 +79,15 @@
     }
 }
 
+/// What a reading of the records is for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum ReadingScope {
+    /// Spends and turns: each open segment is read.
+    Turns,
+    /// Spends alone: runs that respond are asked for those of their open segments.
+    Spends,
+}
+
 /// Searches for turns in memory, then at the other hosts, then in the store.
 #[derive(Debug)]
 pub(crate) struct TurnLocator {
@@ -85,8 +100,13 @@
     last_listing: tokio::sync::Mutex<Option<Instant>>,
     /// Limits the batches that are read concurrently, since they are large.
     read_permits: Semaphore,
-    /// Start of the last listing of each host by [`TurnLocator::list_batches_of`].
-    last_host_listings: tokio::sync::Mutex<HashMap<Arc<str>, Instant>>,
+    /// Locked while recorded spends are read.
+    pub(super) reading: Arc<tokio::sync::Mutex<()>>,
+    pub(super) readings: Arc<Mutex<RecordReadings>>,
+    /// Position of each run's open segment, by the indexes that this host has read.
+    positions: Mutex<HashMap<Arc<str>, SegmentPosition>>,
+    /// Since when the hosts of runs that have records are not listed.
+    pub(super) unlisted_since: Mutex<HashMap<Arc<str>, Instant>>,
 }
 
 impl TurnLocator {
@@ -96,6 +116,7 @@
         ledger: Arc<Mutex<BudgetLedger>>,
         mesh: Arc<PeerMesh>,
         index: Arc<Mutex<BatchIndex>>,
+        readings: Arc<Mutex<RecordReadings>>,
     ) -> Self {
         Self {
             store,
@@ -105,7 +126,10 @@
             index,
             last_listing: tokio::sync::Mutex::default(),
             read_permits: Semaphore::new(CONCURRENT_READ_LIMIT),
-            last_host_listings: tokio::sync::Mutex::default(),
+            reading: Arc::default(),
+            readings,
+            positions: Mutex::default(),
+            unlisted_since: Mutex::default(),
         }
     }
 
@@ -215,7 +239,7 @@
         }
 
         let started = Instant::now();
-        let pages = self.list_records(&[]).await?;
+        let pages = self.read_records(ReadingScope::Turns).await?;
 
         log::info!(
             pages, turns = self.index.lock().turn_count(), took_ms = started.elapsed().as_millis() as u64;
@@ -225,74 +249,66 @@
         Ok(())
     }
 
-    /// Reads the records again for the spends of unresponsive hosts, unless the last such reading for each of them was
-    /// started at `since` or later. Returns false if they can't be read.
-    pub(crate) async fn list_batches_of(&self, hosts: &[Arc<str>], since: Instant) -> bool {
-        let mut last_listings = self.last_host_listings.lock().await;
-        let is_recent =
-            |host| last_listings.get(host).is_some_and(|started: &Instant| *started >= since);
-
-        if hosts.iter().all(is_recent) {
-            return true;
-        }
-
+    /// Reads the indexes and the open segments, as far as they have not been read before. Returns the number of pages read.
+    pub(super) async fn read_records(&self, scope: ReadingScope) -> Result<usize, StoreError> {
         let started = Instant::now();
-
-        if let Err(error) = self.list_records(hosts).await {
-            log::warn!("the records of {} unresponsive hosts can't be read: {error}", hosts.len());
-            return false;
-        }
-
-        last_listings.extend(hosts.iter().map(|host| (Arc::clone(host), started)));
-        true
-    }
-
-    /// Lists the indexes, and the batches that no index covers. Records about runs of `unresponsive_hosts` replace lower
-    /// reports of theirs, see [`BudgetLedger::merge_recorded`]. Returns the number of pages read.
-    async fn list_records(&self, unresponsive_hosts: &[Arc<str>]) -> Result<usize, StoreError> {
         let mut pages = PageReader::new(&*self.store, INDEX_KIND, None);
         let mut page_count = 0;
-        let mut open_segments: HashMap<Arc<str>, SegmentPosition> = HashMap::new();
         let mut listed = HashSet::new();
 
         while let Some(page) = pages.next().await? {
             page_count += 1;
-
-            for object in &page.items {
-                let Some(index) = object.decode::<SegmentIndex>() else {
-                    log::warn!(index:% = object.name; "the index of a segment can't be decoded");
-                    continue;
-                };
-                let position = open_segments.entry(Arc::clone(&index.writer)).or_default();
-                position.advance(&index);
-                listed.insert(Arc::clone(&object.name));
-                self.merge_index(&object.name, &index, unresponsive_hosts);
-            }
+            page.items.iter().for_each(|object| self.merge_index(object));
+            listed.extend(page.items.iter().map(|object| Arc::clone(&object.name)));
         }
 
         self.index.lock().retain_merged(&listed);
+        let writers: HashSet<Arc<str>> = listed.iter().filter_map(|it| index_writer(it)).collect();
+        let segments: HashMap<Arc<str>, SegmentPosition> = {
+            let mut positions = self.positions.lock();
+            positions.retain(|writer, _| writers.contains(writer));
+            positions.clone()
+        };
 
-        for (writer, position) in open_segments {
-            page_count += self.list_open_segment(&writer, position, unresponsive_hosts).await?;
+        let mut segments = self.uncovered_segments(segments);
+        let uncovered = segments.len();
+        if scope == ReadingScope::Spends {
+            segments = self.query_open_segments(segments).await;
         }
+        log::info!(
+            pages = page_count, indexes = listed.len(), writers = writers.len(), uncovered, segments = segments.len(),
+            took_ms = started.elapsed().as_millis() as u64;
+            "listed the indexes of recorded turns"
+        );
 
-        Ok(page_count)
+        let segment_pages: Vec<usize> = stream::iter(segments)
+            .map(|(writer, position)| async move {
+                let pages = self.list_open_segment(&writer, position).await?;
+                self.readings.lock().record_segment(&writer, started);
+                Ok::<usize, StoreError>(pages)
+            })
+            .buffer_unordered(CONCURRENT_LISTING_LIMIT)
+            .try_collect()
+            .await?;
+
+        self.readings.lock().record_reading(started, Instant::now(), &writers);
+        Ok(page_count + segment_pages.iter().sum::<usize>())
     }
 
-    /// Merges an index that was not merged before. Its spends are merged again for unresponsive hosts.
-    fn merge_index(&self, name: &Arc<str>, index: &SegmentIndex, unresponsive_hosts: &[Arc<str>]) {
-        let mut batch_index = self.index.lock();
-        let is_new = batch_index.mark_merged(name);
-
-        if is_new {
-            batch_index.merge(index.batches.clone());
+    /// Merges an index that was not merged before.
+    fn merge_index(&self, object: &StoredObject) {
+        if !self.index.lock().mark_merged(&object.name) {
+            return;
         }
-        drop(batch_index);
 
-        if is_new || !unresponsive_hosts.is_empty() {
-            let mut ledger = self.ledger.lock();
-            ledger.merge_recorded(&index.writer, &index.spends, unresponsive_hosts);
-        }
+        let Some(index) = object.decode::<SegmentIndex>() else {
+            log::warn!(index:% = object.name; "the index of a segment can't be decoded");
+            return;
+        };
+
+        self.positions.lock().entry(Arc::clone(&index.writer)).or_default().advance(&index);
+        self.ledger.lock().merge_recorded(&index.writer, &index.spends);
+        self.index.lock().merge(index.batches);
     }
 
     /// Reads the batches of a writer's open segment. Returns the number of pages read.
@@ -300,7 +316,6 @@
         &self,
         writer: &str,
         position: SegmentPosition,
-        unresponsive_hosts: &[Arc<str>],
     ) -> Result<usize, StoreError> {
         let prefix: Arc<str> = segment_prefix(writer, position.position).into();
         let mut pages = PageReader::new(&*self.store, JOURNAL_KIND, Some(Arc::clone(&prefix)));
@@ -312,7 +327,7 @@
             page.items
                 .iter()
                 .take_while(in_segment)
-                .for_each(|object| self.merge_batch(object, position, unresponsive_hosts));
+                .for_each(|object| self.merge_batch(object, position));
 
             if !page.items.last().is_some_and(|object| in_segment(&object)) {
                 break;
@@ -322,17 +337,12 @@
         Ok(page_count)
     }
 
-    /// Merges a batch of an open segment into the index and the ledger. Objects of the segment that was at the same
-    /// position before have lower numbers. A revision that was read before is merged again for unresponsive hosts only.
-    fn merge_batch(
-        &self,
-        object: &StoredObject,
-        position: SegmentPosition,
-        unresponsive_hosts: &[Arc<str>],
-    ) {
+    /// Merges a batch of an open segment into the index and the ledger, unless this revision was merged before. Objects of
+    /// the segment that was at the same position before have lower numbers.
+    fn merge_batch(&self, object: &StoredObject, position: SegmentPosition) {
         let mut index = self.index.lock();
 
-        if unresponsive_hosts.is_empty() && index.is_read(&object.name, object.revision) {
+        if index.is_read(&object.name, object.revision) {
             return;
         }
 
@@ -352,6 +362,6 @@
         }
 
         drop(index);
-        self.ledger.lock().merge_recorded(&batch.writer, &batch.spends, unresponsive_hosts);
+        self.ledger.lock().merge_recorded(&batch.writer, &batch.spends);
     }
 }
--- a/src/entry/written_batches.rs
+++ b/src/entry/written_batches.rs
@@ -212,6 +212,11 @@
         }
     }
 
+    /// Number of the open segment.
+    pub(crate) fn open_sequence(&self) -> u64 {
+        self.open.index.sequence
+    }
+
     /// Adds a batch that was written. An object of unknown revision can't be replaced, so it is not reused.
     pub(crate) fn add(&mut self, slot: BatchSlot, batch: &JournalBatch) {
         self.open.index.add(&slot.name, batch);
--- a/src/membership/peer_message.rs
+++ b/src/membership/peer_message.rs
@@ -12,6 +12,7 @@
         EntryRefusal, RouteLimits,
         batch_index::IndexedBatch,
         budget_ledger::{SpendNote, SpendRecord, WriterSpends},
+        record_readings::ReadingAges,
         stream_versions::{BegunStream, StreamOrigin},
         turn_history::HistoryTurn,
         upstream_departures::UpstreamDeparture,
@@ -134,6 +135,8 @@
         writer: Arc<str>,
         /// Increases with each message of a writer, so that the receiver ignores one that arrives after a newer one.
         sequence: u64,
+        /// Age of the sender's run, in milliseconds. Earlier runs of its host have ended before.
+        run_age_ms: u64,
         /// Whether the sender is about to stop, so that its clients will connect to other hosts.
         is_draining: bool,
         notes: Vec<SpendNote>,
@@ -171,6 +174,8 @@
     Knowledge {
         spends: Vec<WriterSpends>,
         batches: Vec<IndexedBatch>,
+        /// What the sender has read of the records.
+        readings: ReadingAges,
         departures: Vec<UpstreamDeparture>,
     },
     /// Entry: request for a turn and those before it. The response is [`PeerMessage::Turns`].
@@ -245,6 +250,16 @@
     StreamFound {
         origin: Option<StreamOrigin>,
     },
+    /// Entry: request for the spends that a run has recorded in its segments after the one with the number `sequence`. The
+    /// response is [`PeerMessage::RecentSpends`], or `NoAck` if that run is over or no longer has them all.
+    RecentSpendsQuery {
+        writer: Arc<str>,
+        sequence: u64,
+    },
+    /// Entry: spends that the sender has recorded, for itself and for other writers.
+    RecentSpends {
+        spends: Vec<SpendRecord>,
+    },
 }
 
 impl PeerMessage {
@@ -266,6 +281,8 @@
                 | Self::Knowledge { .. }
                 | Self::TurnQuery { .. }
                 | Self::Turns { .. }
+                | Self::RecentSpendsQuery { .. }
+                | Self::RecentSpends { .. }
                 | Self::StreamQuery { .. }
                 | Self::StreamFound { .. }
                 | Self::ForwardOffer { .. }
--- a/src/tests/entry_budget.rs
+++ b/src/tests/entry_budget.rs
@@ -7,7 +7,7 @@
 
 use crate::entry::{
     BudgetLedger,
-    budget_ledger::{ReserveOutcome, SpendNote, SpendRecord},
+    budget_ledger::{ReserveOutcome, SpendNote, SpendRecord, is_writer_of},
     turn_budget::unrecorded_limit,
 };
 
@@ -86,7 +86,7 @@
         for (writer, tokens) in &self.records {
             let program = Arc::clone(&self.program);
             let record = SpendRecord { writer: None, program, tokens: *tokens };
-            ledger.merge_recorded(writer, &[record], &[]);
+            ledger.merge_recorded(writer, &[record]);
         }
 
         let writer = format!("host-{index}.{}", self.runs).into();
@@ -292,9 +292,9 @@
     ledger.merge_reported(&writer, &[note]);
 
     let record = SpendRecord { writer: None, program: Arc::clone(&program), tokens: 700 };
-    ledger.merge_recorded(&writer, std::slice::from_ref(&record), &[]);
+    ledger.merge_recorded(&writer, &[record]);
     assert_eq!(ledger.total(&program), 100);
-    ledger.merge_recorded(&writer, &[record], &["host-b".into()]);
+    ledger.assume_recorded(&program, |writer| is_writer_of("host-b", writer));
     assert_eq!(ledger.total(&program), 700);
 }
 
@@ -314,10 +314,28 @@
         program: Arc::clone(&program),
         tokens: 700,
     });
-    ledger.merge_recorded(&writers[0], &records, &["host-b".into()]);
+    ledger.merge_recorded(&writers[0], &records);
+    ledger.assume_recorded(&program, |writer| is_writer_of("host-b", writer));
     assert_eq!(ledger.total(&program), 800);
 }
 
+#[test]
+fn local_notes_leave_out_programs_that_only_other_hosts_have_served() {
+    let mut ledger = BudgetLedger::default();
+    let programs: Vec<Arc<str>> = (0..1_000).map(|number| number.to_string().into()).collect();
+
+    for program in &programs {
+        let record = SpendRecord { writer: None, program: Arc::clone(program), tokens: 100 };
+        ledger.merge_recorded(&"host-b.1".into(), &[record]);
+    }
+    assert_eq!(ledger.reserve(&programs[0], 1_000, 100, 1), ReserveOutcome::Confirmed);
+    ledger.settle(&programs[0], 100, 0);
+
+    let notes = ledger.local_notes();
+    let note = SpendNote { program: Arc::clone(&programs[0]), tokens: 0, recorded: 0 };
+    assert_eq!(notes, [note], "of {} programs", programs.len());
+}
+
 #[test]
 fn budget_ledger_counts_own_records_once() {
     let program: Arc<str> = "program".into();
@@ -329,12 +347,12 @@
     // Both as a record of this host's batch and as one that another host has written for it.
     let own = SpendRecord { writer: None, program: Arc::clone(&program), tokens: 100 };
     let forwarded = SpendRecord { writer: Some("host-a.1".into()), ..own.clone() };
-    ledger.merge_recorded(&"host-a.1".into(), &[own], &[]);
-    ledger.merge_recorded(&"host-b.1".into(), &[forwarded], &[]);
+    ledger.merge_recorded(&"host-a.1".into(), &[own]);
+    ledger.merge_recorded(&"host-b.1".into(), &[forwarded]);
     assert_eq!(ledger.total(&program), 100);
 
     // An earlier run of this host is another writer.
     let earlier = SpendRecord { writer: None, program: Arc::clone(&program), tokens: 50 };
-    ledger.merge_recorded(&"host-a.0".into(), &[earlier], &[]);
+    ledger.merge_recorded(&"host-a.0".into(), &[earlier]);
     assert_eq!(ledger.total(&program), 150);
 }
--- a/src/tests/entry_journal.rs
+++ b/src/tests/entry_journal.rs
@@ -14,7 +14,7 @@
     entry::{
         BudgetLedger, ObjectStore,
         batch_index::BatchIndex,
-        budget_ledger::{SpendNote, SpendRecord},
+        budget_ledger::{SpendNote, SpendRecord, is_writer_of},
         entry_metrics::EntryMetrics,
         mesh_peer::MeshIdentity,
         mesh_state::MeshState,
@@ -120,6 +120,7 @@
             writer.into(),
         ));
         let index = Arc::new(Mutex::new(BatchIndex::default()));
+        let readings = Arc::default();
         let mesh = Arc::new(PeerMesh::new(
             MeshIdentity {
                 host: "host-a".into(),
@@ -132,10 +133,12 @@
                 ledger: Arc::clone(&ledger),
                 history: Arc::clone(&history),
                 index: Arc::clone(&index),
+                readings: Arc::clone(&readings),
                 ..MeshState::default()
             },
         ));
-        let locator = Arc::new(TurnLocator::new(store, Arc::clone(&history), ledger, mesh, index));
+        let locator =
+            Arc::new(TurnLocator::new(store, Arc::clone(&history), ledger, mesh, index, readings));
         tokio::spawn(Arc::clone(&journal).run(Arc::clone(recorder) as Arc<_>, RETENTION));
         Self { journal, locator, history }
     }
@@ -154,7 +157,8 @@
             mesh: Arc::clone(&self.locator.mesh),
             locator: Arc::clone(&self.locator),
         };
-        TurnBudget::reserve(&context, &program.into(), 567, 567).await
+        let deadline = Instant::now() + Duration::from_millis(1_500);
+        TurnBudget::reserve(&context, &program.into(), 567, 567, deadline).await
     }
 }
 
@@ -387,7 +391,10 @@
     let receiver = recorder.journal.append_forwarded(Vec::new(), vec![spend]);
     timeout(Duration::from_secs(1), receiver).await.expect("in time").expect("recorded");
 
-    assert!(reader.locator.list_batches_of(&["host-b".into()], Instant::now()).await);
+    assert!(reader.locator.read_spends(Instant::now(), Some(Instant::now())).await);
+    let mut ledger = reader.locator.ledger.lock();
+    ledger.assume_recorded(&program, |writer| is_writer_of("host-b", writer));
+    drop(ledger);
     assert_eq!(reader.locator.ledger.lock().total(&program), 70);
 }
 
@@ -395,7 +402,7 @@
 async fn turn_budget_is_granted_on_retry_once_a_long_reading_of_records_ends() {
     let store = Arc::new(MemoryStore::default());
     // Reading the records takes longer than a turn waits for it.
-    let run = run_beside_silent_peer(&store, 240).await;
+    let run = run_beside_silent_peer(&store, 1_000).await;
     assert_eq!(run.reserve("first").await.err(), Some(BudgetRefusal::Unknown));
 
     // Two seconds of new programs, each of which is sent again once, as the refusal asks for.
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -41,6 +41,7 @@
 mod shard_state;
 mod shared_connections;
 mod shared_departures;
+mod silent_records;
 mod small_parts;
 mod store_monitor;
 mod stream_queries;
--- a/src/tests/peer_mesh.rs
+++ b/src/tests/peer_mesh.rs
@@ -93,7 +93,11 @@
 /// Exchanges a program's spend and returns the ports of the peers that were queried.
 async fn queried_ports(mesh: &PeerMesh, transport: &RecordingTransport) -> Vec<u16> {
     transport.queried.lock().clear();
-    let unresponsive_peers = mesh.exchange_spend(&"program".into()).await.unresponsive;
+    let mut exchange = mesh.begin_exchange(&"program".into(), Duration::from_millis(150));
+    for _ in 0..exchange.asked {
+        exchange.receive().await;
+    }
+    let unresponsive_peers = &exchange.outstanding;
     assert!(unresponsive_peers.is_empty(), "peers did not respond: {unresponsive_peers:?}");
     transport.queried.lock().iter().map(SocketAddr::port).collect()
 }
@@ -111,6 +115,7 @@
         region: "south".into(),
         writer: writer.into(),
         sequence,
+        run_age_ms: 0,
         is_draining,
         notes: Vec::new(),
         streams: Vec::new(),
--- /dev/null
+++ b/src/tests/silent_records.rs
@@ -0,0 +1,373 @@
+//! Readings of what silent hosts have recorded, beside hosts that answer.
+
+use std::{
+    collections::{BTreeSet, HashMap},
+    net::SocketAddr,
+    sync::Arc,
+};
+
+use async_trait::async_trait;
+use parking_lot::Mutex;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use tokio::time::{Duration, Instant, advance, sleep, timeout};
+
+use super::entry_fakes::{MemoryStore, ResponseStream, StoreFault};
+use crate::{
+    PeerError, PeerHandler, PeerMessage, PeerStream, PeerTransport,
+    entry::{
+        BudgetLedger, ObjectStore,
+        batch_index::BatchIndex,
+        budget_ledger::{SpendNote, SpendRecord, is_writer_of},
+        entry_metrics::EntryMetrics,
+        journal_queue::PendingBatch,
+        mesh_peer::MeshIdentity,
+        mesh_state::MeshState,
+        peer_mesh::PeerMesh,
+        recent_spends::RecentSpends,
+        turn_budget::{BudgetContext, BudgetRefusal, TurnBudget},
+        turn_history::TurnHistory,
+        turn_journal::TurnJournal,
+        turn_locator::TurnLocator,
+        written_batches::WrittenBatches,
+    },
+};
+
+const RETENTION: Duration = Duration::from_mins(1);
+
+/// Steps and seeds of the walk over segments.
+const SEEDS: u64 = 200;
+const STEPS: u64 = 60;
+
+/// Stream on which a host answers one message.
+#[derive(Debug)]
+struct AnswerStream(Arc<Mutex<Option<PeerMessage>>>);
+
+#[async_trait]
+impl PeerStream for AnswerStream {
+    async fn receive(&mut self) -> Result<Option<PeerMessage>, PeerError> {
+        Ok(None)
+    }
+
+    async fn send(&mut self, message: &PeerMessage) -> Result<(), PeerError> {
+        *self.0.lock() = Some(message.clone());
+        Ok(())
+    }
+
+    fn finish(&mut self) {}
+
+    async fn wait_until_received(&mut self) -> Result<(), PeerError> {
+        Ok(())
+    }
+}
+
+async fn answer(mesh: &Arc<PeerMesh>, message: PeerMessage) -> Option<PeerMessage> {
+    let answer = Arc::new(Mutex::new(None));
+    Arc::clone(mesh).handle(message, Box::new(AnswerStream(Arc::clone(&answer)))).await;
+    answer.lock().take()
+}
+
+/// Transport to the hosts that answer.
+#[derive(Debug, Default)]
+struct HostTransport {
+    hosts: Mutex<HashMap<SocketAddr, Arc<PeerMesh>>>,
+    /// Time that each answer takes.
+    delay: Mutex<Duration>,
+}
+
+#[async_trait]
+impl PeerTransport for HostTransport {
+    fn disconnect(&self, _peer: SocketAddr) {}
+
+    fn retire(&self, _peer: SocketAddr) {}
+
+    fn is_connected(&self, _peer: SocketAddr) -> bool {
+        true
+    }
+
+    async fn connect(&self, _peer: SocketAddr) -> Result<(), PeerError> {
+        Ok(())
+    }
+
+    async fn open(
+        &self,
+        peer: SocketAddr,
+        first: &PeerMessage,
+    ) -> Result<Box<dyn PeerStream>, PeerError> {
+        let host = self.hosts.lock().get(&peer).cloned().ok_or(PeerError::Overdue)?;
+        let delay = *self.delay.lock();
+        sleep(delay).await;
+        Ok(Box::new(ResponseStream { response: answer(&host, first.clone()).await }))
+    }
+}
+
+fn host_of(writer: &str) -> &str {
+    writer.split_once('.').map_or(writer, |(host, _)| host)
+}
+
+/// A run of a host.
+struct HostRun {
+    address: SocketAddr,
+    mesh: Arc<PeerMesh>,
+    journal: Arc<TurnJournal>,
+    locator: Arc<TurnLocator>,
+}
+
+impl HostRun {
+    fn start(
+        store: &Arc<MemoryStore>,
+        transport: &Arc<HostTransport>,
+        writer: &str,
+        port: u16,
+    ) -> Self {
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        let store = Arc::clone(store) as Arc<dyn ObjectStore>;
+        let state = MeshState::default();
+        let ledger: Arc<Mutex<BudgetLedger>> = Arc::clone(&state.ledger);
+        let history: Arc<Mutex<TurnHistory>> = Arc::clone(&state.history);
+        let index: Arc<Mutex<BatchIndex>> = Arc::clone(&state.index);
+        let readings = Arc::clone(&state.readings);
+        let identity = MeshIdentity {
+            host: host_of(writer).into(),
+            address,
+            region: "north".into(),
+            writer: writer.into(),
+        };
+        let mesh = Arc::new(PeerMesh::new(
+            identity,
+            Arc::clone(transport) as Arc<dyn PeerTransport>,
+            state,
+        ));
+        let metrics = Arc::new(EntryMetrics::new().expect("metrics"));
+        let journal = Arc::new(TurnJournal::new(
+            Arc::clone(&store),
+            Arc::clone(&ledger),
+            metrics,
+            writer.into(),
+        ));
+        mesh.set_journal(Arc::clone(&journal));
+        tokio::spawn(Arc::clone(&journal).run(Arc::clone(&mesh) as Arc<_>, RETENTION));
+        transport.hosts.lock().insert(address, Arc::clone(&mesh));
+        let locator =
+            Arc::new(TurnLocator::new(store, history, ledger, Arc::clone(&mesh), index, readings));
+        Self { address, mesh, journal, locator }
+    }
+
+    /// Hears the first update of another run, which has just started.
+    async fn hear(&self, other: &Self, writer: &str) {
+        self.hear_at_age(other, writer, 0).await;
+    }
+
+    async fn hear_at_age(&self, other: &Self, writer: &str, run_age_ms: u64) {
+        let update = PeerMessage::SpendsNoted {
+            host: host_of(writer).into(),
+            address: other.address,
+            region: "north".into(),
+            writer: writer.into(),
+            sequence: 1,
+            run_age_ms,
+            is_draining: false,
+            notes: Vec::new(),
+            streams: Vec::new(),
+        };
+        assert!(answer(&self.mesh, update).await.is_some());
+    }
+
+    /// Reserves 50 of 100 tokens for a turn that has three seconds.
+    async fn reserve(&self, program: &Arc<str>) -> Result<TurnBudget, BudgetRefusal> {
+        let context = BudgetContext {
+            ledger: Arc::clone(&self.locator.ledger),
+            journal: Arc::clone(&self.journal),
+            mesh: Arc::clone(&self.mesh),
+            locator: Arc::clone(&self.locator),
+        };
+        let deadline = Instant::now() + Duration::from_millis(1_500);
+        TurnBudget::reserve(&context, program, 100, 50, deadline).await
+    }
+
+    /// Records 70 tokens that the silent host has spent.
+    async fn record_for_silent_host(&self, program: &Arc<str>) {
+        let spend = SpendRecord {
+            writer: Some("silent.1".into()),
+            program: Arc::clone(program),
+            tokens: 70,
+        };
+        let receiver = self.journal.append_forwarded(Vec::new(), vec![spend]);
+        timeout(Duration::from_secs(1), receiver).await.expect("in time").expect("recorded");
+    }
+
+    /// Reads the records of the silent host, from which 10 tokens were heard. Returns the program's total and the calls
+    /// to the store.
+    async fn read_silent_host(&self, program: &Arc<str>, store: &MemoryStore) -> (u64, u64) {
+        let note = SpendNote { program: Arc::clone(program), tokens: 10, recorded: 0 };
+        self.locator.ledger.lock().merge_reported(&"silent.1".into(), &[note]);
+        let calls = store.call_count();
+        assert!(self.locator.read_spends(Instant::now(), Some(Instant::now())).await);
+        let mut ledger = self.locator.ledger.lock();
+        ledger.assume_recorded(program, |writer| is_writer_of("silent", writer));
+        drop(ledger);
+        (self.locator.ledger.lock().total(program), store.call_count() - calls)
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn read_spends_asks_running_recorder_instead_of_reading_its_segment() {
+    let (store, transport) = (Arc::new(MemoryStore::default()), Arc::default());
+    let program: Arc<str> = "program".into();
+    let recorder = HostRun::start(&store, &transport, "recorder.1", 1);
+    let reader = HostRun::start(&store, &transport, "reader.1", 2);
+    recorder.record_for_silent_host(&program).await;
+    reader.hear(&recorder, "recorder.1").await;
+
+    assert_eq!(reader.read_silent_host(&program, &store).await, (70, 1));
+}
+
+#[tokio::test(start_paused = true)]
+async fn read_spends_reads_segment_of_recorder_that_is_gone() {
+    let (store, transport) = (Arc::new(MemoryStore::default()), Arc::<HostTransport>::default());
+    let program: Arc<str> = "program".into();
+    let recorder = HostRun::start(&store, &transport, "recorder.1", 1);
+    let reader = HostRun::start(&store, &transport, "reader.1", 2);
+    recorder.record_for_silent_host(&program).await;
+    reader.hear(&recorder, "recorder.1").await;
+    transport.hosts.lock().remove(&recorder.address);
+
+    assert_eq!(reader.read_silent_host(&program, &store).await, (70, 2));
+}
+
+#[tokio::test(start_paused = true)]
+async fn read_spends_stops_reading_segment_of_a_run_that_another_has_replaced() {
+    let (store, transport) = (Arc::new(MemoryStore::default()), Arc::<HostTransport>::default());
+    let program: Arc<str> = "program".into();
+    let recorder = HostRun::start(&store, &transport, "recorder.1", 1);
+    let reader = HostRun::start(&store, &transport, "reader.1", 2);
+    recorder.record_for_silent_host(&program).await;
+    reader.hear(&recorder, "recorder.1").await;
+    // The next run answers at the address of the old one.
+    let next = HostRun::start(&store, &transport, "recorder.2", 1);
+    reader.hear(&next, "recorder.2").await;
+    advance(Duration::from_millis(1)).await;
+
+    assert_eq!(reader.read_silent_host(&program, &store).await, (70, 2));
+    assert_eq!(reader.read_silent_host(&program, &store).await, (70, 1));
+}
+
+#[tokio::test(start_paused = true)]
+async fn read_spends_leaves_segment_of_run_that_was_over_at_the_start() {
+    let (store, transport) = (Arc::new(MemoryStore::default()), Arc::<HostTransport>::default());
+    let program: Arc<str> = "program".into();
+    let recorder = HostRun::start(&store, &transport, "recorder.1", 1);
+    recorder.record_for_silent_host(&program).await;
+
+    // All hosts start anew, and the reader reads what is recorded before it hears of the others.
+    let next = HostRun::start(&store, &transport, "recorder.2", 1);
+    let reader = HostRun::start(&store, &transport, "reader.2", 2);
+    advance(Duration::from_millis(100)).await;
+    reader.locator.list_batches(Instant::now()).await.expect("the store answers");
+    reader.hear_at_age(&next, "recorder.2", 500).await;
+
+    assert_eq!(reader.read_silent_host(&program, &store).await, (70, 1));
+}
+
+#[tokio::test(start_paused = true)]
+async fn turn_budget_waits_for_late_peer_while_records_cannot_be_read() {
+    let (store, transport) = (Arc::new(MemoryStore::default()), Arc::<HostTransport>::default());
+    let other = HostRun::start(&store, &transport, "other.1", 1);
+    let run = HostRun::start(&store, &transport, "run.1", 2);
+    run.hear(&other, "other.1").await;
+    advance(Duration::from_millis(1)).await;
+    run.locator.list_batches(Instant::now()).await.expect("the store answers");
+
+    store.set_fault(StoreFault::Refusing);
+    *transport.delay.lock() = Duration::from_millis(800);
+    assert!(run.reserve(&"program".into()).await.is_ok());
+}
+
+#[tokio::test(start_paused = true)]
+async fn turn_budget_counts_what_an_ended_run_has_recorded_after_its_last_report() {
+    let (store, transport) = (Arc::new(MemoryStore::default()), Arc::<HostTransport>::default());
+    let program: Arc<str> = "program".into();
+    let recorder = HostRun::start(&store, &transport, "recorder.1", 1);
+    let run = HostRun::start(&store, &transport, "run.1", 2);
+    let silent = HostRun::start(&store, &transport, "silent.1", 3);
+    run.hear(&recorder, "recorder.1").await;
+    run.hear(&silent, "silent.1").await;
+    run.locator.list_batches(Instant::now()).await.expect("the store answers");
+    let note = SpendNote { program: Arc::clone(&program), tokens: 10, recorded: 0 };
+    run.locator.ledger.lock().merge_reported(&"silent.1".into(), &[note]);
+
+    // The host spends 60 tokens more, is killed, and is back before it counts as silent.
+    recorder.record_for_silent_host(&program).await;
+    let restarted = HostRun::start(&store, &transport, "silent.2", 3);
+    run.hear(&restarted, "silent.2").await;
+    assert!(run.reserve(&program).await.is_err());
+    assert_eq!(run.locator.ledger.lock().total(&program), 70);
+}
+
+#[tokio::test(start_paused = true)]
+async fn begin_exchange_asks_peer_until_it_knows_of_the_program() {
+    let (store, transport) = (Arc::new(MemoryStore::default()), Arc::<HostTransport>::default());
+    let program: Arc<str> = "program".into();
+    let run = HostRun::start(&store, &transport, "run.1", 1);
+    let others: Vec<HostRun> = (2..=5)
+        .map(|port| HostRun::start(&store, &transport, &format!("other-{port}.1"), port))
+        .collect();
+    for (port, other) in (2..).zip(&others) {
+        run.hear(other, &format!("other-{port}.1")).await;
+    }
+
+    let host = transport.hosts.lock().remove(&others[0].address).expect("a host");
+    assert!(run.reserve(&program).await.is_ok(), "its records are read");
+    assert_eq!(run.mesh.begin_exchange(&program, Duration::from_secs(1)).asked, 1);
+    transport.hosts.lock().insert(others[0].address, host);
+    let mut exchange = run.mesh.begin_exchange(&program, Duration::from_secs(1));
+    exchange.receive().await;
+    drop(exchange);
+    assert_eq!(run.mesh.begin_exchange(&program, Duration::from_secs(1)).asked, 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn recent_spends_have_each_batch_that_no_listed_index_covers() {
+    for seed in 0..SEEDS {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut written = WrittenBatches::new(&"host-a.1".into(), RETENTION);
+        let mut recent = RecentSpends::default();
+        let mut indexed: Vec<(u64, BTreeSet<u64>)> = Vec::new();
+        let mut batches = BTreeSet::new();
+
+        for step in 1..=STEPS {
+            advance(Duration::from_millis(random.random_range(10..900))).await;
+
+            if let Some(index) = written.index_to_write() {
+                let tokens = index.spends.iter().map(|it| it.tokens).collect();
+                indexed.push((index.sequence, tokens));
+                written.confirm_index(Some(step));
+            }
+
+            // Each batch carries the spend of a program of its own.
+            let spend =
+                SpendRecord { writer: None, program: step.to_string().into(), tokens: step };
+            let pending =
+                PendingBatch { turns: Vec::new(), records: vec![spend], forwarded: Vec::new() };
+            let batch = written.next_batch(&pending);
+            let mut slot = written.take_slot(&batch);
+            slot.revision = Some(step);
+            recent.add(written.open_sequence(), &batch.spends);
+            written.add(slot, &batch);
+            batches.insert(step);
+
+            // A reader may have listed the indexes at any earlier time.
+            for listed in 1..=indexed.len() {
+                let sequence = indexed[listed - 1].0;
+                let Some(spends) = recent.after(sequence) else {
+                    assert!(indexed.len() - listed > 2, "seed {seed}: too little is kept");
+                    continue;
+                };
+                let covered =
+                    indexed[..listed].iter().flat_map(|(_, tokens)| tokens.iter().copied());
+                let read: BTreeSet<u64> =
+                    covered.chain(spends.iter().map(|it| it.tokens)).collect();
+                assert_eq!(read, batches, "seed {seed}, step {step}, index {sequence}");
+            }
+        }
+    }
+}
