--- a/src/entry/stream_relay.rs
+++ b/src/entry/stream_relay.rs
@@ -62,7 +62,7 @@
     /// The stream broke off, and may be resumed on another upstream.
     Broken(Arc<str>),
     /// The upstream was silent, and another one has accepted the rest of the stream.
-    Silent(ResumedResponse),
+    Silent(Box<ResumedResponse>),
     ClientDisconnected,
     DeadlineExceeded,
 }
@@ -160,7 +160,7 @@
                         "a stream is silent, and another upstream takes it up"
                     );
                     self.excluded.push(upstream);
-                    self.resume(progress, Some(successor)).await
+                    self.resume(progress, Some(*successor)).await
                 }
             };
         }
@@ -244,14 +244,14 @@
                         match timeout(OVERLAP_LIMIT, &mut opening).await {
                             Ok(Some(successor)) => {
                                 lease.finish(LeaseOutcome::Failed);
-                                return SourceEnd::Silent(successor);
+                                return SourceEnd::Silent(Box::new(successor));
                             }
                             Ok(None) => (),
                             Err(_) => {
                                 drop(body);
                                 lease.finish(LeaseOutcome::Failed);
                                 return match opening.await {
-                                    Some(successor) => SourceEnd::Silent(successor),
+                                    Some(successor) => SourceEnd::Silent(Box::new(successor)),
                                     None => SourceEnd::Broken("the upstream was silent".into()),
                                 };
                             }
--- a/src/entry/turn_budget.rs
+++ b/src/entry/turn_budget.rs
@@ -95,7 +95,7 @@
                     }
                 }
                 () = sleep_until(deadline) => {
-                    self.log_confirmation(program, &exchange, started, false);
+                    Self::log_confirmation(program, &exchange, started, false);
                     return false;
                 }
             }
@@ -109,7 +109,7 @@
         });
 
         if !outstanding.is_empty() {
-            self.log_confirmation(program, &exchange, started, true);
+            Self::log_confirmation(program, &exchange, started, true);
         }
         true
     }
@@ -121,7 +121,6 @@
     }
 
     fn log_confirmation(
-        &self,
         program: &Arc<str>,
         exchange: &SpendExchange<'_>,
         started: Instant,
--- a/src/tests/crash_counts.rs
+++ b/src/tests/crash_counts.rs
@@ -94,8 +94,7 @@
     first.run().await;
     sleep(pause).await;
     second.run().await;
-    let count = crashes.lock().crash_count(FINGERPRINT);
-    count
+    crashes.lock().crash_count(FINGERPRINT)
 }
 
 #[tokio::test(start_paused = true)]
