Upstreams that name a limit get no more from all hosts together

An upstream in need got a multiple of what it takes (58 requests in 4 s where 31 were allowed). Cause: the header was unknown. Found on the way: a limit over all hosts can't be kept by hosts that each know only of their own requests. Change: rate_limit and upstream_limits decide, without a network; platform/ decodes the header. A statement belongs to a run and a time, and reaches all hosts; as many hosts as get half a request a second each share it, the same on all; grants of slots count, and a waiting request is woken when its share is due. A host without a share refuses at once if nothing else may take the request. Tests: shares of 1, 6 and 25 hosts at six rates, in each window of 4 s; waiting; refusing at once; the end of a limit; late and unordered reports.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -54,6 +54,7 @@
 mod upstream_channel;
 pub(crate) mod upstream_departures;
 pub(crate) mod upstream_lease;
+pub(crate) mod upstream_limits;
 mod upstream_record;
 pub(crate) mod version_finder;
 pub(crate) mod written_batches;
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -107,6 +107,7 @@
         let state = MeshState {
             ledger: Arc::clone(&ledger),
             departures: Arc::clone(pool.departures()),
+            limits: Arc::clone(pool.limits()),
             ..MeshState::default()
         };
         let identity = MeshIdentity {
--- a/src/entry/mesh_answers.rs
+++ b/src/entry/mesh_answers.rs
@@ -6,12 +6,13 @@
 use tokio::time::{Duration, Instant};
 
 use crate::{
-    PeerHandler, PeerMessage, PeerStream,
+    PeerHandler, PeerMessage, PeerStream, RequestRate,
     entry::{
         budget_ledger::WriterSpends,
         peer_mesh::PeerMesh,
         turn_history::{HistoryTurn, TurnChain},
         upstream_departures::UpstreamDeparture,
+        upstream_limits::LimitNote,
     },
 };
 
@@ -75,6 +76,10 @@
                 self.merge_departures(&departures);
                 PeerMessage::Done
             }
+            PeerMessage::UpstreamsLimited { limits } => {
+                self.merge_limits(&limits);
+                PeerMessage::Done
+            }
             PeerMessage::StreamQuery { request } => {
                 PeerMessage::StreamFound { origin: self.state.streams.lock().get(&request) }
             }
@@ -93,6 +98,19 @@
         }
     }
 
+    /// Merges the limits that upstreams have stated to a peer.
+    fn merge_limits(&self, limits: &[LimitNote]) {
+        let now = Instant::now();
+        let mut known = self.state.limits.lock();
+        for limit in limits.iter().filter(|it| known.merge(it, now)) {
+            log::info!(
+                upstream:% = limit.upstream, born_ms = limit.run, age_ms = limit.age_ms,
+                limit:? = limit.rate.map(RequestRate::per_second);
+                "a peer reports an upstream's limit of requests a second"
+            );
+        }
+    }
+
     /// Adds the upstreams that a peer knows to leave.
     pub(super) fn merge_departures(&self, departures: &[UpstreamDeparture]) {
         let new_departures: Vec<&UpstreamDeparture> = {
--- a/src/entry/mesh_state.rs
+++ b/src/entry/mesh_state.rs
@@ -9,7 +9,7 @@
     entry::{
         BudgetLedger, batch_index::BatchIndex, record_readings::RecordReadings,
         stream_versions::StreamVersions, turn_history::TurnHistory,
-        upstream_departures::UpstreamDepartures,
+        upstream_departures::UpstreamDepartures, upstream_limits::UpstreamLimits,
     },
 };
 
@@ -22,5 +22,6 @@
     pub(crate) index: Arc<Mutex<BatchIndex>>,
     pub(crate) readings: Arc<Mutex<RecordReadings>>,
     pub(crate) departures: Arc<Mutex<UpstreamDepartures>>,
+    pub(crate) limits: Arc<Mutex<UpstreamLimits>>,
     pub(crate) streams: Arc<Mutex<StreamVersions>>,
 }
--- a/src/entry/peer_mesh.rs
+++ b/src/entry/peer_mesh.rs
@@ -22,6 +22,7 @@
         stream_versions::BegunStream,
         turn_journal::TurnJournal,
         upstream_departures::UpstreamDeparture,
+        upstream_limits::{LimitNote, SharingHost},
     },
     gateway::{SchedulerEntry, role_policy::has_owners},
 };
@@ -59,6 +60,7 @@
     notes: Vec<SpendNote>,
     crashes: Vec<CrashNote>,
     departures: Vec<UpstreamDeparture>,
+    limits: Vec<LimitNote>,
     streams: Vec<BegunStream>,
 }
 
@@ -67,6 +69,7 @@
         self.notes.is_empty()
             && self.crashes.is_empty()
             && self.departures.is_empty()
+            && self.limits.is_empty()
             && self.streams.is_empty()
     }
 }
@@ -324,9 +327,10 @@
             let mut departures = self.state.departures.lock();
             (departures.take_unreported(), departures.take_exchange_request())
         };
+        let limits = self.take_limit_notes();
         let streams = self.state.streams.lock().take_unreported();
         let is_drain_unannounced = self.is_drain_unannounced.swap(false, Ordering::Relaxed);
-        let changes = MeshChanges { notes, crashes, departures, streams };
+        let changes = MeshChanges { notes, crashes, departures, limits, streams };
         let has_changes = is_drain_unannounced || !changes.is_empty();
         let now = Instant::now();
         let mut targets = Vec::new();
@@ -361,6 +365,23 @@
         }
     }
 
+    /// Takes the limits that were stated to this host, and lets the others share them with the hosts that are known now.
+    fn take_limit_notes(&self) -> Vec<LimitNote> {
+        let mut hosts: Vec<SharingHost> = {
+            let peers = self.peers.lock();
+            let host = |(name, peer): (&Arc<str>, &MeshPeer)| SharingHost {
+                name: Arc::clone(name),
+                region: Arc::clone(&peer.region),
+            };
+            peers.iter().map(host).collect()
+        };
+        let (name, region) = (Arc::clone(&self.identity.host), Arc::clone(&self.identity.region));
+        hosts.push(SharingHost { name, region });
+        let mut limits = self.state.limits.lock();
+        limits.set_hosts(&self.identity.host, hosts);
+        limits.take_unreported(Instant::now())
+    }
+
     /// Sends a peer the given changes, or the full state if it is not synced.
     async fn send_update(
         &self,
@@ -369,13 +390,14 @@
         is_synced: bool,
         new_changes: MeshChanges,
     ) {
-        let MeshChanges { notes, crashes, departures, streams } = if is_synced {
+        let MeshChanges { notes, crashes, departures, limits, streams } = if is_synced {
             new_changes
         } else {
             MeshChanges {
                 notes: self.state.ledger.lock().local_notes(),
                 crashes: self.state.crashes.lock().notes(),
                 departures: self.state.departures.lock().all(),
+                limits: self.state.limits.lock().all(Instant::now()),
                 streams: self.state.streams.lock().local_streams(Instant::now()),
             }
         };
@@ -401,6 +423,10 @@
             messages.push(PeerMessage::UpstreamsLeaving { departures });
         }
 
+        if !limits.is_empty() {
+            messages.push(PeerMessage::UpstreamsLimited { limits });
+        }
+
         let mut is_acknowledged = true;
         for message in &messages {
             let response = timeout(PEER_TIMEOUT, self.connector.exchange(address, message)).await;
--- a/src/entry/placement_pool.rs
+++ b/src/entry/placement_pool.rs
@@ -14,14 +14,18 @@
     time::{Duration, Instant, timeout_at},
 };
 
-use crate::entry::{
-    ExpiryBounds, UpstreamRecord,
-    placement_request::{PlacementRefusal, PlacementRequest},
-    pool_state::{GrantedSlot, PoolState, QueuePosition, UpstreamKey, WaitingRequest},
-    pooled_upstream::{LeaseOutcome, PooledUpstream},
-    upstream_channel::ReportedLoad,
-    upstream_departures::{UpstreamDeparture, UpstreamDepartures},
-    upstream_lease::UpstreamLease,
+use crate::{
+    entry::{
+        ExpiryBounds, UpstreamRecord,
+        placement_request::{PlacementRefusal, PlacementRequest},
+        pool_state::{GrantedSlot, PoolState, QueuePosition, UpstreamKey, WaitingRequest},
+        pooled_upstream::{LeaseOutcome, PooledUpstream},
+        upstream_channel::ReportedLoad,
+        upstream_departures::{UpstreamDeparture, UpstreamDepartures},
+        upstream_lease::UpstreamLease,
+        upstream_limits::UpstreamLimits,
+    },
+    upstreams::rate_limit::RequestRate,
 };
 
 /// Prompt tokens that an engine prefills in a millisecond, as the users' specifications state.
@@ -56,6 +60,8 @@
     pub(super) state: Mutex<PoolState>,
     /// Upstreams that leave, shared with the mesh. Lock order: after `state`.
     pub(super) departures: Arc<Mutex<UpstreamDepartures>>,
+    /// Limits that upstreams have stated, shared with the mesh. Lock order: after `departures`.
+    limits: Arc<Mutex<UpstreamLimits>>,
 }
 
 impl PlacementPool {
@@ -67,6 +73,7 @@
             expiry: ExpiryBounds::default(),
             state: Mutex::default(),
             departures: Arc::default(),
+            limits: Arc::default(),
         }
     }
 
@@ -82,6 +89,31 @@
         Self { departures, ..self }
     }
 
+    /// Limits that upstreams have stated.
+    pub(crate) fn limits(&self) -> &Arc<Mutex<UpstreamLimits>> {
+        &self.limits
+    }
+
+    /// Records what a response states of the number of requests that its upstream takes.
+    pub(crate) fn record_limit(&self, record: &UpstreamRecord, rate: Option<RequestRate>) {
+        let now = Instant::now();
+        let mut limits = self.limits.lock();
+
+        if limits.record_stated(record, rate, now) {
+            let share = limits.share(record, self.region_of(record));
+            log::info!(
+                upstream:% = record.id, born_ms = record.started_at_ms, limit:? = rate.map(RequestRate::per_second),
+                share:? = share.map(RequestRate::per_second);
+                "an upstream has stated another limit of requests a second"
+            );
+        }
+    }
+
+    /// Region of an upstream; empty if its data centre is not known.
+    fn region_of(&self, record: &UpstreamRecord) -> &str {
+        self.regions.get(&record.data_centre).map_or("", |it| it)
+    }
+
     /// Upstreams that leave.
     pub(crate) fn departures(&self) -> &Arc<Mutex<UpstreamDepartures>> {
         &self.departures
@@ -137,7 +169,7 @@
                 return Ok(self.lease(slot, now));
             }
 
-            state.check_expected_wait(now, &request, &self.departures.lock())?;
+            self.check_expected_wait(&state, now, &request)?;
             state.last_sequence += 1;
             let position = QueuePosition {
                 priority: request.priority,
@@ -154,15 +186,39 @@
 
         let mut guard = QueueGuard { pool: self, service: &service, position, receiver };
 
-        match timeout_at(deadline, &mut guard.receiver).await {
-            Ok(Ok(slot)) => Ok(self.lease(slot, Instant::now())),
-            _ => Err(PlacementRefusal {
-                reason: "no upstream became free in time",
-                retry_after: MIN_RETRY_AFTER,
-            }),
+        loop {
+            // A share of a limit becomes free without any event.
+            let next_at = self.next_share(&service).map_or(deadline, |at| at.min(deadline));
+
+            match timeout_at(next_at, &mut guard.receiver).await {
+                Ok(Ok(slot)) => return Ok(self.lease(slot, Instant::now())),
+                Err(_) if Instant::now() < deadline => {
+                    self.serve_queue(&mut self.state.lock(), &service);
+                }
+                _ => {
+                    return Err(PlacementRefusal {
+                        reason: "no upstream became free in time",
+                        retry_after: MIN_RETRY_AFTER,
+                    });
+                }
+            }
         }
     }
 
+    /// When a request may next be sent to an upstream of a service whose limit keeps this host from it now.
+    fn next_share(&self, service: &str) -> Option<Instant> {
+        let now = Instant::now();
+        let state = self.state.lock();
+        let limits = self.limits.lock();
+        let keys = state.services.get(service).into_iter().flat_map(|it| &it.keys);
+        keys.filter_map(|key| {
+            let record = &state.upstreams[*key].record;
+            limits.ready_at(record, self.region_of(record), now)
+        })
+        .filter(|at| *at > now)
+        .min()
+    }
+
     /// Takes a slot if one is free that no waiting request may take.
     pub(crate) fn try_acquire(
         self: &Arc<Self>,
@@ -204,11 +260,13 @@
         let keys = &state.services.get(&request.service)?.keys;
 
         let departures = self.departures.lock();
+        let mut limits = self.limits.lock();
         let eligible = |key: &&UpstreamKey| {
             let upstream = &state.upstreams[**key];
             state.is_open(upstream, now, &departures)
                 && request.may_use(upstream)
                 && upstream.has_room(now)
+                && limits.may_send(&upstream.record, self.region_of(&upstream.record), now)
         };
 
         // An upstream in backoff, or one that may have left, is better than none.
@@ -224,6 +282,7 @@
             .min_by(|left, right| left.0.cmp(&right.0).then(left.1.total_cmp(&right.1)))?;
         drop(departures);
         let upstream = &mut state.upstreams[key];
+        limits.take(&upstream.record, self.region_of(&upstream.record), now);
         let cached_tokens = upstream.cached_tokens(&request.prompt_parts);
         upstream.in_flight += 1;
         upstream.cache.record(&request.prompt_parts);
@@ -288,9 +347,12 @@
 
     fn has_free_slot(&self, state: &PoolState, now: Instant, service: &Arc<str>) -> bool {
         let departures = self.departures.lock();
+        let limits = self.limits.lock();
         let is_free = |key: &UpstreamKey| {
             let upstream = &state.upstreams[*key];
-            state.is_open(upstream, now, &departures) && upstream.has_room(now)
+            state.is_open(upstream, now, &departures)
+                && upstream.has_room(now)
+                && limits.may_send(&upstream.record, self.region_of(&upstream.record), now)
         };
         state.services.get(service).is_some_and(|pool| pool.keys.iter().any(is_free))
     }
@@ -314,6 +376,19 @@
         }
     }
 
+    /// Refuses a request that can't be expected to get a slot in time.
+    fn check_expected_wait(
+        &self,
+        state: &PoolState,
+        now: Instant,
+        request: &PlacementRequest,
+    ) -> Result<(), PlacementRefusal> {
+        let departures = self.departures.lock();
+        let limits = self.limits.lock();
+        let share = |record: &UpstreamRecord| limits.share(record, self.region_of(record));
+        state.check_expected_wait(now, request, &departures, &share)
+    }
+
     /// Returns the slot of a lease and records how the lease ended.
     pub(super) fn release(&self, key: UpstreamKey, outcome: LeaseOutcome, lease_time: Duration) {
         let now = Instant::now();
--- a/src/entry/pool_state.rs
+++ b/src/entry/pool_state.rs
@@ -11,12 +11,15 @@
     time::{Duration, Instant},
 };
 
-use crate::entry::{
-    UpstreamRecord,
-    placement_pool::MIN_RETRY_AFTER,
-    placement_request::{PlacementRefusal, PlacementRequest},
-    pooled_upstream::PooledUpstream,
-    upstream_departures::UpstreamDepartures,
+use crate::{
+    entry::{
+        UpstreamRecord,
+        placement_pool::MIN_RETRY_AFTER,
+        placement_request::{PlacementRefusal, PlacementRequest},
+        pooled_upstream::PooledUpstream,
+        upstream_departures::UpstreamDepartures,
+    },
+    upstreams::rate_limit::RequestRate,
 };
 
 new_key_type! {
@@ -159,29 +162,35 @@
         now: Instant,
         request: &PlacementRequest,
         departures: &UpstreamDepartures,
+        share: &dyn Fn(&UpstreamRecord) -> Option<RequestRate>,
     ) -> Result<(), PlacementRefusal> {
         let Some(pool) = self.services.get(&request.service) else {
             let retry_after = Duration::from_millis(500);
             return Err(PlacementRefusal { reason: "the service has no upstream", retry_after });
         };
 
-        let slots: u32 = pool
+        let lease_time = pool.mean_lease_time.as_secs_f64();
+        let requests_per_second: f64 = pool
             .keys
             .iter()
             .map(|key| &self.upstreams[*key])
             .filter(|upstream| self.is_open(upstream, now, departures))
             .filter(|upstream| request.may_use(upstream) && !upstream.is_in_backoff(now))
-            .map(|upstream| upstream.record.slots)
+            .map(|upstream| {
+                let by_slots = f64::from(upstream.record.slots) / lease_time.max(f64::MIN_POSITIVE);
+                share(&upstream.record).map_or(by_slots, |rate| rate.per_second().min(by_slots))
+            })
             .sum();
 
-        if slots == 0 {
+        if requests_per_second == 0.0 {
             let retry_after = Duration::from_millis(300);
             let reason = "no upstream of the service may take the request";
             return Err(PlacementRefusal { reason, retry_after });
         }
 
-        let queue_length = pool.waiting.len() as u32 + 1;
-        let expected_wait = pool.mean_lease_time * queue_length / slots;
+        let queue_length = (pool.waiting.len() + 1) as f64;
+        let expected_wait = Duration::try_from_secs_f64(queue_length / requests_per_second)
+            .unwrap_or(Duration::MAX);
         let max_wait = request
             .deadline
             .saturating_duration_since(now)
--- a/src/entry/upstream_channel.rs
+++ b/src/entry/upstream_channel.rs
@@ -7,7 +7,7 @@
 use derive_more::{Display, Error};
 use hyper::{HeaderMap, Method, StatusCode};
 
-use crate::entry::UpstreamRecord;
+use crate::{RequestRate, entry::UpstreamRecord};
 
 /// A request to an upstream.
 #[derive(Clone, Debug)]
@@ -56,6 +56,8 @@
     pub is_signed: bool,
     /// Whether the upstream states that it is leaving, so that it must get no new request.
     pub is_leaving: bool,
+    /// Number of requests a second that the upstream states to take from all hosts together.
+    pub limit: Option<RequestRate>,
     /// Load of the upstream at the time of the response.
     pub load: Option<ReportedLoad>,
     /// Body.
--- a/src/entry/upstream_lease.rs
+++ b/src/entry/upstream_lease.rs
@@ -44,9 +44,17 @@
         }
 
         // A misdirected request has reached another upstream at the same address.
-        if response.is_leaving && response.status != StatusCode::MISDIRECTED_REQUEST {
+        if response.status == StatusCode::MISDIRECTED_REQUEST {
+            return;
+        }
+
+        if response.is_leaving {
             self.record_leaving();
         }
+        // A failing upstream may omit its limit.
+        if response.limit.is_some() || response.is_signed {
+            self.pool.record_limit(&self.record, response.limit);
+        }
     }
 
     /// What a response states of the upstream's departure, for the hosts that pass it on.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
         run_cli::run_cli,
         run_daemon::{abort_on_panic, run_daemon},
     },
+    upstreams::rate_limit::RequestRate,
 };
 
 pub(crate) use self::{
--- a/src/membership/peer_message.rs
+++ b/src/membership/peer_message.rs
@@ -16,6 +16,7 @@
         stream_versions::{BegunStream, StreamOrigin},
         turn_history::HistoryTurn,
         upstream_departures::UpstreamDeparture,
+        upstream_limits::LimitNote,
     },
     gateway::{DeclineReason, ForwardedHead, ForwardedRequest, SchedulerEntry},
 };
@@ -260,6 +261,10 @@
     RecentSpends {
         spends: Vec<SpendRecord>,
     },
+    /// Entry: limits of requests a second that upstreams have stated to the sender. The response is `Done`.
+    UpstreamsLimited {
+        limits: Vec<LimitNote>,
+    },
 }
 
 impl PeerMessage {
@@ -283,6 +288,7 @@
                 | Self::Turns { .. }
                 | Self::RecentSpendsQuery { .. }
                 | Self::RecentSpends { .. }
+                | Self::UpstreamsLimited { .. }
                 | Self::StreamQuery { .. }
                 | Self::StreamFound { .. }
                 | Self::ForwardOffer { .. }
--- a/src/tests/entry_fakes.rs
+++ b/src/tests/entry_fakes.rs
@@ -13,7 +13,7 @@
 use tokio::time::{Duration, Instant, sleep, sleep_until};
 
 use crate::{
-    PeerError, PeerMessage, PeerStream,
+    PeerError, PeerMessage, PeerStream, RequestRate,
     entry::{
         ChannelError, ObjectPage, ObjectStore, ReadFreshness, SendGuard, StoreError, StoredObject,
         UpstreamBody, UpstreamChannel, UpstreamPhase, UpstreamRecord, UpstreamRequest,
@@ -226,6 +226,8 @@
     Stream { chunks: Vec<&'static str>, is_complete: bool },
     /// The upstream sends events, pauses, and then sends the rest of a complete stream.
     PausingStream { events: &'static str, pause: Duration, rest: &'static str },
+    /// The upstream responds with a short body, and states its limit.
+    Limited { limit: Option<RequestRate>, status: StatusCode, is_signed: bool },
     /// The upstream never responds.
     Silent,
 }
@@ -263,6 +265,10 @@
         self.requests.lock().push((Arc::clone(&upstream.id), request));
         let response =
             self.responses.lock().pop_front().expect("a scripted response for each request");
+        let limit = match response {
+            ScriptedResponse::Limited { limit, .. } => limit,
+            _ => None,
+        };
         let (status, has_not_run, is_signed, body) = match response {
             ScriptedResponse::NotSent => {
                 return Err(ChannelError::NotSent { reason: "refused".into() });
@@ -271,6 +277,9 @@
                 return Err(ChannelError::Broken { reason: "reset".into() });
             }
             ScriptedResponse::Silent => std::future::pending().await,
+            ScriptedResponse::Limited { status, is_signed, .. } => {
+                (status, false, is_signed, ScriptedBody::new(["body"], true))
+            }
             ScriptedResponse::Whole { status, has_not_run, is_signed } => {
                 (status, has_not_run, is_signed, ScriptedBody::new(["body"], true))
             }
@@ -290,6 +299,7 @@
             has_not_run,
             is_signed,
             is_leaving: false,
+            limit,
             load: None,
             body: Box::new(body),
         })
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -49,4 +49,5 @@
 mod test_link;
 mod transport;
 mod upstream_departures;
+mod upstream_limits;
 mod upstream_watcher;
