Numbers at the end of their range no longer overflow the load of an upstream

A report of load, or an entry, with numbers near 4,294,967,295 overflowed when parts were added: a panic in a build with checks, a full upstream that counts as empty without (placement_pool_bears_numbers_at_the_end_of_their_range failed).

--- a/src/entry/placement_pool.rs
+++ b/src/entry/placement_pool.rs
@@ -368,7 +368,7 @@
     }
 
     /// Records the load that an upstream has reported with a response.
-    pub(super) fn record_load(&self, key: UpstreamKey, load: ReportedLoad) {
+    pub(crate) fn record_load(&self, key: UpstreamKey, load: ReportedLoad) {
         let mut state = self.state.lock();
 
         if let Some(upstream) = state.upstreams.get_mut(key) {
--- a/src/entry/pooled_upstream.rs
+++ b/src/entry/pooled_upstream.rs
@@ -121,7 +121,7 @@
             None => 0,
         };
 
-        self.in_flight + other_requests
+        self.in_flight.saturating_add(other_requests)
     }
 
     pub(crate) fn has_room(&self, now: Instant) -> bool {
@@ -133,7 +133,8 @@
     }
 
     pub(crate) fn record_load(&mut self, now: Instant, load: ReportedLoad) {
-        let other_requests = (load.running + load.waiting).saturating_sub(self.in_flight);
+        let other_requests =
+            load.running.saturating_add(load.waiting).saturating_sub(self.in_flight);
         self.other_load = Some(OtherLoad { other_requests, reported_at: now });
     }
 
--- a/src/entry/upstream_lease.rs
+++ b/src/entry/upstream_lease.rs
@@ -18,7 +18,7 @@
 #[derive(Debug)]
 pub(crate) struct UpstreamLease {
     pub(super) pool: Arc<PlacementPool>,
-    pub(super) key: UpstreamKey,
+    pub(crate) key: UpstreamKey,
     pub(crate) record: Arc<UpstreamRecord>,
     /// Tokens of the prompt that the upstream should have cached.
     pub(crate) cached_tokens: u64,
--- a/src/tests/entry_placement.rs
+++ b/src/tests/entry_placement.rs
@@ -6,7 +6,7 @@
 
 use super::entry_fakes::upstream;
 use crate::entry::{
-    FollowGap, PlacementPool, PromptPart, UpstreamPhase,
+    FollowGap, PlacementPool, PromptPart, ReportedLoad, UpstreamPhase,
     placement_request::{PlacementRefusal, PlacementRequest},
     pooled_upstream::LeaseOutcome,
     upstream_lease::UpstreamLease,
@@ -268,3 +268,18 @@
     let refusal = outcome.expect("an answer at once").expect_err("a refusal");
     assert!(refusal.retry_after > Duration::ZERO);
 }
+
+#[tokio::test(start_paused = true)]
+async fn placement_pool_bears_numbers_at_the_end_of_their_range() {
+    let pool = pool();
+    for id in ["u1", "u2", "u3"] {
+        pool.upsert(upstream(id, "model", u32::MAX));
+    }
+    let lease = acquire(&pool).await.expect("a free slot");
+    let load = ReportedLoad { running: u32::MAX, waiting: u32::MAX, slots: 0 };
+    pool.record_load(lease.key, load);
+    let other = acquire(&pool).await.expect("a free slot on another upstream");
+    assert_ne!(other.record.id, lease.record.id);
+    sleep(Duration::from_millis(400)).await;
+    drop(acquire(&pool).await.expect("a free slot while the report fades"));
+}
