A resumed stream that leaves out events is not joined to the first part

Change: where all ids so far followed each other, the first event of the rest has to follow the last one sent; else the attempt has failed. Streams whose own ids have gaps go on as before.

--- a/src/entry/stream_relay.rs
+++ b/src/entry/stream_relay.rs
@@ -93,6 +93,8 @@
 #[derive(Debug, Default)]
 pub(super) struct StreamProgress {
     pub(super) last_event_id: Option<Arc<str>>,
+    /// Whether each id, of two at least, was the one before plus one. Then an event that skips an id leaves out another one.
+    pub(super) has_consecutive_ids: Option<bool>,
     /// Number of events with data.
     events: u64,
     /// Number of events without data.
@@ -101,6 +103,33 @@
     output: BytesMut,
 }
 
+impl StreamProgress {
+    fn record_id(&mut self, id: &str) {
+        if let Some(last_id) = &self.last_event_id {
+            let is_next = is_next_id(last_id, id);
+            self.has_consecutive_ids = Some(self.has_consecutive_ids.unwrap_or(true) && is_next);
+        }
+        self.last_event_id = Some(id.into());
+    }
+
+    /// Whether events are missing between the last one that was sent and one with an id.
+    pub(super) fn has_gap_before(&self, id: Option<&str>) -> bool {
+        match (&self.last_event_id, id) {
+            (Some(last_id), Some(id)) => {
+                self.has_consecutive_ids == Some(true) && !is_next_id(last_id, id)
+            }
+            _ => false,
+        }
+    }
+}
+
+fn is_next_id(last_id: &str, id: &str) -> bool {
+    let (Ok(last_id), Ok(id)) = (last_id.parse::<u64>(), id.parse::<u64>()) else {
+        return false;
+    };
+    last_id.checked_add(1) == Some(id)
+}
+
 impl StreamRelay {
     /// Relays the whole stream. If it ends early, the sender is dropped without [`StreamItem::End`], and the client's
     /// connection is broken off. If the client leaves first, nothing more is sent to an upstream.
@@ -300,7 +329,7 @@
         }
 
         if let Some(id) = &event.id {
-            progress.last_event_id = Some(id.as_str().into());
+            progress.record_id(id);
         }
 
         let sending =
--- a/src/entry/stream_resume.rs
+++ b/src/entry/stream_resume.rs
@@ -172,6 +172,16 @@
         while let Some(event) = framer.next_event() {
             if is_new_event(progress.last_event_id.as_deref(), event.id.as_deref()) {
                 watch.finish();
+
+                if progress.has_gap_before(event.id.as_deref()) {
+                    log::warn!(
+                        upstream:% = lease.record.id, after_event:? = progress.last_event_id, event:? = event.id;
+                        "an upstream leaves out events of a stream that it resumes"
+                    );
+                    lease.finish(LeaseOutcome::Failed);
+                    return None;
+                }
+
                 let departure = lease.departure(&response);
                 let (status, headers, body) = (response.status, response.headers, response.body);
                 return Some(StreamSource {
--- a/src/tests/entry_runner.rs
+++ b/src/tests/entry_runner.rs
@@ -179,7 +179,7 @@
 }
 
 /// Runs a stream. Returns the text that the client has received and whether the stream is complete.
-async fn run_stream(
+pub(super) async fn run_stream(
     can_resume: bool,
     responses: Vec<ScriptedResponse>,
 ) -> (String, bool, RunResult) {
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the library's modules, with fakes in place of their dependencies.
 
 mod abandoned_connections;
+mod broken_streams;
 mod cell_dispatcher;
 mod cell_queue;
 mod cluster_view;
