Own interface: engines that state a limit get no more

The same cause on the other front door: an engine could not say how many requests it takes. It states requests_per_second in its load report; the dispatcher of its cell, which alone grants its slots, counts grants with the bucket that the entry hosts use. Buckets count time from an origin of the caller's choice, so that the queue stays a pure state machine that the audit can replay; reports without a limit are written as before. Tests: six rates, in each window of 4 s; the end of a limit; the report as text. The stand-in engine states a limit by a fault, and does not enforce it.

--- a/src/benches/policy_bench/simulation.rs
+++ b/src/benches/policy_bench/simulation.rs
@@ -371,6 +371,7 @@
                 upstream: engine_name(engine).as_str().into(),
                 running: self.engines[engine].running() as u32,
                 waiting: self.engines[engine].waiting() as u32,
+                limit: None,
             };
             self.notify_cell(engine_region(engine), &event);
         }
--- a/src/dispatch/cell_event.rs
+++ b/src/dispatch/cell_event.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{CellReport, CellRequest, CrashNote, ProgramId, UpstreamName};
+use crate::{CellReport, CellRequest, CrashNote, ProgramId, RequestRate, UpstreamName};
 
 /// Number of a request within one dispatcher's term.
 pub(crate) type TicketNumber = u64;
@@ -17,7 +17,14 @@
     Joined { upstream: UpstreamName, window: u32, cache_tokens: u64, prefill_us: u64 },
     /// An upstream reported its load. The report lags behind the current state.
     #[serde(rename = "loaded")]
-    LoadReported { upstream: UpstreamName, running: u32, waiting: u32 },
+    LoadReported {
+        upstream: UpstreamName,
+        running: u32,
+        waiting: u32,
+        /// Requests a second that it takes, if it states a limit.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        limit: Option<RequestRate>,
+    },
     /// An upstream was removed from the configuration.
     Left { upstream: UpstreamName },
     /// An upstream started or stopped accepting requests.
--- a/src/dispatch/cell_queue.rs
+++ b/src/dispatch/cell_queue.rs
@@ -81,9 +81,10 @@
             CellEvent::Joined { upstream, window, cache_tokens, prefill_us } => {
                 self.add_upstream(upstream, *window, *cache_tokens, *prefill_us);
             }
-            CellEvent::LoadReported { upstream, waiting, .. } => {
+            CellEvent::LoadReported { upstream, waiting, limit, .. } => {
                 if let Some(state) = self.upstream_mut(upstream) {
                     state.record_load(*waiting);
+                    state.set_limit(now_ms, *limit);
                 }
             }
             CellEvent::Left { upstream } => self.remove_upstream(upstream),
@@ -109,7 +110,7 @@
             return Some(refusal);
         }
 
-        if !self.upstreams.values().any(UpstreamState::has_room) {
+        if !self.upstreams.values().any(|it| it.has_room(now_ms)) {
             return None;
         }
 
@@ -377,6 +378,7 @@
         let team_key = queued.team;
         let state = &mut self.upstreams[choice.upstream];
         state.in_flight.insert(key);
+        state.count_grant(now_ms);
         let upstream = state.name.clone();
 
         let team = &self.teams[team_key];
--- a/src/dispatch/placement_round.rs
+++ b/src/dispatch/placement_round.rs
@@ -43,7 +43,7 @@
         let least_loaded = queue
             .upstreams
             .iter()
-            .filter(|(_, state)| state.has_room())
+            .filter(|(_, state)| state.has_room(now_ms))
             .min_by_key(|(key, state)| (Self::load(queue, *key, state), *key))
             .map(|(key, _)| key);
 
@@ -155,7 +155,7 @@
         WarmUpstream {
             upstream,
             cached_tokens: prefix.tokens,
-            wait_us: self.queue.upstreams[upstream].wait_us(),
+            wait_us: self.queue.upstreams[upstream].wait_us(self.now_ms),
             prefill_us: self.prefill_us(queued, upstream, prefix.tokens),
         }
     }
@@ -171,7 +171,7 @@
         self.queue
             .upstreams
             .iter()
-            .filter(|(key, state)| state.has_room() && self.is_eligible(queued, *key))
+            .filter(|(key, state)| state.has_room(self.now_ms) && self.is_eligible(queued, *key))
             .min_by_key(|(key, state)| (Self::load(self.queue, *key, state), *key))
             .map(|(key, _)| key)
     }
--- a/src/dispatch/upstream_state.rs
+++ b/src/dispatch/upstream_state.rs
@@ -1,8 +1,8 @@
 //! State of an upstream in a cell: concurrency window, load and crashes.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
 
-use crate::{CrashedRun, RequestKey, UpstreamName};
+use crate::{CrashedRun, RequestKey, RequestRate, UpstreamName, upstreams::rate_limit::RateBucket};
 
 /// A new sample enters a running mean with the weight 1 / `SAMPLE_WEIGHT_DIVISOR`.
 const SAMPLE_WEIGHT_DIVISOR: u64 = 8;
@@ -31,6 +31,8 @@
     /// Configured window, which `window` never exceeds.
     pub(crate) window_limit: u32,
     pub(crate) in_flight: BTreeSet<RequestKey>,
+    /// Requests that its stated limit allows.
+    limit: Option<RateBucket>,
     /// The presumed crash, until the upstream serves again.
     pub(crate) crash: Option<UpstreamCrash>,
     /// Time to prefill a token, in microseconds.
@@ -49,6 +51,7 @@
             window: window.max(1),
             window_limit: window.max(1),
             in_flight: BTreeSet::new(),
+            limit: None,
             crash: None,
             prefill_us,
             mean_duration_ms: 0,
@@ -56,9 +59,30 @@
         }
     }
 
-    /// Whether the upstream accepts requests and its window is not full.
-    pub(crate) fn has_room(&self) -> bool {
-        self.is_serving && self.in_flight.len() < self.window as usize
+    /// Whether the upstream accepts requests, its window is not full, and its limit allows another request.
+    pub(crate) fn has_room(&self, now_ms: u64) -> bool {
+        let now = Duration::from_millis(now_ms);
+        self.is_serving
+            && self.in_flight.len() < self.window as usize
+            && self.limit.as_ref().is_none_or(|it| it.is_ready(now))
+    }
+
+    /// Sets the requests a second that the upstream takes. The cell's dispatcher alone grants its slots.
+    pub(crate) fn set_limit(&mut self, now_ms: u64, limit: Option<RequestRate>) {
+        let now = Duration::from_millis(now_ms);
+
+        match (limit.map(RequestRate::sole_share), &mut self.limit) {
+            (Some(rate), Some(bucket)) => bucket.set_rate(rate, now),
+            (Some(rate), None) => self.limit = Some(RateBucket::new(rate, now)),
+            (None, _) => self.limit = None,
+        }
+    }
+
+    /// Counts a granted request against the limit.
+    pub(crate) fn count_grant(&mut self, now_ms: u64) {
+        if let Some(bucket) = &mut self.limit {
+            bucket.take(Duration::from_millis(now_ms));
+        }
     }
 
     /// Requests in flight as a share of the window, in thousandths.
@@ -67,8 +91,15 @@
     }
 
     /// Expected time until the window has room, in microseconds.
-    pub(crate) fn wait_us(&self) -> u64 {
-        if self.has_room() { 0 } else { self.mean_duration_ms * 1_000 / u64::from(self.window) }
+    pub(crate) fn wait_us(&self, now_ms: u64) -> u64 {
+        if self.has_room(now_ms) {
+            return 0;
+        }
+
+        let now = Duration::from_millis(now_ms);
+        let share_at = self.limit.as_ref().map_or(now, |it| it.ready_at(now));
+        let share_us = share_at.saturating_sub(now).as_micros() as u64;
+        share_us.max(self.mean_duration_ms * 1_000 / u64::from(self.window))
     }
 
     /// Adds the duration of a completed request to the running mean.
--- a/src/entry/upstream_limits.rs
+++ b/src/entry/upstream_limits.rs
@@ -49,8 +49,10 @@
 }
 
 /// The stated limits, and the hosts that share them.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct UpstreamLimits {
+    /// Origin of the times in buckets.
+    origin: Instant,
     limits: HashMap<Arc<str>, StatedLimit>,
     /// Name of this host.
     local_host: Arc<str>,
@@ -60,6 +62,18 @@
     unreported: HashSet<Arc<str>>,
 }
 
+impl Default for UpstreamLimits {
+    fn default() -> Self {
+        Self {
+            origin: Instant::now(),
+            limits: HashMap::new(),
+            local_host: Arc::default(),
+            hosts: Vec::new(),
+            unreported: HashSet::new(),
+        }
+    }
+}
+
 impl UpstreamLimits {
     /// Sets the hosts that share each limit, and which of them is this one.
     pub(crate) fn set_hosts(&mut self, local_host: &Arc<str>, hosts: Vec<SharingHost>) {
@@ -183,10 +197,11 @@
             return None;
         }
 
+        let time = now.saturating_duration_since(self.origin);
         let bucket = self.limits.get(&record.id).and_then(|it| it.bucket.clone());
-        let mut bucket = bucket.unwrap_or_else(|| RateBucket::new(share, now));
-        bucket.set_rate(share, now);
-        Some(if bucket.is_ready(now) { now } else { bucket.ready_at(now) })
+        let mut bucket = bucket.unwrap_or_else(|| RateBucket::new(share, time));
+        bucket.set_rate(share, time);
+        Some(if bucket.is_ready(time) { now } else { self.origin + bucket.ready_at(time) })
     }
 
     /// Counts a request that this host is about to send to an upstream.
@@ -196,9 +211,10 @@
         };
 
         if let Some(limit) = self.limits.get_mut(&record.id) {
-            let bucket = limit.bucket.get_or_insert_with(|| RateBucket::new(share, now));
-            bucket.set_rate(share, now);
-            bucket.take(now);
+            let time = now.saturating_duration_since(self.origin);
+            let bucket = limit.bucket.get_or_insert_with(|| RateBucket::new(share, time));
+            bucket.set_rate(share, time);
+            bucket.take(time);
         }
     }
 }
--- a/src/tests/cell_queue.rs
+++ b/src/tests/cell_queue.rs
@@ -299,7 +299,12 @@
     let window = |queue: &CellQueue| {
         queue.upstreams.values().next().expect("the queue has an upstream").window
     };
-    let load = |waiting| CellEvent::LoadReported { upstream: "a".into(), running: 8, waiting };
+    let load = |waiting| CellEvent::LoadReported {
+        upstream: "a".into(),
+        running: 8,
+        waiting,
+        limit: None,
+    };
 
     (0..20).for_each(|it| queue.handle(it, &load(3)));
     assert_eq!(window(&queue), 2, "the window never shrinks below a quarter of the configured one");
--- a/src/tests/upstream_limits.rs
+++ b/src/tests/upstream_limits.rs
@@ -10,7 +10,8 @@
     entry_runner::{pool, runner},
 };
 use crate::{
-    RequestRate,
+    CellDecision, CellEvent, CellPolicy, CellQueue, CellReport, CellRequest, CellResult, ProgramId,
+    RequestRate, ShardId, UpstreamLoad, UpstreamName,
     entry::{
         EntryResponse, PlacementPool, RequestKind, UpstreamRecord,
         placement_request::PlacementRequest,
@@ -203,3 +204,102 @@
         assert!(total > 0.0 && total <= per_second.max(0.2) + 0.001, "{per_second}: {shares:?}");
     }
 }
+
+/// A cell with one upstream, which reports its limit.
+fn limited_queue(per_second: Option<f64>) -> CellQueue {
+    let mut queue = CellQueue::new(CellPolicy::default());
+    let upstream: UpstreamName = "engine-1".into();
+    queue.handle(
+        0,
+        &CellEvent::Joined {
+            upstream: upstream.clone(),
+            window: 64,
+            cache_tokens: 1_000_000,
+            prefill_us: 100,
+        },
+    );
+    let limit = per_second.and_then(rate);
+    queue.handle(0, &CellEvent::LoadReported { upstream, running: 0, waiting: 0, limit });
+    queue
+}
+
+fn cell_request(serial: u64) -> CellRequest {
+    CellRequest {
+        team: "team".into(),
+        weight: 1,
+        program: ProgramId { shard: ShardId(0), serial },
+        number: 1,
+        attained_tokens: 0,
+        prompt_tokens: 10,
+        answer_tokens: 10,
+        queued_ms: 0,
+        deadline_ms: None,
+        fingerprint: serial,
+        excluded: Vec::new(),
+    }
+}
+
+#[test]
+fn cell_grants_an_upstream_no_more_than_its_limit() {
+    const STEPS_A_SECOND: u64 = 10;
+
+    for per_second in RATES {
+        let mut queue = limited_queue(Some(per_second));
+        let mut granted = Vec::new();
+
+        for step in 0..60 * STEPS_A_SECOND {
+            let now_ms = step * 1_000 / STEPS_A_SECOND;
+            for number in 0..5 {
+                let ticket = step * 5 + number;
+                let request = cell_request(ticket);
+                queue.handle(now_ms, &CellEvent::Arrived { ticket, request });
+            }
+
+            let mut count = 0;
+            while let Some(decision) = queue.decide(now_ms) {
+                if let CellDecision::Grant { ticket, .. } = decision {
+                    count += 1;
+                    let report = CellReport::without_usage(CellResult::Completed);
+                    queue.handle(now_ms, &CellEvent::Finished { ticket, report });
+                }
+            }
+            granted.push(count);
+        }
+
+        let most = granted.windows(40).map(|it| it.iter().sum::<usize>()).max().unwrap_or(0);
+        assert!(
+            most as f64 <= per_second * 4.0 * 1.5 + 5.0,
+            "{per_second} a second: {most} in 4 s"
+        );
+        let total = granted.iter().sum::<usize>() as f64;
+        assert!(total >= (per_second * 60.0 * 0.9).max(1.0), "{per_second} a second: {total}");
+    }
+}
+
+#[test]
+fn limit_of_a_cells_upstream_ends_with_a_report_that_names_none() {
+    let mut queue = limited_queue(Some(0.0));
+    let is_granted = |queue: &mut CellQueue, now_ms, ticket| {
+        let request = cell_request(ticket);
+        queue.handle(now_ms, &CellEvent::Arrived { ticket, request });
+        matches!(queue.decide(now_ms), Some(CellDecision::Grant { .. }))
+    };
+    assert!(is_granted(&mut queue, 1, 1), "one may be saved up");
+    assert!(!is_granted(&mut queue, 2, 2));
+    let upstream = "engine-1".into();
+    queue.handle(3, &CellEvent::LoadReported { upstream, running: 1, waiting: 0, limit: None });
+    assert!(is_granted(&mut queue, 4, 3));
+}
+
+#[test]
+fn upstream_load_reads_a_limit_if_there_is_one() {
+    for (text, expected) in [
+        (r#"{"running": 1, "waiting": 2}"#, None),
+        (r#"{"running": 1, "waiting": 2, "requests_per_second": 4.5}"#, rate(4.5)),
+        (r#"{"running": 1, "waiting": 2, "requests_per_second": null}"#, None),
+        (r#"{"running": 1, "waiting": 2, "requests_per_second": -1}"#, None),
+    ] {
+        let load: UpstreamLoad = serde_json::from_str(text).expect("a load report");
+        assert_eq!((load.running, load.waiting, load.limit), (1, 2, expected), "{text}");
+    }
+}
--- a/src/upstreams/rate_limit.rs
+++ b/src/upstreams/rate_limit.rs
@@ -2,9 +2,10 @@
 //!
 //! Pure decisions, which both front doors use. See docs/design/platform.md, "Limits of upstreams".
 
+use std::time::Duration;
+
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
-use tokio::time::{Duration, Instant};
 
 /// Thousandths of a request in one request.
 const MILLI: f64 = 1_000.0;
@@ -45,6 +46,11 @@
         (useful_shares as usize).clamp(1, host_count.max(1))
     }
 
+    /// The rate at which one host uses an upstream that no other one uses.
+    pub(crate) fn sole_share(self) -> Self {
+        self.share(1)
+    }
+
     /// Share of one of `count` hosts.
     pub(crate) fn share(self, count: usize) -> Self {
         let count = u32::try_from(count).unwrap_or(u32::MAX).max(1);
@@ -52,23 +58,23 @@
     }
 }
 
-/// Requests that a host may send to an upstream at a limited rate.
+/// Requests that may be sent to an upstream at a limited rate. Times count from an origin that the caller chooses.
 #[derive(Clone, Debug)]
 pub(crate) struct RateBucket {
     rate: RequestRate,
     /// Requests that may be sent, at `updated_at`.
     saved: f64,
-    updated_at: Instant,
+    updated_at: Duration,
 }
 
 impl RateBucket {
     /// A bucket from which one request may be sent at once.
-    pub(crate) fn new(rate: RequestRate, now: Instant) -> Self {
+    pub(crate) fn new(rate: RequestRate, now: Duration) -> Self {
         Self { rate, saved: 1.0, updated_at: now }
     }
 
     /// Changes the rate from now on.
-    pub(crate) fn set_rate(&mut self, rate: RequestRate, now: Instant) {
+    pub(crate) fn set_rate(&mut self, rate: RequestRate, now: Duration) {
         if rate != self.rate {
             self.saved = self.saved_at(now);
             self.updated_at = now;
@@ -76,20 +82,20 @@
         }
     }
 
-    fn saved_at(&self, now: Instant) -> f64 {
+    fn saved_at(&self, now: Duration) -> f64 {
         let rate = self.rate.per_second();
         let limit = (rate * BURST_TIME.as_secs_f64()).max(1.0);
-        let time = now.saturating_duration_since(self.updated_at).as_secs_f64();
+        let time = now.saturating_sub(self.updated_at).as_secs_f64();
         (self.saved + time * rate).min(limit)
     }
 
     /// Whether a request may be sent.
-    pub(crate) fn is_ready(&self, now: Instant) -> bool {
+    pub(crate) fn is_ready(&self, now: Duration) -> bool {
         self.saved_at(now) >= 1.0
     }
 
     /// When the next request may be sent, if none may be now.
-    pub(crate) fn ready_at(&self, now: Instant) -> Instant {
+    pub(crate) fn ready_at(&self, now: Duration) -> Duration {
         let missing = (1.0 - self.saved_at(now)).max(0.0);
         let rate = self.rate.per_second().max(1.0 / MILLI);
         // A timer that fires a moment early would find nothing.
@@ -97,7 +103,7 @@
     }
 
     /// Counts a request that is sent.
-    pub(crate) fn take(&mut self, now: Instant) {
+    pub(crate) fn take(&mut self, now: Duration) {
         self.saved = self.saved_at(now) - 1.0;
         self.updated_at = now;
     }
--- a/src/upstreams/upstream_client.rs
+++ b/src/upstreams/upstream_client.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use derive_more::Display;
 
-use crate::CellResult;
+use crate::{CellResult, RequestRate};
 
 /// Why a request to an upstream failed.
 #[derive(Clone, Debug, Display, Eq, PartialEq, derive_more::Error)]
@@ -75,6 +75,17 @@
 pub(crate) struct UpstreamLoad {
     pub(crate) running: u32,
     pub(crate) waiting: u32,
+    /// Number of requests a second that it takes from all callers, if it states one.
+    #[serde(default, rename = "requests_per_second", deserialize_with = "deserialize_limit")]
+    pub(crate) limit: Option<RequestRate>,
+}
+
+/// Reads a number of requests a second. One that is no rate counts as none.
+fn deserialize_limit<'de, D: serde::Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Option<RequestRate>, D::Error> {
+    let number: Option<f64> = serde::Deserialize::deserialize(deserializer)?;
+    Ok(number.and_then(RequestRate::from_per_second))
 }
 
 /// Timeouts of a streamed response.
--- a/src/upstreams/upstream_watcher.rs
+++ b/src/upstreams/upstream_watcher.rs
@@ -244,6 +244,7 @@
                 upstream: upstream.clone(),
                 running: load.running,
                 waiting: load.waiting,
+                limit: load.limit,
             });
         }
     }
--- a/standins/src/engine_faults.rs
+++ b/standins/src/engine_faults.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Faults that the stand-in engine injects; none by default.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct EngineFaults {
     /// Chat requests and health checks are answered with 503, as by an engine that is about to shut down.
@@ -14,6 +14,8 @@
     pub crash_on: Option<String>,
     /// Responses break off after this many tokens; one that is not streamed becomes a 502.
     pub cut_after_tokens: Option<u64>,
+    /// Requests a second that the engine states to take from all callers, in its load report. It does not enforce them.
+    pub requests_per_second: Option<f64>,
     /// Extra delay before the first token, in milliseconds.
     pub delay_ms: u64,
 }
--- a/standins/src/engine_service.rs
+++ b/standins/src/engine_service.rs
@@ -466,6 +466,7 @@
         "running": engine.running.load(Ordering::Relaxed),
         "waiting": engine.waiting.load(Ordering::Relaxed),
         "slots": engine.options.slots,
+        "requests_per_second": engine.faults.get().requests_per_second,
     }))
 }
 
