A shard that has forgotten programs no longer says not_run of unknown ones

Change: the shard remembers that it has forgotten any program, and then says 'failed' of unknown ids; programs of other teams stay not_run.

--- a/src/programs/program_service.rs
+++ b/src/programs/program_service.rs
@@ -56,10 +56,15 @@
     pub(crate) fn find<'a>(&self, state: &'a ShardState) -> Result<&'a Program, Problem> {
         match state.program(self.id) {
             Ok(program) if program.terms.team == self.team => Ok(program),
-            _ => Err(Problem::not_run(
-                ProblemKind::UnknownProgram,
-                format!("team {} has no program {}", self.team, self.id),
-            )),
+            result => {
+                let detail = format!("team {} has no program {}", self.team, self.id);
+                let may_be_forgotten = result.is_err() && state.has_forgotten;
+                Err(if may_be_forgotten {
+                    Problem::failed(ProblemKind::UnknownProgram, detail)
+                } else {
+                    Problem::not_run(ProblemKind::UnknownProgram, detail)
+                })
+            }
         }
     }
 
--- a/src/state/shard_state.rs
+++ b/src/state/shard_state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, Serializer, ser::SerializeTuple};
 
 use crate::{
     CallState, EndReason, FrameError, LogRecord, Program, ProgramEntry, ProgramId, StateError,
@@ -10,7 +10,7 @@
 };
 
 /// State of a shard. Replaying the same records always gives the same state.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq)]
 pub(crate) struct ShardState {
     /// Number of the last claim. Each claim increments it.
     pub(crate) epoch: u64,
@@ -18,9 +18,32 @@
     pub(crate) is_released: bool,
     pub(crate) programs: BTreeMap<ProgramId, Program>,
     /// Programs of which an owner that did not release the shard may have sent numbers that are not in the log, as
-    /// docs/design/outcomes.md explains. Last and left out if empty, so that snapshots without them keep their format.
-    #[serde(skip_serializing_if = "BTreeSet::is_empty")]
+    /// docs/design/outcomes.md explains.
     pub(crate) unlogged_programs: BTreeSet<ProgramId>,
+    /// Whether a program was forgotten after its retention, so that an unknown id may be that of one which has run.
+    pub(crate) has_forgotten: bool,
+}
+
+/// Leaves out the last parts while they have their initial values, so that snapshots without them keep their format.
+impl Serialize for ShardState {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let has_flag = self.has_forgotten;
+        let has_unlogged = has_flag || !self.unlogged_programs.is_empty();
+        let length = 3 + usize::from(has_unlogged) + usize::from(has_flag);
+        let mut tuple = serializer.serialize_tuple(length)?;
+        tuple.serialize_element(&self.epoch)?;
+        tuple.serialize_element(&self.is_released)?;
+        tuple.serialize_element(&self.programs)?;
+
+        if has_unlogged {
+            tuple.serialize_element(&self.unlogged_programs)?;
+        }
+        if has_flag {
+            tuple.serialize_element(&self.has_forgotten)?;
+        }
+
+        tuple.end()
+    }
 }
 
 impl ShardState {
@@ -28,11 +51,17 @@
     pub(crate) fn decode(frame: &[u8]) -> Result<Self, FrameError> {
         match decode_frame(frame) {
             Ok((epoch, is_released, programs)) => {
-                Ok(Self { epoch, is_released, programs, unlogged_programs: BTreeSet::new() })
+                return Ok(Self { epoch, is_released, programs, ..Self::default() });
             }
-            Err(FrameError::Malformed { .. }) => decode_frame(frame),
-            Err(error) => Err(error),
+            Err(FrameError::Malformed { .. }) => (),
+            Err(error) => return Err(error),
+        }
+
+        if let Ok((epoch, is_released, programs, unlogged_programs)) = decode_frame(frame) {
+            return Ok(Self { epoch, is_released, programs, unlogged_programs, ..Self::default() });
         }
+
+        decode_frame(frame)
     }
 
     /// Applies one record. Fails without a change if the record does not fit the state.
@@ -259,6 +288,7 @@
             Some(_) => {
                 self.programs.remove(&id);
                 self.unlogged_programs.remove(&id);
+                self.has_forgotten = true;
                 Ok(())
             }
             None => Err(StateError::UnexpectedNumber { program: id, number: 0 }),
--- a/src/tests/shard_state.rs
+++ b/src/tests/shard_state.rs
@@ -187,6 +187,9 @@
     assert_eq!(encode_frame(&state), earlier_format);
     assert_eq!(ShardState::decode(&earlier_format), Ok(state.clone()));
 
+    state.has_forgotten = true;
+    assert_eq!(ShardState::decode(&encode_frame(&state)), Ok(state.clone()), "forgotten alone");
+    state.has_forgotten = false;
     state.unlogged_programs.insert(id(1));
     let frame = encode_frame(&state);
     assert_eq!(ShardState::decode(&frame), Ok(state));
