A run of an upstream whose entry is old counts each time at which later requests end it

While the store is away, upstreams that crash and start again have such entries. Change: a broken request that was sent after the end that this host has counted last for the run counts as another one; copies that ran at the same time, and ends that other hosts have seen, still count once. crash_count_counts_once_what_two_hosts_have_seen_of_one_run; the walk over orders of notes has this step too.

--- a/src/entry/crash_guard.rs
+++ b/src/entry/crash_guard.rs
@@ -63,6 +63,7 @@
     crashed: CrashedRun,
     /// Time without data after which the upstream counts as silent.
     silence_limit: Duration,
+    started_at: Instant,
     heard_at: Instant,
     is_over: bool,
 }
@@ -80,6 +81,7 @@
             fingerprint: routed.fingerprint,
             crashed: lease.crashed_run(),
             silence_limit,
+            started_at: Instant::now(),
             heard_at: Instant::now(),
             is_over: false,
         }
@@ -102,9 +104,16 @@
 
     fn record_crash(&mut self, reason: &str) {
         self.is_over = true;
+        let is_another =
+            self.context.presumed_crashes.lock().is_sent_after(&self.crashed, self.started_at);
         let (count, suspects) = {
             let mut crashes = self.context.crashes.lock();
-            let suspects = crashes.record_crash(&self.crashed, vec![self.fingerprint]);
+            let running = vec![self.fingerprint];
+            let suspects = if is_another {
+                crashes.record_another_crash(&self.crashed, running)
+            } else {
+                crashes.record_crash(&self.crashed, running)
+            };
             (crashes.crash_count(self.fingerprint), suspects)
         };
 
--- a/src/entry/presumed_crashes.rs
+++ b/src/entry/presumed_crashes.rs
@@ -12,8 +12,8 @@
 /// the run that was presumed to have ended.
 const MIN_RESTART_TIME: Duration = Duration::from_secs(1);
 
-/// Time for which a presumed crash may be disproved: requests that were sent soon after it have been answered by then.
-const DISPROOF_TIME: Duration = Duration::from_secs(15);
+/// Time for which a presumed crash is kept.
+const RETENTION: Duration = Duration::from_mins(5);
 
 /// A presumed crash of one run.
 #[derive(Debug)]
@@ -30,8 +30,13 @@
 }
 
 impl PresumedCrashes {
+    /// Whether a request was sent to a run after the last end of it that this host has counted.
+    pub(crate) fn is_sent_after(&self, crashed: &CrashedRun, sent_at: Instant) -> bool {
+        self.crashes.get(crashed).is_some_and(|it| sent_at > it.at)
+    }
+
     pub(crate) fn add(&mut self, now: Instant, crashed: CrashedRun, suspects: Vec<u64>) {
-        self.crashes.retain(|_, it| now.duration_since(it.at) < DISPROOF_TIME);
+        self.crashes.retain(|_, it| now.duration_since(it.at) < RETENTION);
         let crash =
             self.crashes.entry(crashed).or_insert(PresumedCrash { at: now, suspects: Vec::new() });
         crash.at = now;
--- a/src/tests/crash_counts.rs
+++ b/src/tests/crash_counts.rs
@@ -157,6 +157,19 @@
     assert_eq!(crashes.crash_count(FINGERPRINT), 1);
 }
 
+#[test]
+fn crash_count_counts_once_what_two_hosts_have_seen_of_one_run() {
+    let run = CrashedRun { upstream: "u1".into(), run: 1 };
+    let (mut first, mut second) = (CrashTracker::default(), CrashTracker::default());
+    first.record_crash(&run, vec![FINGERPRINT]);
+    first.take_pending_notes().iter().for_each(|note| second.merge(note));
+    second.record_crash(&run, vec![FINGERPRINT]);
+    assert_eq!(second.crash_count(FINGERPRINT), 1);
+    second.record_another_crash(&run, vec![FINGERPRINT]);
+    second.take_pending_notes().iter().for_each(|note| first.merge(note));
+    assert_eq!(first.crash_count(FINGERPRINT), 2);
+}
+
 #[test]
 fn crash_count_is_the_same_in_any_order_of_notes() {
     bolero::check!().exhaustive().with_generator(0..2_000_u64).cloned().for_each(|seed| {
@@ -166,7 +179,8 @@
         for _ in 0..random.random_range(1..20) {
             let upstream = format!("u{}", random.random_range(0..4)).into();
             let run = CrashedRun { upstream, run: 1 };
-            match random.random_range(0..3) {
+            match random.random_range(0..4) {
+                3 => drop(origin.record_another_crash(&run, vec![FINGERPRINT])),
                 0 => drop(origin.record_crash(&run, vec![FINGERPRINT])),
                 1 => origin.retract_crash(&run, &[FINGERPRINT]),
                 _ => origin.clear(FINGERPRINT),
--- a/src/upstreams/crash_tracker.rs
+++ b/src/upstreams/crash_tracker.rs
@@ -1,6 +1,7 @@
 //! Counts the upstream runs that have ended under each request.
 //!
-//! Each host knows of other crashes, so a count is the size of a set: one run of an upstream ends once, whoever sees it.
+//! Each host knows of other crashes, so a count is the sum over a set of runs: a run of an upstream ends once, whoever sees it,
+//! unless requests that were sent later end it again.
 //! See docs/design/platform.md, "Requests that crash upstreams".
 
 use std::collections::BTreeMap;
@@ -28,7 +29,7 @@
 
 impl CrashEntry {
     fn count(&self) -> u32 {
-        self.runs.values().filter(|(presumed, cleared)| presumed > cleared).count() as u32
+        self.runs.values().map(|(presumed, cleared)| presumed.saturating_sub(*cleared)).sum()
     }
 
     /// What is known of a run. A new one replaces one that no longer counts if there are many.
@@ -103,7 +104,7 @@
         std::mem::take(&mut self.pending_notes)
     }
 
-    /// Number of upstream runs that have ended under a request, as far as it has not been cleared of them.
+    /// Number of times at which upstreams have ended under a request, as far as it has not been cleared of them.
     pub(crate) fn crash_count(&self, fingerprint: u64) -> u32 {
         self.entries.get(&fingerprint).map_or(0, CrashEntry::count)
     }
@@ -128,22 +129,36 @@
     }
 
     /// Counts the end of a run against the requests that ran there and returns their fingerprints. If some of them were
-    /// suspected already, it counts against those alone.
+    /// suspected already, it counts against those alone. Other trackers may have seen the same end.
     pub(crate) fn record_crash(&mut self, crashed: &CrashedRun, running: Vec<u64>) -> Vec<u64> {
+        self.record(crashed, running, false)
+    }
+
+    /// As [`CrashTracker::record_crash`], for requests that were sent after the last end that was counted: the upstream has
+    /// started anew since, though that is not known, and has ended another time.
+    pub(crate) fn record_another_crash(
+        &mut self,
+        crashed: &CrashedRun,
+        running: Vec<u64>,
+    ) -> Vec<u64> {
+        self.record(crashed, running, true)
+    }
+
+    fn record(&mut self, crashed: &CrashedRun, running: Vec<u64>, is_another: bool) -> Vec<u64> {
         let previous_suspects: Vec<u64> =
             running.iter().copied().filter(|it| self.crash_count(*it) > 0).collect();
 
         let suspects = if previous_suspects.is_empty() { running } else { previous_suspects };
-        suspects.iter().for_each(|fingerprint| self.add_run(*fingerprint, crashed));
+        suspects.iter().for_each(|fingerprint| self.add_run(*fingerprint, crashed, is_another));
         suspects
     }
 
-    fn add_run(&mut self, fingerprint: u64, crashed: &CrashedRun) {
+    fn add_run(&mut self, fingerprint: u64, crashed: &CrashedRun, is_another: bool) {
         let entry = self.entry(fingerprint);
         entry.is_witness = true;
         let (presumed, cleared) = entry.run(crashed);
-        // Another host may have seen the same end of this run.
-        *presumed = (*cleared + 1).max(*presumed);
+        *presumed =
+            if is_another { *cleared.max(presumed) + 1 } else { (*cleared + 1).max(*presumed) };
         let (presumed, cleared) = (*presumed, *cleared);
         let crashed = crashed.clone();
         self.pending_notes.push(CrashNote { fingerprint, crashed, presumed, cleared });
