A host that is killed while the store is away no longer stops all turns

Found by reading again: after any restart of a host each turn waited for a reading of its records, and was refused while the store did not answer, though all hosts had. Only programs that the ended run has served need that reading; where the store fails, the part of a turn that no host may spend unreported covers what is missing, as before. turn_budget_is_granted_beside_restarted_host_while_the_store_is_away.

--- a/src/entry/budget_ledger.rs
+++ b/src/entry/budget_ledger.rs
@@ -238,6 +238,12 @@
         hosts.is_none_or(|it| it.contains(host))
     }
 
+    /// Other writers that have spent or reserved tokens of a program.
+    pub(crate) fn other_writers(&self, program: &Arc<str>) -> impl Iterator<Item = &Arc<str>> {
+        let writers = self.accounts.get(program).into_iter().flat_map(|it| &it.other_writers);
+        writers.filter(|(_, total)| total.tokens() > 0).map(|(writer, _)| writer)
+    }
+
     /// Whether any run of `host` is known to have spent or reserved tokens of a program.
     pub(crate) fn has_tokens(&self, program: &Arc<str>, host: &str) -> bool {
         let Some(account) = self.accounts.get(program) else {
--- a/src/entry/turn_budget.rs
+++ b/src/entry/turn_budget.rs
@@ -70,8 +70,7 @@
     async fn confirm_spend(&self, program: &Arc<str>, deadline: Instant) -> bool {
         let started = Instant::now();
         let mut exchange = self.mesh.begin_exchange(program, deadline - started);
-        // A run that has ended may have spent tokens after its last report.
-        let mut needs_reading = !self.are_ended_runs_read();
+        let mut needs_reading = self.needs_records_of_ended_runs(program);
         let reading_at = if exchange.has_failing_peers() || needs_reading {
             started
         } else {
@@ -90,16 +89,19 @@
                 () = exchange.receive() => (),
                 is_read = &mut reading, if !is_reading_over => {
                     is_reading_over = true;
+                    needs_reading = false;
                     if is_read {
                         break;
                     }
                 }
                 () = sleep_until(deadline) => {
-                    Self::log_confirmation(program, &exchange, started, false);
-                    return false;
+                    needs_reading = false;
+                    if !exchange.outstanding.is_empty() {
+                        Self::log_confirmation(program, &exchange, started, false);
+                        return false;
+                    }
                 }
             }
-            needs_reading &= !self.are_ended_runs_read();
         }
 
         let outstanding = &exchange.outstanding;
@@ -114,10 +116,15 @@
         true
     }
 
-    /// Whether what was recorded has been read since the last run of another host has ended.
-    fn are_ended_runs_read(&self) -> bool {
-        let last_end = self.mesh.last_run_end();
-        last_end.is_none_or(|end| self.locator.readings.lock().covers(end))
+    /// Whether a run that has spent tokens of a program has ended since the records were read last. It may have spent more after
+    /// its last report. While the store does not answer, the part of a turn that no host may spend unreported covers that.
+    fn needs_records_of_ended_runs(&self, program: &Arc<str>) -> bool {
+        let ledger = self.ledger.lock();
+        let mut writers = ledger.other_writers(program);
+        writers.any(|writer| {
+            let end = self.mesh.run_end(writer);
+            end.is_some_and(|end| !self.locator.readings.lock().covers(end))
+        })
     }
 
     fn log_confirmation(
--- a/src/tests/silent_records.rs
+++ b/src/tests/silent_records.rs
@@ -303,6 +303,23 @@
     assert_eq!(run.locator.ledger.lock().total(&program), 70);
 }
 
+#[tokio::test(start_paused = true)]
+async fn turn_budget_is_granted_beside_restarted_host_while_the_store_is_away() {
+    let (store, transport) = (Arc::new(MemoryStore::default()), Arc::<HostTransport>::default());
+    let program: Arc<str> = "program".into();
+    let run = HostRun::start(&store, &transport, "run.1", 1);
+    let other = HostRun::start(&store, &transport, "other.1", 2);
+    run.hear(&other, "other.1").await;
+    run.locator.list_batches(Instant::now()).await.expect("the store answers");
+    let note = SpendNote { program: Arc::clone(&program), tokens: 10, recorded: 10 };
+    run.locator.ledger.lock().merge_reported(&"other.1".into(), &[note]);
+
+    store.set_fault(StoreFault::Refusing);
+    let restarted = HostRun::start(&store, &transport, "other.2", 2);
+    run.hear(&restarted, "other.2").await;
+    assert!(run.reserve(&program).await.is_ok());
+}
+
 #[tokio::test(start_paused = true)]
 async fn begin_exchange_asks_peer_until_it_knows_of_the_program() {
     let (store, transport) = (Arc::new(MemoryStore::default()), Arc::<HostTransport>::default());
