--- a/src/entry/mesh_queries.rs
+++ b/src/entry/mesh_queries.rs
@@ -43,17 +43,17 @@
         self.failing > 0
     }
 
-    /// Waits for the next response. Never returns if all peers that were asked have responded or failed to.
+    /// Whether a response may still come.
+    pub(crate) fn is_waiting(&self) -> bool {
+        !self.answers.is_empty()
+    }
+
+    /// Waits until a peer has responded or failed to. Never returns if none may do so any more.
     pub(crate) async fn receive(&mut self) {
-        loop {
-            match self.answers.next().await {
-                Some(Some(host)) => {
-                    self.outstanding.retain(|it| *it != host);
-                    return;
-                }
-                Some(None) => (),
-                None => std::future::pending().await,
-            }
+        match self.answers.next().await {
+            Some(Some(host)) => self.outstanding.retain(|it| *it != host),
+            Some(None) => (),
+            None => std::future::pending().await,
         }
     }
 }
--- a/src/entry/turn_budget.rs
+++ b/src/entry/turn_budget.rs
@@ -84,6 +84,11 @@
         let mut is_reading_over = false;
 
         while needs_reading || !exchange.outstanding.is_empty() {
+            if is_reading_over && !exchange.is_waiting() {
+                Self::log_confirmation(program, &exchange, started, false);
+                return false;
+            }
+
             tokio::select! {
                 biased;
                 () = exchange.receive() => (),
--- a/src/tests/silent_records.rs
+++ b/src/tests/silent_records.rs
@@ -320,6 +320,20 @@
     assert!(run.reserve(&program).await.is_ok());
 }
 
+#[tokio::test(start_paused = true)]
+async fn turn_budget_is_refused_at_once_if_neither_peer_nor_store_answers() {
+    let (store, transport) = (Arc::new(MemoryStore::default()), Arc::<HostTransport>::default());
+    let run = HostRun::start(&store, &transport, "run.1", 1);
+    let other = HostRun::start(&store, &transport, "other.1", 2);
+    run.hear(&other, "other.1").await;
+    transport.hosts.lock().remove(&other.address);
+    store.set_fault(StoreFault::Refusing);
+
+    let started = Instant::now();
+    assert!(run.reserve(&"program".into()).await.is_err());
+    assert!(started.elapsed() < Duration::from_millis(200), "{:?}", started.elapsed());
+}
+
 #[tokio::test(start_paused = true)]
 async fn begin_exchange_asks_peer_until_it_knows_of_the_program() {
     let (store, transport) = (Arc::new(MemoryStore::default()), Arc::<HostTransport>::default());
