Nothing stands in for the answer of a late host that serves the program

Change: a host whose present run is known to have tokens of the program is asked although it is late, and has to answer until it has been silent for 2 s. Also, what a run that is over has recorded counts without headroom, which it can no longer spend (budget_ledger_counts_no_headroom_of_a_run_that_is_over). turn_budget_takes_no_record_in_place_of_a_late_host_that_serves_the_program fails without the change (by reading: the record confirms it).

--- a/src/entry/budget_ledger.rs
+++ b/src/entry/budget_ledger.rs
@@ -54,7 +54,11 @@
     #[serde(default)]
     pub(crate) writer: Option<Arc<str>>,
     pub(crate) program: Arc<str>,
+    /// What counts as spent if the writer can't be heard, with headroom.
     pub(crate) tokens: u64,
+    /// What the writer has reported or spent, without headroom; 0 in records of earlier builds.
+    #[serde(default)]
+    pub(crate) spent: u64,
 }
 
 impl SpendRecord {
@@ -73,6 +77,8 @@
     reported: Option<u64>,
     /// The writer's total in the store.
     recorded: u64,
+    /// The same without headroom.
+    recorded_spent: u64,
 }
 
 impl WriterTotal {
@@ -244,6 +250,12 @@
         writers.filter(|(_, total)| total.tokens() > 0).map(|(writer, _)| writer)
     }
 
+    /// Whether a writer is known to have spent or reserved tokens of a program.
+    pub(crate) fn has_writer_tokens(&self, program: &Arc<str>, writer: &Arc<str>) -> bool {
+        let total = self.accounts.get(program).and_then(|it| it.other_writers.get(writer));
+        total.is_some_and(|it| it.tokens() > 0)
+    }
+
     /// Whether any run of `host` is known to have spent or reserved tokens of a program.
     pub(crate) fn has_tokens(&self, program: &Arc<str>, host: &str) -> bool {
         let Some(account) = self.accounts.get(program) else {
@@ -327,8 +339,12 @@
                 continue;
             };
 
-            let tokens = account.tokens_to_record();
-            records.push(SpendRecord { writer: None, program: Arc::clone(&program), tokens });
+            records.push(SpendRecord {
+                writer: None,
+                program: Arc::clone(&program),
+                tokens: account.tokens_to_record(),
+                spent: account.local_spent(),
+            });
 
             let unrecorded =
                 account.other_writers.iter().filter(|(_, total)| total.unrecorded_tokens() > 0);
@@ -336,6 +352,7 @@
                 writer: Some(Arc::clone(writer)),
                 program: Arc::clone(&program),
                 tokens: total.tokens(),
+                spent: total.tokens(),
             }));
         }
 
@@ -419,6 +436,7 @@
             let total = account.other_writers.entry(Arc::clone(writer)).or_default();
 
             total.recorded = total.recorded.max(record.tokens);
+            total.recorded_spent = total.recorded_spent.max(record.spent);
         }
     }
 
@@ -427,14 +445,30 @@
         &mut self,
         program: &Arc<str>,
         is_unresponsive: impl Fn(&str) -> bool,
+    ) {
+        self.raise_reports(program, is_unresponsive, |total| total.recorded);
+    }
+
+    /// Counts what runs that are over have recorded for a program, where that is higher than their last reports. They spend
+    /// nothing more, so headroom does not count.
+    pub(crate) fn assume_ended(&mut self, program: &Arc<str>, is_over: impl Fn(&str) -> bool) {
+        self.raise_reports(program, is_over, |total| total.recorded_spent);
+    }
+
+    fn raise_reports(
+        &mut self,
+        program: &Arc<str>,
+        applies: impl Fn(&str) -> bool,
+        record: fn(&WriterTotal) -> u64,
     ) {
         let Some(account) = self.accounts.get_mut(program) else {
             return;
         };
 
         for (writer, total) in &mut account.other_writers {
-            if is_unresponsive(writer) {
-                total.reported = total.reported.map(|reported| reported.max(total.recorded));
+            if applies(writer) {
+                let recorded = record(total);
+                total.reported = total.reported.map(|reported| reported.max(recorded));
             }
         }
     }
--- a/src/entry/mesh_queries.rs
+++ b/src/entry/mesh_queries.rs
@@ -32,6 +32,9 @@
     pub(crate) asked: usize,
     /// Peers that have not responded.
     pub(crate) outstanding: Vec<Arc<str>>,
+    /// Those of them that serve the program and are not lost. Their records lack what their running turns may still spend, so
+    /// nothing stands in for their responses.
+    pub(crate) holders: Vec<Arc<str>>,
     /// Number of peers that are not asked, as they do not respond to updates either.
     failing: usize,
     answers: FuturesUnordered<BoxFuture<'a, Option<Arc<str>>>>,
@@ -51,19 +54,27 @@
     /// Waits until a peer has responded or failed to. Never returns if none may do so any more.
     pub(crate) async fn receive(&mut self) {
         match self.answers.next().await {
-            Some(Some(host)) => self.outstanding.retain(|it| *it != host),
+            Some(Some(host)) => {
+                self.outstanding.retain(|it| *it != host);
+                self.holders.retain(|it| *it != host);
+            }
             Some(None) => (),
             None => std::future::pending().await,
         }
     }
 }
 
+/// Time without an acknowledgement after which a peer counts as lost rather than late. Connections are given up after it, too.
+const LOST_PEER_TIME: Duration = Duration::from_secs(2);
+
 /// A peer to which a spend query may be sent.
 #[derive(Debug)]
 struct QueriedPeer {
     host: Arc<str>,
     address: SocketAddr,
-    is_failing: bool,
+    /// Whether the peer serves the program.
+    is_holder: bool,
+    is_asked: bool,
 }
 
 impl PeerMesh {
@@ -136,10 +147,18 @@
                             || ledger.has_spent(program, host)
                     }
                 })
-                .map(|(host, peer)| QueriedPeer {
-                    host: Arc::clone(host),
-                    address: peer.address,
-                    is_failing: peer.failures > 0,
+                .map(|(host, peer)| {
+                    let run = peer.writer.as_ref();
+                    let is_lost =
+                        peer.unresponsive_since.is_some_and(|at| at.elapsed() > LOST_PEER_TIME);
+                    let is_holder =
+                        !is_lost && run.is_some_and(|it| ledger.has_writer_tokens(program, it));
+                    QueriedPeer {
+                        host: Arc::clone(host),
+                        address: peer.address,
+                        is_holder,
+                        is_asked: is_holder || peer.failures == 0,
+                    }
                 })
                 .collect()
         };
@@ -150,15 +169,19 @@
             note: self.state.ledger.lock().local_note(program),
         });
         // The regular updates find out when a failing peer responds again.
-        let asked = peers.iter().filter(|peer| !peer.is_failing);
-        let answers = asked.map(|peer| {
+        let answers = peers.iter().filter(|peer| peer.is_asked).map(|peer| {
             let (host, address) = (Arc::clone(&peer.host), peer.address);
             self.query_spend(host, address, Arc::clone(&query), limit).boxed()
         });
 
         SpendExchange {
             asked: peers.len(),
-            failing: peers.iter().filter(|peer| peer.is_failing).count(),
+            failing: peers.iter().filter(|peer| !peer.is_asked).count(),
+            holders: peers
+                .iter()
+                .filter(|peer| peer.is_holder)
+                .map(|peer| Arc::clone(&peer.host))
+                .collect(),
             answers: answers.collect(),
             outstanding: peers.iter().map(|peer| Arc::clone(&peer.host)).collect(),
         }
--- a/src/entry/segment_index.rs
+++ b/src/entry/segment_index.rs
@@ -57,17 +57,16 @@
 
     /// Drops spends that a later record of the same writer and program replaces. Totals only grow.
     pub(crate) fn drop_replaced_spends(&mut self) {
-        let mut latest: HashMap<(Option<Arc<str>>, Arc<str>), u64> = HashMap::new();
+        let mut latest: HashMap<(Option<Arc<str>>, Arc<str>), SpendRecord> = HashMap::new();
 
         for record in self.spends.drain(..) {
-            let tokens = latest.entry((record.writer, record.program)).or_insert(0);
-            *tokens = record.tokens.max(*tokens);
+            let key = (record.writer.clone(), Arc::clone(&record.program));
+            let kept = latest.entry(key).or_insert_with(|| record.clone());
+            kept.tokens = record.tokens.max(kept.tokens);
+            kept.spent = record.spent.max(kept.spent);
         }
 
-        let records = latest.into_iter();
-        self.spends = records
-            .map(|((writer, program), tokens)| SpendRecord { writer, program, tokens })
-            .collect();
+        self.spends = latest.into_values().collect();
     }
 }
 
--- a/src/entry/turn_budget.rs
+++ b/src/entry/turn_budget.rs
@@ -66,7 +66,7 @@
 
 impl BudgetContext {
     /// Merges the other hosts' totals for a program into the ledger. Where a host is late, it reads what is recorded, and goes on
-    /// with what comes first. Returns false if neither has come for some host by the deadline.
+    /// with what comes first, unless that host serves the program. Returns false if neither has come for some host by the deadline.
     async fn confirm_spend(&self, program: &Arc<str>, deadline: Instant) -> bool {
         let started = Instant::now();
         let mut exchange = self.mesh.begin_exchange(program, deadline - started);
@@ -82,8 +82,12 @@
             self.locator.read_spends(asked_at, self.mesh.last_run_end()).await
         });
         let mut is_reading_over = false;
+        let mut are_records_read = false;
 
-        while needs_reading || !exchange.outstanding.is_empty() {
+        while needs_reading
+            || !exchange.holders.is_empty()
+            || (!are_records_read && !exchange.outstanding.is_empty())
+        {
             if is_reading_over && !exchange.is_waiting() {
                 Self::log_confirmation(program, &exchange, started, false);
                 return false;
@@ -95,9 +99,7 @@
                 is_read = &mut reading, if !is_reading_over => {
                     is_reading_over = true;
                     needs_reading = false;
-                    if is_read {
-                        break;
-                    }
+                    are_records_read = is_read;
                 }
                 () = sleep_until(deadline) => {
                     needs_reading = false;
@@ -110,10 +112,13 @@
         }
 
         let outstanding = &exchange.outstanding;
-        self.ledger.lock().assume_recorded(program, |writer| {
-            self.mesh.run_end(writer).is_some()
-                || outstanding.iter().any(|host| is_writer_of(host, writer))
-        });
+        {
+            let is_outstanding =
+                |writer: &str| outstanding.iter().any(|it| is_writer_of(it, writer));
+            let mut ledger = self.ledger.lock();
+            ledger.assume_recorded(program, is_outstanding);
+            ledger.assume_ended(program, |writer| self.mesh.run_end(writer).is_some());
+        }
 
         if !outstanding.is_empty() {
             Self::log_confirmation(program, &exchange, started, true);
--- a/src/tests/entry_budget.rs
+++ b/src/tests/entry_budget.rs
@@ -85,7 +85,7 @@
 
         for (writer, tokens) in &self.records {
             let program = Arc::clone(&self.program);
-            let record = SpendRecord { writer: None, program, tokens: *tokens };
+            let record = SpendRecord { writer: None, program, tokens: *tokens, spent: *tokens };
             ledger.merge_recorded(writer, &[record]);
         }
 
@@ -291,13 +291,29 @@
     let note = SpendNote { program: Arc::clone(&program), tokens: 100, recorded: 0 };
     ledger.merge_reported(&writer, &[note]);
 
-    let record = SpendRecord { writer: None, program: Arc::clone(&program), tokens: 700 };
+    let record =
+        SpendRecord { writer: None, program: Arc::clone(&program), tokens: 700, spent: 700 };
     ledger.merge_recorded(&writer, &[record]);
     assert_eq!(ledger.total(&program), 100);
     ledger.assume_recorded(&program, |writer| is_writer_of("host-b", writer));
     assert_eq!(ledger.total(&program), 700);
 }
 
+#[test]
+fn budget_ledger_counts_no_headroom_of_a_run_that_is_over() {
+    let program: Arc<str> = "program".into();
+    let writer: Arc<str> = "host-b.1".into();
+    let mut ledger = BudgetLedger::default();
+    let note = SpendNote { program: Arc::clone(&program), tokens: 100, recorded: 0 };
+    ledger.merge_reported(&writer, &[note]);
+
+    let record =
+        SpendRecord { writer: None, program: Arc::clone(&program), tokens: 700, spent: 160 };
+    ledger.merge_recorded(&writer, &[record]);
+    ledger.assume_ended(&program, |writer| is_writer_of("host-b", writer));
+    assert_eq!(ledger.total(&program), 160);
+}
+
 #[test]
 fn budget_ledger_raises_only_totals_of_the_unresponsive_host() {
     let program: Arc<str> = "program".into();
@@ -313,6 +329,7 @@
         writer,
         program: Arc::clone(&program),
         tokens: 700,
+        spent: 700,
     });
     ledger.merge_recorded(&writers[0], &records);
     ledger.assume_recorded(&program, |writer| is_writer_of("host-b", writer));
@@ -325,7 +342,8 @@
     let programs: Vec<Arc<str>> = (0..1_000).map(|number| number.to_string().into()).collect();
 
     for program in &programs {
-        let record = SpendRecord { writer: None, program: Arc::clone(program), tokens: 100 };
+        let record =
+            SpendRecord { writer: None, program: Arc::clone(program), tokens: 100, spent: 100 };
         ledger.merge_recorded(&"host-b.1".into(), &[record]);
     }
     assert_eq!(ledger.reserve(&programs[0], 1_000, 100, 1), ReserveOutcome::Confirmed);
@@ -345,14 +363,15 @@
     ledger.settle(&program, 100, 100);
 
     // Both as a record of this host's batch and as one that another host has written for it.
-    let own = SpendRecord { writer: None, program: Arc::clone(&program), tokens: 100 };
+    let own = SpendRecord { writer: None, program: Arc::clone(&program), tokens: 100, spent: 100 };
     let forwarded = SpendRecord { writer: Some("host-a.1".into()), ..own.clone() };
     ledger.merge_recorded(&"host-a.1".into(), &[own]);
     ledger.merge_recorded(&"host-b.1".into(), &[forwarded]);
     assert_eq!(ledger.total(&program), 100);
 
     // An earlier run of this host is another writer.
-    let earlier = SpendRecord { writer: None, program: Arc::clone(&program), tokens: 50 };
+    let earlier =
+        SpendRecord { writer: None, program: Arc::clone(&program), tokens: 50, spent: 50 };
     ledger.merge_recorded(&"host-a.0".into(), &[earlier]);
     assert_eq!(ledger.total(&program), 150);
 }
--- a/src/tests/entry_journal.rs
+++ b/src/tests/entry_journal.rs
@@ -269,7 +269,8 @@
         .expect("in time")
         .expect("ok");
     assert_eq!(run.locator.ledger.lock().unrecorded_tokens(&program), 0);
-    let expected = SpendRecord { writer: Some("host-c.1".into()), program, tokens: 300 };
+    let expected =
+        SpendRecord { writer: Some("host-c.1".into()), program, tokens: 300, spent: 300 };
     assert!(recorder.records.lock().contains(&expected), "{:?}", recorder.records.lock());
 }
 
@@ -386,8 +387,12 @@
 
     // The recorder writes the silent host's spend into a batch of its own.
     let recorder = HostRun::start(&store, "host-a.1", &Arc::default());
-    let spend =
-        SpendRecord { writer: Some("host-b.1".into()), program: Arc::clone(&program), tokens: 70 };
+    let spend = SpendRecord {
+        writer: Some("host-b.1".into()),
+        program: Arc::clone(&program),
+        tokens: 70,
+        spent: 70,
+    };
     let receiver = recorder.journal.append_forwarded(Vec::new(), vec![spend]);
     timeout(Duration::from_secs(1), receiver).await.expect("in time").expect("recorded");
 
--- a/src/tests/silent_records.rs
+++ b/src/tests/silent_records.rs
@@ -190,6 +190,7 @@
             writer: Some("silent.1".into()),
             program: Arc::clone(program),
             tokens: 70,
+            spent: 70,
         };
         let receiver = self.journal.append_forwarded(Vec::new(), vec![spend]);
         timeout(Duration::from_secs(1), receiver).await.expect("in time").expect("recorded");
@@ -334,6 +335,21 @@
     assert!(started.elapsed() < Duration::from_millis(200), "{:?}", started.elapsed());
 }
 
+#[tokio::test(start_paused = true)]
+async fn turn_budget_takes_no_record_in_place_of_a_late_host_that_serves_the_program() {
+    let (store, transport) = (Arc::new(MemoryStore::default()), Arc::<HostTransport>::default());
+    let program: Arc<str> = "program".into();
+    let other = HostRun::start(&store, &transport, "other.1", 1);
+    let run = HostRun::start(&store, &transport, "run.1", 2);
+    run.hear(&other, "other.1").await;
+    let note = SpendNote { program: Arc::clone(&program), tokens: 10, recorded: 10 };
+    run.locator.ledger.lock().merge_reported(&"other.1".into(), &[note]);
+
+    *transport.delay.lock() = Duration::from_secs(3);
+    assert!(run.reserve(&program).await.is_err(), "its running turns may still spend");
+    assert!(run.reserve(&"another program".into()).await.is_ok());
+}
+
 #[tokio::test(start_paused = true)]
 async fn begin_exchange_asks_peer_until_it_knows_of_the_program() {
     let (store, transport) = (Arc::new(MemoryStore::default()), Arc::<HostTransport>::default());
@@ -375,8 +391,12 @@
             }
 
             // Each batch carries the spend of a program of its own.
-            let spend =
-                SpendRecord { writer: None, program: step.to_string().into(), tokens: step };
+            let spend = SpendRecord {
+                writer: None,
+                program: step.to_string().into(),
+                tokens: step,
+                spent: step,
+            };
             let pending =
                 PendingBatch { turns: Vec::new(), records: vec![spend], forwarded: Vec::new() };
             let batch = written.next_batch(&pending);
