A reused reading no longer stands in for hosts that are about to answer

One further host fails to acknowledge updates, so each of the three has the records read at once; a reading of the same second is reused, and all three are confirmed within 2 ms, with asked = 6 and silent = 6: none has heard another. Change: records stand in for a host once it is late by 150 ms, or once no answer can come any more. turn_budget_hears_responsive_hosts_though_a_reading_can_be_reused fails on the commit before and passes now.

--- a/src/entry/turn_budget.rs
+++ b/src/entry/turn_budget.rs
@@ -71,11 +71,9 @@
         let started = Instant::now();
         let mut exchange = self.mesh.begin_exchange(program, deadline - started);
         let mut needs_reading = self.needs_records_of_ended_runs(program);
-        let reading_at = if exchange.has_failing_peers() || needs_reading {
-            started
-        } else {
-            started + LATE_RESPONSE_TIME
-        };
+        let late_at = started + LATE_RESPONSE_TIME;
+        let reading_at =
+            if exchange.has_failing_peers() || needs_reading { started } else { late_at };
         let mut reading = Box::pin(async {
             sleep_until(reading_at).await;
             let asked_at = Instant::now();
@@ -84,10 +82,16 @@
         let mut is_reading_over = false;
         let mut are_records_read = false;
 
-        while needs_reading
-            || !exchange.holders.is_empty()
-            || (!are_records_read && !exchange.outstanding.is_empty())
-        {
+        loop {
+            let is_late = Instant::now() >= late_at;
+            // An earlier reading may be reused at once, while hosts that respond are about to.
+            let may_stand_in = are_records_read
+                && exchange.holders.is_empty()
+                && (is_late || !exchange.is_waiting());
+
+            if !needs_reading && (exchange.outstanding.is_empty() || may_stand_in) {
+                break;
+            }
             if is_reading_over && !exchange.is_waiting() {
                 Self::log_confirmation(program, &exchange, started, false);
                 return false;
@@ -101,6 +105,7 @@
                     needs_reading = false;
                     are_records_read = is_read;
                 }
+                () = sleep_until(late_at), if !is_late => (),
                 () = sleep_until(deadline) => {
                     needs_reading = false;
                     if !exchange.outstanding.is_empty() {
--- a/src/tests/silent_records.rs
+++ b/src/tests/silent_records.rs
@@ -17,7 +17,7 @@
     entry::{
         BudgetLedger, ObjectStore,
         batch_index::BatchIndex,
-        budget_ledger::{SpendNote, SpendRecord, is_writer_of},
+        budget_ledger::{ReserveOutcome, SpendNote, SpendRecord, is_writer_of},
         entry_metrics::EntryMetrics,
         journal_queue::PendingBatch,
         mesh_peer::MeshIdentity,
@@ -163,7 +163,7 @@
             address: other.address,
             region: "north".into(),
             writer: writer.into(),
-            sequence: 1,
+            sequence: 0,
             run_age_ms,
             is_draining: false,
             notes: Vec::new(),
@@ -335,6 +335,27 @@
     assert!(started.elapsed() < Duration::from_millis(200), "{:?}", started.elapsed());
 }
 
+#[tokio::test(start_paused = true)]
+async fn turn_budget_hears_responsive_hosts_though_a_reading_can_be_reused() {
+    let (store, transport) = (Arc::new(MemoryStore::default()), Arc::<HostTransport>::default());
+    let program: Arc<str> = "program".into();
+    let other = HostRun::start(&store, &transport, "other.1", 1);
+    let lost = HostRun::start(&store, &transport, "lost.1", 2);
+    let run = HostRun::start(&store, &transport, "run.1", 3);
+    run.hear(&other, "other.1").await;
+    run.hear(&lost, "lost.1").await;
+    transport.hosts.lock().remove(&lost.address);
+    run.mesh.send_updates();
+    sleep(Duration::from_millis(10)).await;
+    assert!(run.locator.read_spends(Instant::now(), None).await);
+
+    // The other host reserves at the same time.
+    let outcome = other.locator.ledger.lock().reserve(&program, 100, 60, 1);
+    assert_eq!(outcome, ReserveOutcome::Confirmed);
+    *transport.delay.lock() = Duration::from_millis(16);
+    assert!(run.reserve(&program).await.is_err());
+}
+
 #[tokio::test(start_paused = true)]
 async fn turn_budget_takes_no_record_in_place_of_a_late_host_that_serves_the_program() {
     let (store, transport) = (Arc::new(MemoryStore::default()), Arc::<HostTransport>::default());
