A host that is only late is waited for

Suspected cause, by reading: of two hosts that begin to serve a program at the same time and are both late by 150 ms, each took the records in place of the other's answer.

--- a/src/entry/mesh_queries.rs
+++ b/src/entry/mesh_queries.rs
@@ -187,6 +187,12 @@
         }
     }
 
+    /// Whether none of these peers acknowledges updates.
+    pub(crate) fn are_failing(&self, hosts: &[Arc<str>]) -> bool {
+        let peers = self.peers.lock();
+        hosts.iter().all(|host| peers.get(host).is_none_or(|peer| peer.failures > 0))
+    }
+
     /// Sends a peer a spend query and merges its response. Returns the peer's name if it responds.
     async fn query_spend(
         &self,
--- a/src/entry/turn_budget.rs
+++ b/src/entry/turn_budget.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use parking_lot::Mutex;
-use tokio::time::{Duration, Instant, sleep_until, timeout, timeout_at};
+use tokio::time::{Duration, Instant, sleep, sleep_until, timeout, timeout_at};
 
 use crate::{
     BackoffPolicy,
@@ -42,6 +42,9 @@
 /// Time without a response from a peer after which the records are read. A round trip between regions takes 16 ms.
 const LATE_RESPONSE_TIME: Duration = Duration::from_millis(150);
 
+/// Time between two looks whether the hosts that have not responded still acknowledge updates.
+const FAILURE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Longest time for which the refusal of a turn waits until the spend is recorded.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -66,7 +69,7 @@
 
 impl BudgetContext {
     /// Merges the other hosts' totals for a program into the ledger. Where a host is late, it reads what is recorded, and goes on
-    /// with what comes first, unless that host serves the program. Returns false if neither has come for some host by the deadline.
+    /// with what comes first, if that host fails to acknowledge updates and does not serve the program. Returns false if neither has come for some host by the deadline.
     async fn confirm_spend(&self, program: &Arc<str>, deadline: Instant) -> bool {
         let started = Instant::now();
         let mut exchange = self.mesh.begin_exchange(program, deadline - started);
@@ -83,11 +86,10 @@
         let mut are_records_read = false;
 
         loop {
-            let is_late = Instant::now() >= late_at;
-            // An earlier reading may be reused at once, while hosts that respond are about to.
+            // A host that acknowledges updates is only late, and may be reserving at the same time.
             let may_stand_in = are_records_read
                 && exchange.holders.is_empty()
-                && (is_late || !exchange.is_waiting());
+                && (!exchange.is_waiting() || self.mesh.are_failing(&exchange.outstanding));
 
             if !needs_reading && (exchange.outstanding.is_empty() || may_stand_in) {
                 break;
@@ -105,7 +107,7 @@
                     needs_reading = false;
                     are_records_read = is_read;
                 }
-                () = sleep_until(late_at), if !is_late => (),
+                () = sleep(FAILURE_CHECK_INTERVAL) => (),
                 () = sleep_until(deadline) => {
                     needs_reading = false;
                     if !exchange.outstanding.is_empty() {
--- a/src/tests/silent_records.rs
+++ b/src/tests/silent_records.rs
@@ -356,6 +356,20 @@
     assert!(run.reserve(&program).await.is_err());
 }
 
+#[tokio::test(start_paused = true)]
+async fn turn_budget_hears_late_host_though_records_can_be_read() {
+    let (store, transport) = (Arc::new(MemoryStore::default()), Arc::<HostTransport>::default());
+    let program: Arc<str> = "program".into();
+    let other = HostRun::start(&store, &transport, "other.1", 1);
+    let run = HostRun::start(&store, &transport, "run.1", 2);
+    run.hear(&other, "other.1").await;
+
+    let outcome = other.locator.ledger.lock().reserve(&program, 100, 60, 1);
+    assert_eq!(outcome, ReserveOutcome::Confirmed);
+    *transport.delay.lock() = Duration::from_millis(500);
+    assert!(run.reserve(&program).await.is_err());
+}
+
 #[tokio::test(start_paused = true)]
 async fn turn_budget_takes_no_record_in_place_of_a_late_host_that_serves_the_program() {
     let (store, transport) = (Arc::new(MemoryStore::default()), Arc::<HostTransport>::default());
