--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -25,6 +25,7 @@
 mod late_acks;
 mod leaving_upstreams;
 mod log_limiter;
+mod lost_links;
 mod lost_schedulers;
 mod membership;
 mod memory_platform;
