--- a/src/entry/crash_guard.rs
+++ b/src/entry/crash_guard.rs
@@ -8,7 +8,8 @@
 use crate::{
     CrashedRun,
     entry::{
-        UpstreamResponse, placement_request::PlacementRefusal, request_runner::RunnerContext,
+        UpstreamRecord, UpstreamResponse, host_reach::ReachEvidence,
+        placement_request::PlacementRefusal, request_runner::RunnerContext,
         routed_request::RoutedRequest, upstream_lease::UpstreamLease,
     },
 };
@@ -34,6 +35,11 @@
         Err(PlacementRefusal { reason, retry_after: CRASHED_RETRY_AFTER })
     }
 
+    /// Records what an attempt tells about this host's way to a service.
+    pub(super) fn record_reach(&self, record: &UpstreamRecord, evidence: ReachEvidence) {
+        self.pool.record_reach(record, evidence);
+    }
+
     /// Records what a response tells about its upstream, also whether it proves that the upstream did not crash before.
     pub(super) fn record_response(&self, lease: &UpstreamLease, response: &UpstreamResponse) {
         lease.record_response(response);
@@ -60,6 +66,7 @@
     context: Arc<RunnerContext>,
     request: Arc<str>,
     fingerprint: u64,
+    record: Arc<UpstreamRecord>,
     crashed: CrashedRun,
     /// Time without data after which the upstream counts as silent.
     silence_limit: Duration,
@@ -79,6 +86,7 @@
             context: Arc::clone(context),
             request: Arc::clone(&routed.request.id),
             fingerprint: routed.fingerprint,
+            record: Arc::clone(&lease.record),
             crashed: lease.crashed_run(),
             silence_limit,
             started_at: Instant::now(),
@@ -90,6 +98,7 @@
     /// Records that the upstream has sent data.
     pub(super) fn record_data(&mut self) {
         self.heard_at = Instant::now();
+        self.context.record_reach(&self.record, ReachEvidence::Heard);
     }
 
     /// Ends the attempt of an upstream that lives.
@@ -97,8 +106,16 @@
         self.is_over = true;
     }
 
+    /// Ends an attempt for which no connection could be made.
+    pub(super) fn finish_unsent(mut self) {
+        self.is_over = true;
+        let since = self.started_at;
+        self.context.record_reach(&self.record, ReachEvidence::Unconnected { since });
+    }
+
     /// Ends an attempt whose connection broke.
     pub(super) fn finish_broken(mut self, reason: &str) {
+        self.context.record_reach(&self.record, ReachEvidence::Broken);
         self.record_crash(reason);
     }
 
@@ -129,8 +146,14 @@
 
 impl Drop for AttemptWatch {
     fn drop(&mut self) {
-        if !self.is_over && self.heard_at.elapsed() >= self.silence_limit {
-            self.record_crash("it is silent");
+        let silence = self.heard_at.elapsed();
+
+        if self.is_over || silence < self.silence_limit {
+            return;
         }
+
+        let since = self.heard_at;
+        self.context.record_reach(&self.record, ReachEvidence::Silent { since });
+        self.record_crash("it is silent");
     }
 }
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -23,6 +23,7 @@
         mesh_peer::MeshIdentity,
         mesh_state::MeshState,
         peer_mesh::PeerMesh,
+        reach_prober::ReachProber,
         request_runner::{RequestRunner, RunnerContext},
         routed_request::RoutedRequest,
         turn_budget::{BudgetContext, BudgetRefusal, TurnBudget},
@@ -108,6 +109,7 @@
             ledger: Arc::clone(&ledger),
             departures: Arc::clone(pool.departures()),
             limits: Arc::clone(pool.limits()),
+            reach: Arc::clone(pool.reach()),
             ..MeshState::default()
         };
         let identity = MeshIdentity {
@@ -186,6 +188,7 @@
         tokio::spawn(Arc::clone(&host).run_maintenance());
         tokio::spawn(Arc::clone(&host).restore());
         tokio::spawn(host.peers.clone().run());
+        tokio::spawn(ReachProber { context: Arc::clone(&host.context) }.run());
         host
     }
 
@@ -228,6 +231,8 @@
             sleep(MAINTENANCE_INTERVAL).await;
             self.context.pool.maintain();
             self.context.channel.close_expired();
+            let lost_services = self.context.pool.reach().lost_services().len();
+            self.context.metrics.record_lost_services(lost_services);
 
             if self.budgets.mesh.take_deregistered() && !self.is_draining() {
                 log::warn!(
@@ -375,9 +380,8 @@
             return EntryResponse::refused(EntryRefusal::NoRoute, reason);
         };
 
-        let split_key = request.program.as_ref().map_or(&request.id, |it| &it.id);
         let service = route
-            .target(xxh3_64(split_key.as_bytes()))
+            .target(split_key(&request))
             .and_then(|target| table.service(&target.service))
             .cloned();
 
@@ -401,6 +405,13 @@
         self.run(request, route, service, fingerprint, deadline).await
     }
 
+    /// Service that a request needs, if the configuration in force names one.
+    pub(crate) fn service_of(&self, request: &EntryRequest) -> Option<Arc<str>> {
+        let table = self.routes.load();
+        let route = table.find(&request.host, &request.path)?;
+        route.target(split_key(request)).map(|it| Arc::clone(&it.service))
+    }
+
     /// Runs a request on its route and service.
     async fn run(
         &self,
@@ -418,6 +429,11 @@
             return EntryResponse::not_run(UNAVAILABLE_RETRY_AFTER, reason);
         }
 
+        // Another host does all that follows by itself.
+        if self.context.pool.reach().is_lost(&service.name) {
+            return EntryResponse::out_of_reach(request.possible_runs.count() > 0);
+        }
+
         let software_version = match self.versions.find(&request, &route, &service.name).await {
             RequiredVersion::Any => None,
             RequiredVersion::Only(version) => Some(version),
@@ -517,6 +533,7 @@
             &program.id,
             budget,
             tokens,
+            request.is_forwarded,
             now + confirmation_time,
         )
         .await;
@@ -536,6 +553,12 @@
     }
 }
 
+/// Key by which a request is assigned to one of its route's targets.
+fn split_key(request: &EntryRequest) -> u64 {
+    let key = request.program.as_ref().map_or(&request.id, |it| &it.id);
+    xxh3_64(key.as_bytes())
+}
+
 /// Hash by which requests that crash upstreams are recognised.
 fn fingerprint(request: &EntryRequest) -> u64 {
     let mut hasher = Xxh3::new();
--- a/src/entry/entry_metrics.rs
+++ b/src/entry/entry_metrics.rs
@@ -34,6 +34,7 @@
     broken_streams: Counter<u64>,
     is_scheduler: Gauge<u64>,
     schedulers: Gauge<u64>,
+    lost_services: Gauge<u64>,
 }
 
 impl EntryMetrics {
@@ -116,6 +117,10 @@
                 .u64_gauge("ragwortknot.entry.schedulers")
                 .with_description("Schedulers that a gateway knows, by whether they respond.")
                 .build(),
+            lost_services: meter
+                .u64_gauge("ragwortknot.entry.reach.lost")
+                .with_description("Services of which this host reaches no upstream.")
+                .build(),
             registry,
         })
     }
@@ -173,6 +178,10 @@
         self.first_event_time.record(time.as_secs_f64(), &[]);
     }
 
+    pub(crate) fn record_lost_services(&self, count: usize) {
+        self.lost_services.record(count as u64, &[]);
+    }
+
     pub(crate) fn record_history_bytes(&self, bytes: usize) {
         self.history_bytes.record(bytes as u64, &[]);
     }
--- a/src/entry/entry_request.rs
+++ b/src/entry/entry_request.rs
@@ -67,4 +67,6 @@
     pub resumed_request: Option<Arc<str>>,
     /// Attempts in which the request may have run, on this host and on those that were lost with it before.
     pub possible_runs: PossibleRuns,
+    /// Whether another host has forwarded the request to this one.
+    pub is_forwarded: bool,
 }
--- a/src/entry/entry_response.rs
+++ b/src/entry/entry_response.rs
@@ -14,6 +14,9 @@
 /// the upstream, so a slow client slows its upstream down.
 pub(crate) const MAX_BUFFERED_ITEMS: usize = 16;
 
+/// Time after which a client is asked to retry when no host reaches the service. Hosts try to reach it at shorter intervals.
+const OUT_OF_REACH_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// Body of a relayed response.
 #[derive(Debug)]
 pub enum RelayedBody {
@@ -76,6 +79,15 @@
     /// The deadline passed after the request was sent to an upstream.
     #[display("overdue")]
     DeadlineExceeded,
+    /// The host reaches no upstream of the request's service, and another host may go on with the request. If none does, a
+    /// client has to take its response for lost if the request may have run before.
+    #[display("{}", if *may_have_run { "answer_lost" } else { "out_of_reach" })]
+    OutOfReach {
+        /// Whether the request may have run in an earlier attempt.
+        may_have_run: bool,
+        /// Time after which the client should retry if no other host takes the request.
+        retry_after: Duration,
+    },
 }
 
 impl EntryRefusal {
@@ -88,6 +100,7 @@
             | Self::UnknownTurn
             | Self::TooLarge
             | Self::NotRun { .. } => true,
+            Self::OutOfReach { may_have_run, .. } => !may_have_run,
             Self::ResponseLost | Self::DeadlineExceeded => false,
         }
     }
@@ -112,6 +125,17 @@
         Self::Refused { refusal, reason: reason.into() }
     }
 
+    /// Whether another host may go on with the request.
+    pub(crate) fn is_out_of_reach(&self) -> bool {
+        matches!(self, Self::Refused { refusal: EntryRefusal::OutOfReach { .. }, .. })
+    }
+
+    pub(crate) fn out_of_reach(may_have_run: bool) -> Self {
+        let refusal =
+            EntryRefusal::OutOfReach { may_have_run, retry_after: OUT_OF_REACH_RETRY_AFTER };
+        Self::refused(refusal, "no upstream of the service can be reached")
+    }
+
     pub(crate) fn not_run(retry_after: Duration, reason: impl Into<Arc<str>>) -> Self {
         Self::refused(EntryRefusal::NotRun { retry_after }, reason)
     }
--- a/src/entry/host_registry.rs
+++ b/src/entry/host_registry.rs
@@ -9,7 +9,7 @@
     BackoffPolicy, KeyFiles,
     entry::{
         KindListing, ObjectChange, ObjectListener, ObjectStore, ReadFreshness, StoreError,
-        StoredObject, peer_mesh::PeerMesh,
+        StoredObject, host_reach::LostServices, peer_mesh::PeerMesh,
     },
     gateway::SchedulerEntry,
     membership::key_files::CertificateAuthority,
@@ -174,7 +174,9 @@
         return None;
     };
 
-    Some(SchedulerEntry { host: Arc::clone(&object.name), address, region, is_draining: false })
+    let host = Arc::clone(&object.name);
+    let lost_services = LostServices::default();
+    Some(SchedulerEntry { host, address, region, is_draining: false, lost_services })
 }
 
 impl PeerMesh {
--- a/src/entry/mesh_answers.rs
+++ b/src/entry/mesh_answers.rs
@@ -29,6 +29,7 @@
                 is_draining,
                 notes,
                 streams,
+                lost_services,
             } => {
                 let now = Instant::now();
                 let run_started = now.checked_sub(Duration::from_millis(run_age_ms)).unwrap_or(now);
@@ -36,6 +37,7 @@
                     self.add_peer(Arc::clone(&host), address, region);
                     self.update_peer_state(&host, address, &writer, run_started, is_draining);
                 }
+                self.update_peer_reach(&host, sequence, &lost_services);
                 self.merge_reported_spends(&writer, sequence, &notes);
                 let mut known = self.state.streams.lock();
                 streams.iter().for_each(|stream| known.merge(now, stream));
--- a/src/entry/mesh_peer.rs
+++ b/src/entry/mesh_peer.rs
@@ -4,6 +4,8 @@
 
 use tokio::time::{Duration, Instant};
 
+use crate::entry::host_reach::LostServices;
+
 /// Response time above which a peer counts as slow. A round trip between regions takes 16 ms.
 const SLOW_RESPONSE_THRESHOLD: Duration = Duration::from_millis(100);
 
@@ -26,6 +28,9 @@
     is_exchange_wanted: bool,
     /// Whether the peer has announced that it is about to stop.
     pub(crate) is_draining: bool,
+    /// Services of which the peer's run reaches no upstream, by its message with the number `reach_sequence`.
+    pub(crate) lost_services: LostServices,
+    reach_sequence: u64,
     /// Updates in a row that the peer has not acknowledged.
     pub(crate) failures: u32,
     pub(crate) unresponsive_since: Option<Instant>,
@@ -46,6 +51,8 @@
             in_flight_since: None,
             is_exchange_wanted: false,
             is_draining: false,
+            lost_services: LostServices::default(),
+            reach_sequence: 0,
             failures: 0,
             unresponsive_since: None,
             backoff_until: None,
@@ -57,7 +64,8 @@
     pub(crate) fn is_degraded(&self, now: Instant) -> bool {
         let is_slow =
             self.in_flight_since.is_some_and(|at| now.duration_since(at) > SLOW_RESPONSE_THRESHOLD);
-        self.is_draining || self.failures > 0 || is_slow
+        let has_lost_links = !self.lost_services.is_empty();
+        self.is_draining || self.failures > 0 || is_slow || has_lost_links
     }
 
     /// Asks for an update without waiting for a change or for the end of a backoff. A peer that receives it sends its full state
@@ -87,9 +95,24 @@
         self.writer = Some(Arc::clone(writer));
         self.run_started = Some(run_started);
         self.is_synced = false;
+        self.lost_services = LostServices::default();
+        self.reach_sequence = 0;
         true
     }
 
+    /// Records the services that the peer does not reach, unless a newer message of its run has told them already. Returns
+    /// whether they have changed.
+    pub(crate) fn record_reach(&mut self, sequence: u64, lost_services: &LostServices) -> bool {
+        if sequence < self.reach_sequence {
+            return false;
+        }
+
+        self.reach_sequence = sequence;
+        let has_changed = self.lost_services != *lost_services;
+        self.lost_services = Arc::clone(lost_services);
+        has_changed
+    }
+
     /// Ends the backoff of updates after the peer has acknowledged one or has sent a message.
     pub(crate) fn mark_responsive(&mut self) {
         self.failures = 0;
--- a/src/entry/mesh_state.rs
+++ b/src/entry/mesh_state.rs
@@ -7,9 +7,10 @@
 use crate::{
     CrashTracker,
     entry::{
-        BudgetLedger, batch_index::BatchIndex, record_readings::RecordReadings,
-        stream_versions::StreamVersions, turn_history::TurnHistory,
-        upstream_departures::UpstreamDepartures, upstream_limits::UpstreamLimits,
+        BudgetLedger, batch_index::BatchIndex, host_reach::HostReach,
+        record_readings::RecordReadings, stream_versions::StreamVersions,
+        turn_history::TurnHistory, upstream_departures::UpstreamDepartures,
+        upstream_limits::UpstreamLimits,
     },
 };
 
@@ -23,5 +24,6 @@
     pub(crate) readings: Arc<Mutex<RecordReadings>>,
     pub(crate) departures: Arc<Mutex<UpstreamDepartures>>,
     pub(crate) limits: Arc<Mutex<UpstreamLimits>>,
+    pub(crate) reach: Arc<HostReach>,
     pub(crate) streams: Arc<Mutex<StreamVersions>>,
 }
--- a/src/entry/peer_mesh.rs
+++ b/src/entry/peer_mesh.rs
@@ -16,6 +16,7 @@
     CrashNote, PeerMessage, PeerTransport,
     entry::{
         budget_ledger::SpendNote,
+        host_reach::LostServices,
         mesh_connector::MeshConnector,
         mesh_peer::{MeshIdentity, MeshPeer},
         mesh_state::MeshState,
@@ -179,6 +180,24 @@
         }
     }
 
+    /// Records the services of which a peer reaches no upstream, by a message of the peer.
+    pub(super) fn update_peer_reach(
+        &self,
+        host: &Arc<str>,
+        sequence: u64,
+        lost_services: &LostServices,
+    ) {
+        let mut peers = self.peers.lock();
+        let has_changed =
+            peers.get_mut(host).is_some_and(|peer| peer.record_reach(sequence, lost_services));
+        drop(peers);
+
+        if has_changed {
+            log::info!(peer:% = host, sequence, lost_services:?; "a peer reaches other services than before");
+            self.record_membership_change();
+        }
+    }
+
     /// Marks the recorded spends and turns as loaded, so that this host responds to queries for them.
     pub(crate) fn mark_records_loaded(&self) {
         self.has_loaded_records.store(true, Ordering::Relaxed);
@@ -246,6 +265,7 @@
                 address: peer.address,
                 region: Arc::clone(&peer.region),
                 is_draining: peer.is_draining,
+                lost_services: Arc::clone(&peer.lost_services),
             })
             .collect();
         schedulers.push(SchedulerEntry {
@@ -253,6 +273,7 @@
             address: self.identity.address,
             region: Arc::clone(&self.identity.region),
             is_draining: self.is_draining(),
+            lost_services: self.state.reach.lost_services(),
         });
         schedulers
     }
@@ -330,8 +351,9 @@
         let limits = self.take_limit_notes();
         let streams = self.state.streams.lock().take_unreported();
         let is_drain_unannounced = self.is_drain_unannounced.swap(false, Ordering::Relaxed);
+        let is_reach_unannounced = self.state.reach.take_unannounced();
         let changes = MeshChanges { notes, crashes, departures, limits, streams };
-        let has_changes = is_drain_unannounced || !changes.is_empty();
+        let has_changes = is_drain_unannounced || is_reach_unannounced || !changes.is_empty();
         let now = Instant::now();
         let mut targets = Vec::new();
 
@@ -413,6 +435,7 @@
             is_draining: self.is_draining(),
             notes,
             streams,
+            lost_services: self.state.reach.lost_services(),
         }];
 
         if !crashes.is_empty() {
--- a/src/entry/placement_pool.rs
+++ b/src/entry/placement_pool.rs
@@ -17,6 +17,7 @@
 use crate::{
     entry::{
         ExpiryBounds, UpstreamRecord,
+        host_reach::HostReach,
         placement_request::{PlacementRefusal, PlacementRequest},
         pool_state::{GrantedSlot, PoolState, QueuePosition, UpstreamKey, WaitingRequest},
         pooled_upstream::{LeaseOutcome, PooledUpstream},
@@ -62,6 +63,8 @@
     pub(super) departures: Arc<Mutex<UpstreamDepartures>>,
     /// Limits that upstreams have stated, shared with the mesh. Lock order: after `departures`.
     limits: Arc<Mutex<UpstreamLimits>>,
+    /// Which services this host reaches, shared with the mesh. It is not used while another lock is held.
+    pub(super) reach: Arc<HostReach>,
 }
 
 impl PlacementPool {
@@ -74,6 +77,7 @@
             state: Mutex::default(),
             departures: Arc::default(),
             limits: Arc::default(),
+            reach: Arc::default(),
         }
     }
 
--- a/src/entry/pooled_upstream.rs
+++ b/src/entry/pooled_upstream.rs
@@ -155,6 +155,12 @@
         }
     }
 
+    /// Forgets failures that were not the upstream's own.
+    pub(crate) fn forget_failures(&mut self) {
+        self.failures = 0;
+        self.backoff_until = None;
+    }
+
     fn record_failures(&mut self, now: Instant, count: u32) {
         self.failures += count;
 
--- a/src/entry/request_runner.rs
+++ b/src/entry/request_runner.rs
@@ -48,6 +48,9 @@
 /// Time after which a client is asked to retry when every upstream tried has rejected the request.
 const REJECTED_RETRY_AFTER: Duration = Duration::from_millis(150);
 
+/// Time for which a service has to be lost before a request that may run again is taken away from its upstream.
+const ABANDON_DELAY: Duration = Duration::from_millis(200);
+
 /// State that all requests of an entry host share.
 #[derive(Debug)]
 pub(crate) struct RunnerContext {
@@ -69,6 +72,8 @@
     Stream(StreamSource),
     /// The upstream did not run the request.
     NotRun { reason: &'static str },
+    /// No connection to the upstream could be made.
+    NotSent,
     /// The request was not sent, since the upstream leaves.
     Skipped,
     /// The request may have run, but no usable response arrived.
@@ -86,6 +91,8 @@
     record: RunRecord,
     /// Attempts in which the upstream did not run the request.
     rejections: u32,
+    /// Those of them in which no connection could be made.
+    unsent: u32,
     excluded: Vec<Arc<str>>,
 }
 
@@ -96,7 +103,7 @@
         budget: Option<TurnBudget>,
     ) -> Self {
         let record = RunRecord::new(&routed.request);
-        Self { context, routed, budget, record, rejections: 0, excluded: Vec::new() }
+        Self { context, routed, budget, record, rejections: 0, unsent: 0, excluded: Vec::new() }
     }
 
     /// Returns the response to the client. Dropping the future cancels the request on its upstream.
@@ -107,9 +114,10 @@
         }
 
         loop {
-            let lease = match self.acquire().await {
-                Ok(lease) => lease,
-                Err(refusal) => return self.refuse(refusal),
+            let lease = match self.acquire_in_reach().await {
+                Some(Ok(lease)) => lease,
+                Some(Err(refusal)) => return self.refuse(refusal),
+                None => return EntryResponse::out_of_reach(self.record.may_have_run()),
             };
 
             let upstream = Arc::clone(&lease.record.id);
@@ -127,6 +135,20 @@
                         return self.refuse(PlacementRefusal { reason, retry_after });
                     }
                 }
+                AttemptResult::NotSent => {
+                    self.rejections += 1;
+                    self.unsent += 1;
+                    self.excluded.push(upstream);
+
+                    if self.unsent >= MAX_REJECTIONS {
+                        return EntryResponse::out_of_reach(self.record.may_have_run());
+                    }
+                    if self.rejections >= MAX_REJECTIONS {
+                        let reason = "no upstream that was tried can be reached";
+                        let retry_after = REJECTED_RETRY_AFTER;
+                        return self.refuse(PlacementRefusal { reason, retry_after });
+                    }
+                }
                 AttemptResult::Skipped => self.excluded.push(upstream),
                 AttemptResult::ResponseLost { reason } => {
                     self.record.record_possible_run(&upstream);
@@ -156,6 +178,16 @@
             && Instant::now() < self.routed.deadline
     }
 
+    /// Waits for a slot; `None` once this host reaches no upstream of the service.
+    async fn acquire_in_reach(&self) -> Option<Result<UpstreamLease, PlacementRefusal>> {
+        let reach = self.context.pool.reach();
+        tokio::select! {
+            biased;
+            () = reach.wait_until_lost(&self.routed.service.name) => None,
+            result = self.acquire() => Some(result),
+        }
+    }
+
     async fn acquire(&self) -> Result<UpstreamLease, PlacementRefusal> {
         let queued_at = Instant::now();
         self.context.check_crashes(self.routed.fingerprint)?;
@@ -194,6 +226,20 @@
         }
     }
 
+    /// Waits until a request that may run again is better off at another host, as this one reaches no upstream. One that may
+    /// not run again waits for its response.
+    async fn wait_until_abandoned(&self) {
+        let can_retry = self.routed.route.kind.is_retryable()
+            && self.record.possible_runs() + 1 < self.routed.route.attempt_limit;
+
+        if can_retry {
+            let reach = self.context.pool.reach();
+            reach.wait_until_lost_for(&self.routed.service.name, ABANDON_DELAY).await;
+        } else {
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Sends the request to the leased upstream and reads a whole response or the first event of a stream.
     async fn attempt(&self, lease: UpstreamLease) -> AttemptResult {
         let silence_limit = self.routed.route.latency_objective * RETRY_TIMEOUT_FACTOR;
@@ -201,18 +247,25 @@
         let attempt_deadline = self.attempt_deadline();
         let request = self.routed.upstream_request(None);
         let service = &self.routed.service.name;
-        let result =
-            timeout_at(attempt_deadline, self.context.channel.send(&lease.record, request, &lease))
-                .await;
+        let sending = self.context.channel.send(&lease.record, request, &lease);
+        let result = tokio::select! {
+            result = timeout_at(attempt_deadline, sending) => result,
+            () = self.wait_until_abandoned() => {
+                drop(watch);
+                self.context.metrics.count_attempt(service, "abandoned");
+                lease.finish(LeaseOutcome::Cancelled);
+                return AttemptResult::ResponseLost { reason: "the host has lost its links".into() };
+            }
+        };
 
         let response = match result {
             Ok(Ok(response)) => response,
             Ok(Err(ChannelError::NotSent { reason })) => {
-                watch.finish();
+                watch.finish_unsent();
                 self.context.metrics.count_attempt(service, "not_sent");
                 log::info!(request:% = self.routed.request.id, upstream:% = lease.record.id; "the request could not be sent: {reason}");
                 lease.finish(LeaseOutcome::Unreachable);
-                return AttemptResult::NotRun { reason: "the upstream can't be reached" };
+                return AttemptResult::NotSent;
             }
             Ok(Err(error @ ChannelError::Leaving)) => {
                 watch.finish();
--- a/src/entry/stream_resume.rs
+++ b/src/entry/stream_resume.rs
@@ -118,7 +118,7 @@
                 return None;
             }
             Ok(Err(ChannelError::NotSent { .. })) => {
-                watch.finish();
+                watch.finish_unsent();
                 lease.finish(LeaseOutcome::Unreachable);
                 return None;
             }
--- a/src/entry/turn_budget.rs
+++ b/src/entry/turn_budget.rs
@@ -184,15 +184,18 @@
 impl TurnBudget {
     /// Reserves the most tokens that a turn may spend. Each host first enters its own reservation in its ledger and
     /// then asks the others for theirs, so that of two hosts that reserve concurrently at least one sees the other. Waits for
-    /// the others until `deadline`.
+    /// the others until `deadline`. For a request that another host has forwarded it always asks, since the shares that hosts may
+    /// reserve without a question are those of the hosts at which a program's requests arrive.
     pub(crate) async fn reserve(
         context: &BudgetContext,
         program: &Arc<str>,
         budget: u64,
         tokens: u64,
+        is_forwarded: bool,
         deadline: Instant,
     ) -> Result<Self, BudgetRefusal> {
-        let host_count = context.mesh.sharing_host_count().unwrap_or(u64::MAX);
+        let sharing_hosts = context.mesh.sharing_host_count().filter(|_| !is_forwarded);
+        let host_count = sharing_hosts.unwrap_or(u64::MAX);
 
         for attempt in 0..MAX_RESERVE_ATTEMPTS {
             if attempt > 0 {
--- a/src/entry/upstream_channel.rs
+++ b/src/entry/upstream_channel.rs
@@ -101,6 +101,9 @@
 pub trait SendGuard: Debug + Send + Sync {
     /// Whether the request may be sent now.
     fn may_send(&self) -> bool;
+
+    /// Called when a new connection has been made for the request, which shows that the upstream can be reached.
+    fn record_connected(&self) {}
 }
 
 /// Sends requests to upstreams.
@@ -116,6 +119,13 @@
         guard: &dyn SendGuard,
     ) -> Result<UpstreamResponse, ChannelError>;
 
+    /// Makes a connection to an upstream and keeps it for a later request.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ChannelError::NotSent`] if no connection can be made in the time that a request has for it.
+    async fn connect(&self, upstream: &UpstreamRecord) -> Result<(), ChannelError>;
+
     /// Closes idle connections that are too old to be reused. The host calls this at regular intervals.
     fn close_expired(&self);
 }
--- a/src/entry/upstream_lease.rs
+++ b/src/entry/upstream_lease.rs
@@ -8,8 +8,8 @@
 use crate::{
     CrashedRun,
     entry::{
-        PlacementPool, SendGuard, UpstreamRecord, pool_state::UpstreamKey,
-        pooled_upstream::LeaseOutcome, upstream_channel::UpstreamResponse,
+        PlacementPool, SendGuard, UpstreamRecord, host_reach::ReachEvidence,
+        pool_state::UpstreamKey, pooled_upstream::LeaseOutcome, upstream_channel::UpstreamResponse,
         upstream_departures::UpstreamDeparture,
     },
 };
@@ -80,6 +80,10 @@
         }
         is_open
     }
+
+    fn record_connected(&self) {
+        self.pool.record_reach(&self.record, ReachEvidence::Connected);
+    }
 }
 
 impl Drop for UpstreamLease {
--- a/src/gateway/entry_node.rs
+++ b/src/gateway/entry_node.rs
@@ -19,6 +19,7 @@
     entry::{
         EntryBackends, EntryHost, EntryRequest, EntryResponse, EntrySettings, ReadFreshness,
         RouteLimits, entry_metrics::EntryMetrics, mesh_connector::MeshConnector,
+        run_record::RunRecord,
     },
     gateway::{
         DeclineReason, HostNetwork, RequestForwarder, SchedulerDirectory, SchedulerEntry,
@@ -170,7 +171,7 @@
             let directory = &self.forwarder.directory;
             // A random key spreads the questions over the schedulers of the region.
             let key = rand::random::<u64>().to_string();
-            let candidate = directory.candidates(&key).into_iter().next();
+            let candidate = directory.candidates(&key, None).into_iter().next();
 
             let question = async {
                 match &candidate {
@@ -237,7 +238,7 @@
     /// Handles a request of a client. Dropping the future cancels the request.
     pub async fn handle(&self, request: EntryRequest) -> EntryResponse {
         let Some(host) = self.host.get() else {
-            let candidates = self.forwarder.directory.candidates(routing_key(&request));
+            let candidates = self.forwarder.directory.candidates(routing_key(&request), None);
             let response = self.forwarder.forward(&request, &candidates).await;
             return response.unwrap_or_else(|| {
                 log::info!(request:% = request.id, schedulers = candidates.len(); "refused: no scheduler takes the request");
@@ -247,10 +248,56 @@
 
         let owners = self.owners_before_this_host(host, &request);
 
-        match self.forwarder.forward(&request, &owners).await {
-            Some(response) => response,
-            None => host.handle(request).await,
+        if let Some(response) = self.forwarder.forward(&request, &owners).await {
+            return response;
         }
+
+        let Some(service) = host.service_of(&request) else {
+            return host.handle(request).await;
+        };
+
+        if host.pool().reach().admit(&service) {
+            let response = host.handle(request.clone()).await;
+            if !response.is_out_of_reach() {
+                return response;
+            }
+        }
+
+        self.handle_elsewhere(host, request, &service).await
+    }
+
+    /// Handles a request at a host that reaches its service, as this one does not, or takes only part of its requests yet. The
+    /// other host does not forward it again.
+    async fn handle_elsewhere(
+        &self,
+        host: &Arc<EntryHost>,
+        request: EntryRequest,
+        service: &str,
+    ) -> EntryResponse {
+        let directory = self.directory_of_scheduler(host);
+        let key = routing_key(&request);
+        let candidates = directory.candidates_in_reach(key, service, &self.settings.host);
+
+        if let Some(response) = self.forwarder.forward(&request, &candidates).await {
+            return response;
+        }
+
+        log::info!(
+            request:% = request.id, service, hosts = candidates.len(),
+            took_ms = request.received.elapsed().as_millis() as u64;
+            "no other host takes a request whose service is out of reach here"
+        );
+        let record = RunRecord::new(&request);
+        record.final_response(host.handle(request).await)
+    }
+
+    /// The directory with the schedulers that a scheduler knows.
+    fn directory_of_scheduler(&self, host: &EntryHost) -> &SchedulerDirectory {
+        let directory = &self.forwarder.directory;
+        directory.set_schedulers(host.schedulers());
+        // Clients have seen this host's configuration, and must not see an owner's older one.
+        directory.record_config_version(host.routes().version);
+        directory
     }
 
     /// Schedulers that come before this one in the order of a program's owners, so that a turn should run there; none
@@ -266,11 +313,9 @@
             return Vec::new();
         }
 
-        let directory = &self.forwarder.directory;
-        directory.set_schedulers(host.schedulers());
-        // Clients have seen this host's configuration, and must not see an owner's older one.
-        directory.record_config_version(host.routes().version);
-        let candidates = directory.candidates(routing_key(request));
+        let directory = self.directory_of_scheduler(host);
+        let service = host.service_of(request);
+        let candidates = directory.candidates(routing_key(request), service.as_deref());
         candidates.into_iter().take_while(|it| it.host != self.settings.host).collect()
     }
 
--- a/src/gateway/forward_server.rs
+++ b/src/gateway/forward_server.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     PeerError, PeerMessage, PeerStream,
-    entry::{EntryHost, EntryResponse, RelayedBody, StreamItem},
+    entry::{EntryHost, EntryRequest, EntryResponse, RelayedBody, StreamItem},
     gateway::{DeclineReason, ForwardedHead, ForwardedRequest, forwarded_request::encode_headers},
 };
 
@@ -27,7 +27,7 @@
         return decline(stream, DeclineReason::Malformed).await;
     };
 
-    if let Some(reason) = decline_reason(host, min_config_version) {
+    if let Some(reason) = decline_reason(host, min_config_version, &request) {
         return decline(stream, reason).await;
     }
 
@@ -64,6 +64,12 @@
         }
     };
 
+    // A request that goes on at another host takes the number of its attempts along.
+    if possible_runs.has_changed().unwrap_or(false) {
+        let possible_runs = *possible_runs.borrow_and_update();
+        stream.send(&PeerMessage::ForwardRunsReported { possible_runs }).await?;
+    }
+
     send_response(response, stream).await?;
     stream.finish();
     // A host that stops ends its process once no guard is held.
@@ -71,13 +77,21 @@
 }
 
 /// Why this host can't take a request now, if so.
-fn decline_reason(host: &EntryHost, min_config_version: u64) -> Option<DeclineReason> {
+fn decline_reason(
+    host: &EntryHost,
+    min_config_version: u64,
+    request: &EntryRequest,
+) -> Option<DeclineReason> {
+    let reach = host.pool().reach();
+
     if host.is_draining() {
         Some(DeclineReason::Draining)
     } else if !host.is_ready() {
         Some(DeclineReason::NotReady)
     } else if host.routes().version < min_config_version {
         Some(DeclineReason::StaleConfig)
+    } else if host.service_of(request).is_some_and(|service| reach.is_lost(&service)) {
+        Some(DeclineReason::OutOfReach)
     } else {
         None
     }
--- a/src/gateway/forwarded_request.rs
+++ b/src/gateway/forwarded_request.rs
@@ -109,6 +109,7 @@
             last_event_id: self.last_event_id,
             resumed_request: self.resumed_request,
             possible_runs: PossibleRuns::new(self.possible_runs),
+            is_forwarded: true,
             target: self.target,
         })
     }
--- a/src/gateway/forwarded_response.rs
+++ b/src/gateway/forwarded_response.rs
@@ -26,6 +26,9 @@
     /// The request is not valid in HTTP.
     #[display("malformed")]
     Malformed,
+    /// The host reaches no upstream of the service that the request needs.
+    #[display("out of reach of the service")]
+    OutOfReach,
 }
 
 /// Head of an upstream's response, with the body if it is not streamed.
--- a/src/gateway/request_forwarder.rs
+++ b/src/gateway/request_forwarder.rs
@@ -31,9 +31,12 @@
 /// host that has used up its share of a core stands still for up to 100 ms.
 const OFFER_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Most schedulers to which one request is offered.
+/// Most schedulers to which one request is offered, apart from those that decline at once.
 const MAX_OFFERS: usize = 6;
 
+/// Most schedulers that decline a request before it is refused.
+const MAX_DECLINES: usize = 12;
+
 /// Time for which the gateway waits for a scheduler beyond the client's deadline, so that the scheduler's own answer
 /// comes first.
 const DEADLINE_SLACK: Duration = Duration::from_millis(50);
@@ -77,9 +80,11 @@
         let deadline = request.deadline.unwrap_or(request.received + DEFAULT_TIMEOUT);
         let mut record = RunRecord::new(request);
         let mut offers = 0;
+        let mut declines = 0;
 
-        for scheduler in candidates.iter().take(MAX_OFFERS) {
-            if Instant::now() >= deadline {
+        for scheduler in candidates {
+            let is_exhausted = offers >= MAX_OFFERS + declines || declines >= MAX_DECLINES;
+            if is_exhausted || Instant::now() >= deadline {
                 break;
             }
 
@@ -93,6 +98,10 @@
                 }
                 OfferOutcome::Declined(reason) => {
                     self.metrics.count_offer("declined");
+                    declines += 1;
+                    if reason == DeclineReason::OutOfReach {
+                        self.directory.mark_out_of_reach(scheduler.address);
+                    }
                     log::info!(request:% = request.id, scheduler:% = scheduler.host; "a scheduler has declined a request: {reason}");
                     continue;
                 }
@@ -123,6 +132,12 @@
             };
 
             match run(forwarded, &mut record).await {
+                ForwardOutcome::Response(response) if response.is_out_of_reach() => {
+                    self.metrics.count_forwarded("out_of_reach");
+                    declines += 1;
+                    self.directory.mark_out_of_reach(scheduler.address);
+                    log::info!(request:% = request.id, scheduler:% = scheduler.host; "a scheduler does not reach the service of a request that it has accepted");
+                }
                 ForwardOutcome::Response(response) => {
                     self.record_response(request, scheduler, &response, &record);
                     self.record_departure(&response);
--- a/src/gateway/scheduler_directory.rs
+++ b/src/gateway/scheduler_directory.rs
@@ -1,6 +1,11 @@
 //! The schedulers that a host may forward requests to, and in which order.
 
-use std::{collections::HashSet, net::SocketAddr, sync::Arc};
+use std::{
+    cmp::Reverse,
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    sync::Arc,
+};
 
 use arc_swap::ArcSwap;
 use parking_lot::Mutex;
@@ -9,6 +14,10 @@
 
 use crate::{entry::RouteLimits, gateway::SchedulerEntry};
 
+/// Time for which a scheduler that has declined a request, since it does not reach a service, comes after others, unless the
+/// list of schedulers says so as well. Lists are received at shorter intervals.
+const DECLINE_MEMORY: Duration = Duration::from_secs(1);
+
 /// Time after the last response of a ready scheduler for which a gateway counts as ready. The load balancer checks each
 /// second, and a gateway asks more often.
 const CONTACT_LIFETIME: Duration = Duration::from_millis(2_500);
@@ -17,6 +26,8 @@
 struct DirectoryState {
     /// Schedulers that did not respond, until one of their probes is answered.
     suspects: HashSet<SocketAddr>,
+    /// Schedulers that have declined a request since they do not reach a service, and when they last did so.
+    declined: HashMap<SocketAddr, Instant>,
     /// When a ready scheduler last responded.
     last_contact: Option<Instant>,
     limits: RouteLimits,
@@ -24,6 +35,23 @@
     config_version: u64,
 }
 
+/// Whether a scheduler is expected to take a request; the best state comes first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum CandidateState {
+    Serving,
+    OutOfReach,
+    Suspect,
+    Draining,
+}
+
+/// Sort key of a scheduler to which a request may be offered; the smallest comes first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct CandidateRank {
+    state: CandidateState,
+    is_remote: bool,
+    score: Reverse<u64>,
+}
+
 /// The known schedulers, and which of them respond. Lock order: the state is the only lock.
 #[derive(Debug)]
 pub(crate) struct SchedulerDirectory {
@@ -40,7 +68,11 @@
     /// Replaces the list of schedulers.
     pub(crate) fn set_schedulers(&self, schedulers: Vec<SchedulerEntry>) {
         let addresses: HashSet<SocketAddr> = schedulers.iter().map(|it| it.address).collect();
-        self.state.lock().suspects.retain(|it| addresses.contains(it));
+        {
+            let mut state = self.state.lock();
+            state.suspects.retain(|it| addresses.contains(it));
+            state.declined.retain(|it, _| addresses.contains(it));
+        }
         self.schedulers.store(Arc::new(schedulers));
     }
 
@@ -48,30 +80,87 @@
         self.schedulers.load().len()
     }
 
-    /// Schedulers in the order in which a request should be offered to them. Responsive schedulers come before those
-    /// that did not respond, schedulers of this region before others, and within that the order depends on the key
-    /// alone, so that all hosts of a region choose the same scheduler for a program.
-    pub(crate) fn candidates(&self, key: &str) -> Vec<SchedulerEntry> {
+    /// Schedulers in the order in which a request should be offered to them: responsive ones before those that did not
+    /// respond, those that reach the service before others, and schedulers of this region before others. Within that the order
+    /// depends on the key alone, so that all hosts of a region choose the same scheduler for a program. Without a `service`,
+    /// which only schedulers know, one that has lost any service comes after the others.
+    ///
+    /// If less than half of this region's schedulers reach the service, those of other regions count as near as well. The few
+    /// would not have room for the load of all.
+    pub(crate) fn candidates(&self, key: &str, service: Option<&str>) -> Vec<SchedulerEntry> {
         let seed = xxh3_64_with_seed(key.as_bytes(), 0);
+        let schedulers = self.schedulers.load();
+        let out_of_reach = self.out_of_reach(&schedulers, service);
+        let is_local = |it: &&SchedulerEntry| it.region == self.region;
+        let local_count = schedulers.iter().filter(is_local).count();
+        let is_in_reach = |it: &&SchedulerEntry| !out_of_reach.contains(&it.address);
+        let serving_count = schedulers.iter().filter(is_local).filter(is_in_reach).count();
+        let prefers_local = 2 * serving_count >= local_count;
         let state = self.state.lock();
 
-        let mut candidates: Vec<(bool, bool, bool, std::cmp::Reverse<u64>, SchedulerEntry)> = self
-            .schedulers
-            .load()
+        let mut candidates: Vec<(CandidateRank, &SchedulerEntry)> = schedulers
             .iter()
             .map(|it| {
-                let score = xxh3_64_with_seed(it.host.as_bytes(), seed);
-                let is_suspect = state.suspects.contains(&it.address);
-                let is_remote = it.region != self.region;
-                (it.is_draining, is_suspect, is_remote, std::cmp::Reverse(score), it.clone())
+                let candidate_state = if it.is_draining {
+                    CandidateState::Draining
+                } else if state.suspects.contains(&it.address) {
+                    CandidateState::Suspect
+                } else if out_of_reach.contains(&it.address) {
+                    CandidateState::OutOfReach
+                } else {
+                    CandidateState::Serving
+                };
+                let rank = CandidateRank {
+                    state: candidate_state,
+                    is_remote: prefers_local && it.region != self.region,
+                    score: Reverse(xxh3_64_with_seed(it.host.as_bytes(), seed)),
+                };
+                (rank, it)
             })
             .collect();
 
         drop(state);
-        candidates.sort_by(|left, right| {
-            (left.0, left.1, left.2, left.3).cmp(&(right.0, right.1, right.2, right.3))
+        candidates.sort_by_key(|(rank, _)| *rank);
+        candidates.into_iter().map(|(_, scheduler)| scheduler.clone()).collect()
+    }
+
+    /// Schedulers that do not reach the service, by the list of schedulers or by what they have declined.
+    fn out_of_reach(
+        &self,
+        schedulers: &[SchedulerEntry],
+        service: Option<&str>,
+    ) -> HashSet<SocketAddr> {
+        let state = self.state.lock();
+        let has_declined = |it: &SchedulerEntry| {
+            state.declined.get(&it.address).is_some_and(|at| at.elapsed() < DECLINE_MEMORY)
+        };
+        let is_lost = |it: &SchedulerEntry| match service {
+            Some(service) => it.lost_services.contains(service),
+            None => !it.lost_services.is_empty(),
+        };
+        let out_of_reach = schedulers.iter().filter(|it| is_lost(it) || has_declined(it));
+        out_of_reach.map(|it| it.address).collect()
+    }
+
+    /// Candidates for a request that this host can't serve, as it does not reach the service: all other schedulers that
+    /// reach it.
+    pub(crate) fn candidates_in_reach(
+        &self,
+        key: &str,
+        service: &str,
+        this_host: &str,
+    ) -> Vec<SchedulerEntry> {
+        let out_of_reach = self.out_of_reach(&self.schedulers.load(), Some(service));
+        let mut candidates = self.candidates(key, Some(service));
+        candidates.retain(|it| {
+            *it.host != *this_host && !it.is_draining && !out_of_reach.contains(&it.address)
         });
-        candidates.into_iter().map(|it| it.4).collect()
+        candidates
+    }
+
+    /// Records that a scheduler has declined a request since it does not reach a service.
+    pub(crate) fn mark_out_of_reach(&self, address: SocketAddr) {
+        self.state.lock().declined.insert(address, Instant::now());
     }
 
     /// Marks a scheduler that did not respond. Returns whether it was not marked before.
--- a/src/gateway/scheduler_entry.rs
+++ b/src/gateway/scheduler_entry.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::entry::host_reach::LostServices;
+
 /// A scheduler, as schedulers describe each other to gateways.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub(crate) struct SchedulerEntry {
@@ -13,4 +15,6 @@
     pub(crate) region: Arc<str>,
     /// Whether it is about to stop and takes no further requests.
     pub(crate) is_draining: bool,
+    /// Services of which it reaches no upstream.
+    pub(crate) lost_services: LostServices,
 }
--- a/src/membership/peer_message.rs
+++ b/src/membership/peer_message.rs
@@ -12,6 +12,7 @@
         EntryRefusal, RouteLimits,
         batch_index::IndexedBatch,
         budget_ledger::{SpendNote, SpendRecord, WriterSpends},
+        host_reach::LostServices,
         record_readings::ReadingAges,
         stream_versions::{BegunStream, StreamOrigin},
         turn_history::HistoryTurn,
@@ -143,6 +144,8 @@
         notes: Vec<SpendNote>,
         /// Streams that the sender has begun.
         streams: Vec<BegunStream>,
+        /// Services of which the sender reaches no upstream.
+        lost_services: LostServices,
     },
     /// Entry: what a program has spent or reserved through the sender, and a query for the same of the receiver. The
     /// response is [`PeerMessage::Spend`].
--- a/src/tests/entry_fakes.rs
+++ b/src/tests/entry_fakes.rs
@@ -305,6 +305,10 @@
         })
     }
 
+    async fn connect(&self, _upstream: &UpstreamRecord) -> Result<(), ChannelError> {
+        Ok(())
+    }
+
     fn close_expired(&self) {}
 }
 
--- a/src/tests/entry_journal.rs
+++ b/src/tests/entry_journal.rs
@@ -158,7 +158,7 @@
             locator: Arc::clone(&self.locator),
         };
         let deadline = Instant::now() + Duration::from_millis(1_500);
-        TurnBudget::reserve(&context, &program.into(), 567, 567, deadline).await
+        TurnBudget::reserve(&context, &program.into(), 567, 567, false, deadline).await
     }
 }
 
--- a/src/tests/entry_node.rs
+++ b/src/tests/entry_node.rs
@@ -127,6 +127,7 @@
         last_event_id: None,
         resumed_request: None,
         possible_runs: PossibleRuns::default(),
+        is_forwarded: false,
     }
 }
 
--- a/src/tests/entry_runner.rs
+++ b/src/tests/entry_runner.rs
@@ -144,6 +144,7 @@
         last_event_id: None,
         resumed_request: None,
         possible_runs: PossibleRuns::default(),
+        is_forwarded: false,
     };
     let route = ServiceRoute {
         name: "route".into(),
--- a/src/tests/gateway_forwarding.rs
+++ b/src/tests/gateway_forwarding.rs
@@ -144,6 +144,7 @@
         last_event_id: Some("3".into()),
         resumed_request: Some("r-1".into()),
         possible_runs: PossibleRuns::default(),
+        is_forwarded: false,
     }
 }
 
@@ -186,6 +187,7 @@
             address: address(number),
             region: "north".into(),
             is_draining: false,
+            lost_services: Arc::default(),
         })
         .collect()
 }
--- a/src/tests/gateway_roles.rs
+++ b/src/tests/gateway_roles.rs
@@ -1,6 +1,6 @@
 //! Which hosts become schedulers, and which scheduler a gateway chooses.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, sync::Arc};
 
 use tokio::time::{Duration, sleep};
 
@@ -18,6 +18,7 @@
         address: address(number),
         region: region.into(),
         is_draining: false,
+        lost_services: Arc::default(),
     }
 }
 
@@ -71,8 +72,8 @@
     other.set_schedulers(listed);
 
     for program in ["a", "b", "c", "d"] {
-        let candidates = directory.candidates(program);
-        assert_eq!(candidates, other.candidates(program));
+        let candidates = directory.candidates(program, None);
+        assert_eq!(candidates, other.candidates(program, None));
         assert!(candidates[..6].iter().all(|it| &*it.region == "north"), "{candidates:?}");
     }
 }
@@ -81,7 +82,7 @@
 fn candidates_keep_owner_of_programs_when_another_scheduler_is_lost() {
     let directory = SchedulerDirectory::new("north".into());
     directory.set_schedulers(schedulers(6, "north"));
-    let owner_of = |program: &str| directory.candidates(program)[0].clone();
+    let owner_of = |program: &str| directory.candidates(program, None)[0].clone();
     let programs: Vec<String> = (0..200).map(|it| it.to_string()).collect();
     let before: Vec<SchedulerEntry> = programs.iter().map(|it| owner_of(it)).collect();
     directory.mark_suspect(address(1));
--- a/src/tests/lost_links.rs
+++ b/src/tests/lost_links.rs
@@ -24,7 +24,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 
 /// Time from the loss of the links until requests are served through other hosts.
-const LOSS_BOUND: Duration = Duration::from_millis(1_000);
+const LOSS_BOUND: Duration = Duration::from_secs(1);
 
 /// Part of the requests at a host without links that have to be served, of those that others serve.
 const MIN_SERVED: f64 = 0.95;
@@ -84,6 +84,7 @@
         guard: &dyn SendGuard,
     ) -> Result<UpstreamResponse, ChannelError> {
         self.pass_links().await?;
+        guard.record_connected();
 
         if !guard.may_send() {
             return Err(ChannelError::Leaving);
@@ -101,6 +102,10 @@
         })
     }
 
+    async fn connect(&self, _upstream: &UpstreamRecord) -> Result<(), ChannelError> {
+        self.pass_links().await
+    }
+
     fn close_expired(&self) {}
 }
 
--- a/src/tests/lost_schedulers.rs
+++ b/src/tests/lost_schedulers.rs
@@ -111,7 +111,13 @@
         };
         registry.register(address).await;
         let region = REGION.into();
-        schedulers.push(SchedulerEntry { host, address, region, is_draining: false });
+        schedulers.push(SchedulerEntry {
+            host,
+            address,
+            region,
+            is_draining: false,
+            lost_services: Arc::default(),
+        });
         transports.push(transport);
     }
 
@@ -135,11 +141,12 @@
         address: ([127, 0, 0, 1], 1).into(),
         region: REGION.into(),
         is_draining: false,
+        lost_services: Arc::default(),
     };
     directory.set_schedulers(shared.schedulers.iter().cloned().chain([node]).collect());
 
     (0..).map(|number: u32| format!("program-{number}")).filter(move |program| {
-        directory.candidates(program).last().is_some_and(|it| *it.host == *NODE)
+        directory.candidates(program, None).last().is_some_and(|it| *it.host == *NODE)
     })
 }
 
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -38,6 +38,7 @@
 mod program_routes;
 mod receipts;
 mod refusal_statements;
+mod service_reach;
 mod settings;
 mod shard_log_model;
 mod shard_state;
--- a/src/tests/peer_mesh.rs
+++ b/src/tests/peer_mesh.rs
@@ -119,6 +119,7 @@
         is_draining,
         notes: Vec::new(),
         streams: Vec::new(),
+        lost_services: Arc::default(),
     }
 }
 
--- a/src/tests/refusal_statements.rs
+++ b/src/tests/refusal_statements.rs
@@ -140,6 +140,7 @@
         address: ([127, 0, 0, 1], 1).into(),
         region: "north".into(),
         is_draining: false,
+        lost_services: Arc::default(),
     };
     let response = forwarder.forward(&turn("program"), &[scheduler]).await;
     let is_lost = matches!(
--- a/src/tests/shared_connections.rs
+++ b/src/tests/shared_connections.rs
@@ -117,6 +117,7 @@
             address: self.busy_address,
             region: "north".into(),
             is_draining: false,
+            lost_services: Arc::default(),
         };
         let response = self.forwarder.forward(&request(), &[scheduler]).await;
         let Some(EntryResponse::Relayed(relayed)) = response else {
@@ -162,6 +163,7 @@
         last_event_id: None,
         resumed_request: None,
         possible_runs: PossibleRuns::default(),
+        is_forwarded: false,
     }
 }
 
--- a/src/tests/silent_records.rs
+++ b/src/tests/silent_records.rs
@@ -168,6 +168,7 @@
             is_draining: false,
             notes: Vec::new(),
             streams: Vec::new(),
+            lost_services: Arc::default(),
         };
         assert!(answer(&self.mesh, update).await.is_some());
     }
@@ -181,7 +182,7 @@
             locator: Arc::clone(&self.locator),
         };
         let deadline = Instant::now() + Duration::from_millis(1_500);
-        TurnBudget::reserve(&context, program, 100, 50, deadline).await
+        TurnBudget::reserve(&context, program, 100, 50, false, deadline).await
     }
 
     /// Records 70 tokens that the silent host has spent.
