--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -195,7 +195,7 @@
     /// Registers this host with the others and loads what earlier runs of all hosts have recorded. Programs are not
     /// served before that, since other hosts might spend a program's budget without asking this host.
     async fn restore(self: Arc<Self>) {
-        self.registry.register(self.settings.peers_address).await;
+        self.register().await;
         let mut attempt = 0;
 
         while let Err(error) = self.read_records().await {
@@ -209,6 +209,11 @@
         log::info!("turns and budgets of earlier runs are loaded");
     }
 
+    async fn register(&self) {
+        let EntrySettings { peers_address, processor_share, .. } = self.settings;
+        self.registry.register(peers_address, processor_share).await;
+    }
+
     async fn read_records(&self) -> Result<(), StoreError> {
         let mesh = &self.budgets.mesh;
         self.peers.list_all(None).await?;
@@ -238,7 +243,7 @@
                 log::warn!(
                     "another host has removed this host's registry entry, registering again"
                 );
-                self.registry.register(self.settings.peers_address).await;
+                self.register().await;
             }
 
             for host in self.budgets.mesh.dead_peers() {
--- a/src/entry/host_registry.rs
+++ b/src/entry/host_registry.rs
@@ -33,6 +33,14 @@
 struct HostEntry {
     address: SocketAddr,
     region: Arc<str>,
+    /// Processor time that the host may use, in thousandths of a core.
+    #[serde(default = "whole_core")]
+    processor_millis: u32,
+}
+
+/// Processor time of a host whose entry states none.
+fn whole_core() -> u32 {
+    1_000
 }
 
 /// Certificate, private key and authority that all entry hosts use.
@@ -100,10 +108,11 @@
         Ok(object.as_ref().and_then(StoredObject::decode))
     }
 
-    /// Writes this host's registry entry. Retries while calls to the store fail; a write that meets a conflict is not
+    /// Writes this host's registry entry, with the part of a core that it may use. Retries while calls to the store fail; a write that meets a conflict is not
     /// repeated.
-    pub(crate) async fn register(&self, address: SocketAddr) {
-        let entry = HostEntry { address, region: Arc::clone(&self.region) };
+    pub(crate) async fn register(&self, address: SocketAddr, processor_share: f64) {
+        let processor_millis = (processor_share * 1_000.0).max(1.0) as u32;
+        let entry = HostEntry { address, region: Arc::clone(&self.region), processor_millis };
         let content = serde_json::value::to_raw_value(&entry)
             .expect("a registry entry can be encoded as JSON");
         let mut attempt = 0;
@@ -169,19 +178,36 @@
 }
 
 fn decode_scheduler(object: &StoredObject) -> Option<SchedulerEntry> {
-    let Some(HostEntry { address, region }) = object.decode() else {
+    let Some(HostEntry { address, region, processor_millis }) = object.decode() else {
         log::warn!(peer:% = object.name; "failed to decode the registry entry of a host");
         return None;
     };
 
     let host = Arc::clone(&object.name);
     let lost_services = LostServices::default();
-    Some(SchedulerEntry { host, address, region, is_draining: false, lost_services })
+    Some(SchedulerEntry {
+        host,
+        address,
+        region,
+        is_draining: false,
+        lost_services,
+        processor_millis,
+    })
 }
 
 impl PeerMesh {
+    fn record_processor(&self, host: &Arc<str>, processor_millis: u32) {
+        self.processor_millis.lock().insert(Arc::clone(host), processor_millis);
+    }
+
+    /// Processor time that a host may use, by its registry entry, in thousandths of a core.
+    pub(super) fn processor_millis(&self, host: &str) -> u32 {
+        self.processor_millis.lock().get(host).copied().unwrap_or_else(whole_core)
+    }
+
     fn remove_registered(&self, host: &str) {
         self.registered.lock().remove(host);
+        self.processor_millis.lock().remove(host);
         self.remove_peer(host);
     }
 }
@@ -214,7 +240,10 @@
         self.registered.lock().insert(Arc::clone(&name));
 
         match change.object.decode::<HostEntry>() {
-            Some(entry) => self.add_peer(name, entry.address, entry.region),
+            Some(entry) => {
+                self.record_processor(&name, entry.processor_millis);
+                self.add_peer(name, entry.address, entry.region);
+            }
             None => log::warn!(peer:% = name; "failed to decode the registry entry of a host"),
         }
     }
--- a/src/entry/peer_mesh.rs
+++ b/src/entry/peer_mesh.rs
@@ -90,6 +90,8 @@
     pub(super) peers: Mutex<HashMap<Arc<str>, MeshPeer>>,
     /// Hosts that have a registry entry, as this host knows it.
     pub(super) registered: Mutex<HashSet<Arc<str>>>,
+    /// Processor time that each registered host may use, in thousandths of a core.
+    pub(super) processor_millis: Mutex<HashMap<Arc<str>, u32>>,
     /// Highest sequence number received from each writer.
     last_sequences: Mutex<HashMap<Arc<str>, u64>>,
     /// Sequence number of this host's next message with spends.
@@ -120,6 +122,7 @@
             has_loaded_records: AtomicBool::new(false),
             peers: Mutex::default(),
             registered: Mutex::default(),
+            processor_millis: Mutex::default(),
             last_sequences: Mutex::default(),
             sequence: AtomicU64::new(0),
             is_deregistered: AtomicBool::new(false),
@@ -266,6 +269,7 @@
                 region: Arc::clone(&peer.region),
                 is_draining: peer.is_draining,
                 lost_services: Arc::clone(&peer.lost_services),
+                processor_millis: self.processor_millis(host),
             })
             .collect();
         schedulers.push(SchedulerEntry {
@@ -274,6 +278,7 @@
             region: Arc::clone(&self.identity.region),
             is_draining: self.is_draining(),
             lost_services: self.state.reach.lost_services(),
+            processor_millis: self.processor_millis(&self.identity.host),
         });
         schedulers
     }
--- a/src/gateway/scheduler_directory.rs
+++ b/src/gateway/scheduler_directory.rs
@@ -1,7 +1,6 @@
 //! The schedulers that a host may forward requests to, and in which order.
 
 use std::{
-    cmp::Reverse,
     collections::{HashMap, HashSet},
     net::SocketAddr,
     sync::Arc,
@@ -49,7 +48,18 @@
 struct CandidateRank {
     state: CandidateState,
     is_remote: bool,
-    score: Reverse<u64>,
+    score: u64,
+}
+
+/// Score of a scheduler for a key; the lowest is the first. Each scheduler is the first for a part of all keys that is in
+/// proportion to its processor time, and a change of one scheduler moves only keys of its own.
+fn weighted_score(seed: u64, scheduler: &SchedulerEntry) -> u64 {
+    let hash = xxh3_64_with_seed(scheduler.host.as_bytes(), seed);
+    // A number from 0 to 1, neither of them included.
+    let uniform = ((hash >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
+    let score = -uniform.ln() / f64::from(scheduler.processor_millis.max(1));
+    // The bits of positive numbers have the same order as the numbers.
+    score.to_bits()
 }
 
 /// The known schedulers, and which of them respond. Lock order: the state is the only lock.
@@ -82,20 +92,22 @@
 
     /// Schedulers in the order in which a request should be offered to them: responsive ones before those that did not
     /// respond, those that reach the service before others, and schedulers of this region before others. Within that the order
-    /// depends on the key alone, so that all hosts of a region choose the same scheduler for a program. Without a `service`,
+    /// depends on the key and on the schedulers' processor time alone, so that all hosts of a region choose the same scheduler
+    /// for a program. Without a `service`,
     /// which only schedulers know, one that has lost any service comes after the others.
     ///
-    /// If less than half of this region's schedulers reach the service, those of other regions count as near as well. The few
+    /// If less than half of this region's processor time reaches the service, schedulers of other regions count as near as well. The few
     /// would not have room for the load of all.
     pub(crate) fn candidates(&self, key: &str, service: Option<&str>) -> Vec<SchedulerEntry> {
         let seed = xxh3_64_with_seed(key.as_bytes(), 0);
         let schedulers = self.schedulers.load();
         let out_of_reach = self.out_of_reach(&schedulers, service);
         let is_local = |it: &&SchedulerEntry| it.region == self.region;
-        let local_count = schedulers.iter().filter(is_local).count();
+        let millis = |it: &SchedulerEntry| u64::from(it.processor_millis);
+        let local_millis: u64 = schedulers.iter().filter(is_local).map(millis).sum();
         let is_in_reach = |it: &&SchedulerEntry| !out_of_reach.contains(&it.address);
-        let serving_count = schedulers.iter().filter(is_local).filter(is_in_reach).count();
-        let prefers_local = 2 * serving_count >= local_count;
+        let serving = schedulers.iter().filter(is_local).filter(is_in_reach);
+        let prefers_local = 2 * serving.map(millis).sum::<u64>() >= local_millis;
         let state = self.state.lock();
 
         let mut candidates: Vec<(CandidateRank, &SchedulerEntry)> = schedulers
@@ -113,7 +125,7 @@
                 let rank = CandidateRank {
                     state: candidate_state,
                     is_remote: prefers_local && it.region != self.region,
-                    score: Reverse(xxh3_64_with_seed(it.host.as_bytes(), seed)),
+                    score: weighted_score(seed, it),
                 };
                 (rank, it)
             })
--- a/src/gateway/scheduler_entry.rs
+++ b/src/gateway/scheduler_entry.rs
@@ -17,4 +17,6 @@
     pub(crate) is_draining: bool,
     /// Services of which it reaches no upstream.
     pub(crate) lost_services: LostServices,
+    /// Processor time that it may use, in thousandths of a core.
+    pub(crate) processor_millis: u32,
 }
--- a/src/tests/gateway_forwarding.rs
+++ b/src/tests/gateway_forwarding.rs
@@ -188,6 +188,7 @@
             region: "north".into(),
             is_draining: false,
             lost_services: Arc::default(),
+            processor_millis: 1_000,
         })
         .collect()
 }
--- a/src/tests/gateway_roles.rs
+++ b/src/tests/gateway_roles.rs
@@ -19,6 +19,7 @@
         region: region.into(),
         is_draining: false,
         lost_services: Arc::default(),
+        processor_millis: 1_000,
     }
 }
 
@@ -117,3 +118,67 @@
     sleep(Duration::from_secs(3)).await;
     assert!(!directory.is_in_contact());
 }
+
+/// Part of 2,000 programs whose first candidate the condition holds for.
+fn first_part(
+    directory: &SchedulerDirectory,
+    service: Option<&str>,
+    holds: impl Fn(&SchedulerEntry) -> bool,
+) -> f64 {
+    let first = |program: u32| directory.candidates(&program.to_string(), service)[0].clone();
+    let count = (0..2_000).filter(|program| holds(&first(*program))).count();
+    count as f64 / 2_000.0
+}
+
+#[test]
+fn candidates_are_shared_out_by_processor_time() {
+    let directory = SchedulerDirectory::new("north".into());
+    let mut listed = schedulers(4, "north");
+    listed[0].processor_millis = 500;
+    listed[1..].iter_mut().for_each(|it| it.processor_millis = 125);
+    let large = listed[0].address;
+    directory.set_schedulers(listed);
+    // 500 of 875 parts.
+    let part = first_part(&directory, None, |it| it.address == large);
+    assert!((0.52..0.62).contains(&part), "{part} of the programs");
+}
+
+/// Six schedulers of each of two regions, of which the first `lost_count` of the north have lost a service.
+fn directory_with_losses(lost_count: usize) -> SchedulerDirectory {
+    let directory = SchedulerDirectory::new("north".into());
+    let mut listed = schedulers(6, "north");
+    for scheduler in &mut listed[..lost_count] {
+        scheduler.lost_services = Arc::new([Arc::from("model")].into());
+    }
+    listed.extend((11..17).map(|number| scheduler(number, "south")));
+    directory.set_schedulers(listed);
+    directory
+}
+
+#[test]
+fn candidates_pass_over_schedulers_that_have_lost_the_service() {
+    let directory = directory_with_losses(2);
+    let has_lost = |it: &SchedulerEntry| !it.lost_services.is_empty();
+
+    for service in [None, Some("model")] {
+        let lost_part = first_part(&directory, service, has_lost);
+        assert!(lost_part <= 0.0, "{lost_part} of the programs, for {service:?}");
+        let local_part = first_part(&directory, service, |it| &*it.region == "north");
+        assert!(local_part >= 1.0, "{local_part} of the programs, for {service:?}");
+    }
+    let part = first_part(&directory, Some("tool"), has_lost);
+    assert!(part > 0.2, "they serve what they reach: {part}");
+
+    let owner = directory.candidates("program", Some("model"))[0].clone();
+    directory.mark_out_of_reach(owner.address);
+    assert_ne!(directory.candidates("program", Some("model"))[0], owner, "it has declined");
+}
+
+#[test]
+fn candidates_of_a_region_that_has_mostly_lost_the_service_include_other_regions() {
+    let directory = directory_with_losses(4);
+    let part = first_part(&directory, Some("model"), |it| &*it.region == "south");
+    assert!((0.65..0.85).contains(&part), "six of eight: {part}");
+    let candidates = directory.candidates_in_reach("program", "model", "host-5");
+    assert_eq!(candidates.len(), 7, "all that reach it, but this one");
+}
--- a/src/tests/lost_schedulers.rs
+++ b/src/tests/lost_schedulers.rs
@@ -109,7 +109,7 @@
             host: Arc::clone(&host),
             region: REGION.into(),
         };
-        registry.register(address).await;
+        registry.register(address, 1.0).await;
         let region = REGION.into();
         schedulers.push(SchedulerEntry {
             host,
@@ -117,6 +117,7 @@
             region,
             is_draining: false,
             lost_services: Arc::default(),
+            processor_millis: 1_000,
         });
         transports.push(transport);
     }
@@ -142,6 +143,7 @@
         region: REGION.into(),
         is_draining: false,
         lost_services: Arc::default(),
+        processor_millis: 1_000,
     };
     directory.set_schedulers(shared.schedulers.iter().cloned().chain([node]).collect());
 
--- a/src/tests/refusal_statements.rs
+++ b/src/tests/refusal_statements.rs
@@ -141,6 +141,7 @@
         region: "north".into(),
         is_draining: false,
         lost_services: Arc::default(),
+        processor_millis: 1_000,
     };
     let response = forwarder.forward(&turn("program"), &[scheduler]).await;
     let is_lost = matches!(
--- a/src/tests/shared_connections.rs
+++ b/src/tests/shared_connections.rs
@@ -118,6 +118,7 @@
             region: "north".into(),
             is_draining: false,
             lost_services: Arc::default(),
+            processor_millis: 1_000,
         };
         let response = self.forwarder.forward(&request(), &[scheduler]).await;
         let Some(EntryResponse::Relayed(relayed)) = response else {
