--- a/src/entry/crash_guard.rs
+++ b/src/entry/crash_guard.rs
@@ -8,15 +8,22 @@
 use crate::{
     CrashedRun,
     entry::{
-        UpstreamRecord, UpstreamResponse, host_reach::ReachEvidence,
-        placement_request::PlacementRefusal, request_runner::RunnerContext,
-        routed_request::RoutedRequest, upstream_lease::UpstreamLease,
+        UpstreamRecord, UpstreamResponse,
+        host_reach::{ReachChange, ReachEvidence},
+        placement_request::PlacementRefusal,
+        request_runner::RunnerContext,
+        routed_request::RoutedRequest,
+        upstream_lease::UpstreamLease,
     },
 };
 
 /// Number of upstreams that a request may crash before it is refused.
 pub(crate) const CRASH_LIMIT: u32 = 3;
 
+/// Longest loss of a service after which the failures that led to it count as those of the upstreams: if this host's links
+/// had been lost, no connection could have been made so soon.
+const MOMENTARY_LOSS: Duration = Duration::from_millis(500);
+
 /// Time after which a client is asked to retry a request that has crashed upstreams.
 const CRASHED_RETRY_AFTER: Duration = Duration::from_secs(5);
 
@@ -35,9 +42,33 @@
         Err(PlacementRefusal { reason, retry_after: CRASHED_RETRY_AFTER })
     }
 
-    /// Records what an attempt tells about this host's way to a service.
+    /// Records what an attempt tells about this host's way to a service. When the service is lost, the crashes that were
+    /// presumed since anything of it was heard no longer count; they count again if an upstream is heard soon after.
     pub(super) fn record_reach(&self, record: &UpstreamRecord, evidence: ReachEvidence) {
-        self.pool.record_reach(record, evidence);
+        let change = self.pool.record_reach(record, evidence);
+
+        if let ReachChange::Lost { last_heard } = change {
+            let held = self.presumed_crashes.lock().hold_since(&record.service, last_heard);
+            let mut crashes = self.crashes.lock();
+            for (crashed, suspects) in &held {
+                log::info!(upstream:% = crashed.upstream, born_ms = crashed.run; "a presumed crash is taken back, as no upstream is heard");
+                crashes.retract_crash(crashed, suspects);
+            }
+        } else if evidence == ReachEvidence::Heard && !self.pool.reach().is_lost(&record.service) {
+            self.settle_held_crashes(&record.service);
+        }
+    }
+
+    /// Counts the crashes that were held back a moment ago, and drops older ones.
+    fn settle_held_crashes(&self, service: &Arc<str>) {
+        let now = Instant::now();
+        let held = self.presumed_crashes.lock().take_held(service, now, MOMENTARY_LOSS);
+
+        for (crashed, suspects) in held {
+            log::info!(upstream:% = crashed.upstream, born_ms = crashed.run; "a presumed crash counts, as other upstreams are heard");
+            let suspects = self.crashes.lock().record_crash(&crashed, suspects);
+            self.presumed_crashes.lock().add(now, Arc::clone(service), crashed, suspects);
+        }
     }
 
     /// Records what a response tells about its upstream, also whether it proves that the upstream did not crash before.
@@ -61,6 +92,7 @@
 
 /// Watches one attempt of a request at an upstream. If it ends while the upstream has been silent for too long, or breaks, the
 /// upstream may have crashed under the request. That holds as well if the client leaves, since clients leave silent streams.
+/// It does not hold if this host hears no other upstream either, as then its own links may be the cause.
 #[derive(Debug)]
 pub(super) struct AttemptWatch {
     context: Arc<RunnerContext>,
@@ -116,6 +148,22 @@
     /// Ends an attempt whose connection broke.
     pub(super) fn finish_broken(mut self, reason: &str) {
         self.context.record_reach(&self.record, ReachEvidence::Broken);
+
+        if self.context.pool.reach().is_doubtful(&self.record.service) {
+            self.is_over = true;
+            self.context.presumed_crashes.lock().hold(
+                Instant::now(),
+                Arc::clone(&self.record.service),
+                self.crashed.clone(),
+                vec![self.fingerprint],
+            );
+            log::info!(
+                request:% = self.request, upstream:% = self.crashed.upstream, fingerprint = self.fingerprint;
+                "a connection broke while no upstream is heard, so it is no sign of a crash yet: {reason}"
+            );
+            return;
+        }
+
         self.record_crash(reason);
     }
 
@@ -140,7 +188,8 @@
             "the upstream may have crashed under the request: {reason}"
         );
         let crashed = self.crashed.clone();
-        self.context.presumed_crashes.lock().add(Instant::now(), crashed, suspects);
+        let service = Arc::clone(&self.record.service);
+        self.context.presumed_crashes.lock().add(Instant::now(), service, crashed, suspects);
     }
 }
 
@@ -154,6 +203,9 @@
 
         let since = self.heard_at;
         self.context.record_reach(&self.record, ReachEvidence::Silent { since });
-        self.record_crash("it is silent");
+
+        if self.context.pool.reach().has_heard_other(&self.record, since) {
+            self.record_crash("it is silent");
+        }
     }
 }
--- a/src/entry/host_reach.rs
+++ b/src/entry/host_reach.rs
@@ -157,6 +157,17 @@
         self.lost.borrow().contains(service)
     }
 
+    /// Whether failures of single upstreams tell nothing about them.
+    pub(crate) fn is_doubtful(&self, service: &str) -> bool {
+        self.services.lock().get(service).is_some_and(ServiceReach::is_doubtful)
+    }
+
+    /// Whether another upstream of the same service was heard after `since`.
+    pub(crate) fn has_heard_other(&self, record: &UpstreamRecord, since: Instant) -> bool {
+        let services = self.services.lock();
+        services.get(&record.service).is_some_and(|it| it.has_heard_other(&record.id, since))
+    }
+
     /// The services that this host does not reach.
     pub(crate) fn lost_services(&self) -> LostServices {
         Arc::clone(&self.lost.borrow())
--- a/src/entry/presumed_crashes.rs
+++ b/src/entry/presumed_crashes.rs
@@ -2,7 +2,7 @@
 //!
 //! See docs/design/platform.md, "Requests that crash upstreams".
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, sync::Arc};
 
 use tokio::time::{Duration, Instant};
 
@@ -19,6 +19,7 @@
 #[derive(Debug)]
 struct PresumedCrash {
     at: Instant,
+    service: Arc<str>,
     /// Fingerprints of the requests that it counts against.
     suspects: Vec<u64>,
 }
@@ -27,6 +28,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct PresumedCrashes {
     crashes: BTreeMap<CrashedRun, PresumedCrash>,
+    /// Crashes of services of which no upstream is heard, so that they may be none.
+    held: BTreeMap<CrashedRun, PresumedCrash>,
 }
 
 impl PresumedCrashes {
@@ -35,14 +38,73 @@
         self.crashes.get(crashed).is_some_and(|it| sent_at > it.at)
     }
 
-    pub(crate) fn add(&mut self, now: Instant, crashed: CrashedRun, suspects: Vec<u64>) {
+    pub(crate) fn add(
+        &mut self,
+        now: Instant,
+        service: Arc<str>,
+        crashed: CrashedRun,
+        suspects: Vec<u64>,
+    ) {
         self.crashes.retain(|_, it| now.duration_since(it.at) < RETENTION);
-        let crash =
-            self.crashes.entry(crashed).or_insert(PresumedCrash { at: now, suspects: Vec::new() });
+        let new = PresumedCrash { at: now, service, suspects: Vec::new() };
+        let crash = self.crashes.entry(crashed).or_insert(new);
         crash.at = now;
         crash.suspects.extend(suspects);
     }
 
+    /// Holds the crash of a run under a request back, as no upstream of its service is heard.
+    pub(crate) fn hold(
+        &mut self,
+        now: Instant,
+        service: Arc<str>,
+        crashed: CrashedRun,
+        suspects: Vec<u64>,
+    ) {
+        let new = PresumedCrash { at: now, service, suspects: Vec::new() };
+        self.held.entry(crashed).or_insert(new).suspects.extend(suspects);
+    }
+
+    /// Holds those crashes of a service back that were presumed after `last_heard`, the last time at which any of its upstreams
+    /// was heard. Returns them with their suspects, against which they no longer count.
+    pub(crate) fn hold_since(
+        &mut self,
+        service: &Arc<str>,
+        last_heard: Option<Instant>,
+    ) -> Vec<(CrashedRun, Vec<u64>)> {
+        let is_held = |it: &PresumedCrash| {
+            it.service == *service && last_heard.is_none_or(|last_heard| it.at >= last_heard)
+        };
+        let crashed: Vec<CrashedRun> =
+            self.crashes.iter().filter(|(_, it)| is_held(it)).map(|(run, _)| run.clone()).collect();
+        let mut held = Vec::new();
+
+        for run in crashed {
+            if let Some(crash) = self.crashes.remove(&run) {
+                self.hold(crash.at, crash.service, run.clone(), crash.suspects.clone());
+                held.push((run, crash.suspects));
+            }
+        }
+        held
+    }
+
+    /// Takes the crashes of a service that were held back, and returns those of the last `memory` with their suspects.
+    pub(crate) fn take_held(
+        &mut self,
+        service: &Arc<str>,
+        now: Instant,
+        memory: Duration,
+    ) -> Vec<(CrashedRun, Vec<u64>)> {
+        if self.held.is_empty() {
+            return Vec::new();
+        }
+
+        let (taken, kept): (BTreeMap<_, _>, BTreeMap<_, _>) =
+            std::mem::take(&mut self.held).into_iter().partition(|(_, it)| it.service == *service);
+        self.held = kept;
+        let recent = taken.into_iter().filter(|(_, it)| now.duration_since(it.at) <= memory);
+        recent.map(|(run, it)| (run, it.suspects)).collect()
+    }
+
     /// Returns the suspects of a run that has responded to a request which was sent at `sent_at`, if this proves that the run
     /// did not end.
     pub(crate) fn take_disproved(
--- a/src/upstreams/service_reach.rs
+++ b/src/upstreams/service_reach.rs
@@ -113,6 +113,16 @@
         self.last_heard
     }
 
+    /// Whether another upstream was heard after `since`, so that the silence of this one is its own.
+    pub(crate) fn has_heard_other(&self, upstream: &str, since: Instant) -> bool {
+        self.heard.iter().any(|(other, at)| **other != *upstream && *at > since)
+    }
+
+    /// Whether failures tell nothing about single upstreams, as several have failed and none is heard.
+    pub(crate) fn is_doubtful(&self) -> bool {
+        self.is_lost() || self.silent.len() >= SILENT_LIMIT
+    }
+
     /// Records data of an upstream.
     pub(crate) fn record_heard(&mut self, now: Instant, upstream: &Arc<str>) {
         match self.heard.get_mut(upstream) {
