--- a/src/entry/crash_guard.rs
+++ b/src/entry/crash_guard.rs
@@ -20,6 +20,9 @@
 /// Number of upstreams that a request may crash before it is refused.
 pub(crate) const CRASH_LIMIT: u32 = 3;
 
+/// Time for which an upstream that works may send nothing, so that a shorter silence is no sign of a crash.
+const SOUND_SILENCE: Duration = Duration::from_millis(1_800);
+
 /// Longest loss of a service after which the failures that led to it count as those of the upstreams: if this host's links
 /// had been lost, no connection could have been made so soon.
 const MOMENTARY_LOSS: Duration = Duration::from_millis(500);
@@ -204,7 +207,9 @@
         let since = self.heard_at;
         self.context.record_reach(&self.record, ReachEvidence::Silent { since });
 
-        if self.context.pool.reach().has_heard_other(&self.record, since) {
+        if silence >= SOUND_SILENCE
+            && self.context.pool.reach().has_heard_other(&self.record, since)
+        {
             self.record_crash("it is silent");
         }
     }
--- a/src/tests/crash_counts.rs
+++ b/src/tests/crash_counts.rs
@@ -141,6 +141,14 @@
     assert_eq!(silent_beside_answers(Duration::from_secs(3), 0).await, 0);
 }
 
+#[tokio::test(start_paused = true)]
+async fn crash_count_ignores_upstream_that_is_silent_for_a_second() {
+    for silence_ms in [1_000, 1_500] {
+        let count = silent_beside_answers(Duration::from_millis(silence_ms), 10).await;
+        assert_eq!(count, 0, "after {silence_ms} ms");
+    }
+}
+
 /// Breaks the connections of two requests at the same time, and answers another request after `pause`.
 async fn break_two_and_answer(pause: Duration) -> Vec<u32> {
     let responses = vec![ScriptedResponse::Broken, ScriptedResponse::Broken, answer()];
