--- a/src/entry/mesh_queries.rs
+++ b/src/entry/mesh_queries.rs
@@ -64,6 +64,18 @@
     }
 }
 
+/// What the peers know of the version at which a stream has begun.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum OriginSearch {
+    Found(StreamOrigin),
+    /// All peers have answered, and none knows the stream.
+    Nowhere,
+    /// Those that have answered don't know the stream, and others have not answered.
+    Incomplete {
+        silent_count: usize,
+    },
+}
+
 /// Time without an acknowledgement after which a peer counts as lost rather than late. Connections are given up after it, too.
 const LOST_PEER_TIME: Duration = Duration::from_secs(2);
 
@@ -258,8 +270,8 @@
     }
 
     /// Queries all peers for the software version that has begun a stream, and returns what all answers together say. Waits
-    /// for each peer, since one may know of another version than the others.
-    pub(crate) async fn find_stream_origin(&self, request: &Arc<str>) -> Option<StreamOrigin> {
+    /// for each peer, since one may know of another version than the others. A peer that does not answer may have begun it.
+    pub(crate) async fn find_stream_origin(&self, request: &Arc<str>) -> OriginSearch {
         let query = PeerMessage::StreamQuery { request: Arc::clone(request) };
         let addresses: Vec<SocketAddr> =
             self.peers.lock().values().map(|peer| peer.address).collect();
@@ -268,14 +280,23 @@
             .map(|address| timeout(STREAM_QUERY_TIMEOUT, self.connector.exchange(address, &query)))
             .collect();
         let mut origin: Option<StreamOrigin> = None;
+        let mut silent_count = 0;
 
         while let Some(response) = responses.next().await {
-            if let Ok(Ok(PeerMessage::StreamFound { origin: Some(other) })) = response {
-                origin = Some(origin.map_or(other.clone(), |known| known.merge(other)));
+            match response {
+                Ok(Ok(PeerMessage::StreamFound { origin: Some(other) })) => {
+                    origin = Some(origin.map_or(other.clone(), |known| known.merge(other)));
+                }
+                Ok(Ok(PeerMessage::StreamFound { origin: None })) => (),
+                _ => silent_count += 1,
             }
         }
 
-        origin
+        match origin {
+            Some(origin) => OriginSearch::Found(origin),
+            None if silent_count == 0 => OriginSearch::Nowhere,
+            None => OriginSearch::Incomplete { silent_count },
+        }
     }
 
     /// Queries all peers that are not in backoff for a turn. Returns the turn and those before it from a peer that has
--- a/src/entry/version_finder.rs
+++ b/src/entry/version_finder.rs
@@ -9,6 +9,7 @@
 
 use crate::entry::{
     EntryRequest, PlacementPool, RequestKind, ServiceRoute,
+    mesh_queries::OriginSearch,
     peer_mesh::PeerMesh,
     stream_versions::{StreamOrigin, StreamVersions},
 };
@@ -24,7 +25,8 @@
     Unknown,
 }
 
-/// Looks for a stream in this host's memory, then at the other hosts, and last among the versions that serve.
+/// Looks for a stream in this host's memory, then at the other hosts, and last, if all of them have answered, among the versions
+/// that serve.
 #[derive(Debug)]
 pub(crate) struct VersionFinder {
     pub(crate) streams: Arc<Mutex<StreamVersions>>,
@@ -69,14 +71,21 @@
         if let Some(origin) = &request.resumed_request {
             let known = self.streams.lock().get(origin);
             let (found, source) = match known {
-                Some(known) => (Some(known), "here"),
+                Some(known) => (OriginSearch::Found(known), "here"),
                 None => (self.mesh.find_stream_origin(origin).await, "peer"),
             };
 
             match found {
-                Some(StreamOrigin::Version(version)) => return Some((version, source)),
-                Some(StreamOrigin::Disputed) => return None,
-                None => (),
+                OriginSearch::Found(StreamOrigin::Version(version)) => {
+                    return Some((version, source));
+                }
+                OriginSearch::Found(StreamOrigin::Disputed) => return None,
+                OriginSearch::Nowhere => (),
+                // This host's list may be behind that of a peer which it does not hear.
+                OriginSearch::Incomplete { silent_count } => {
+                    log::info!(request:% = request.id, silent_count; "peers that may have begun a stream do not answer");
+                    return None;
+                }
             }
         }
 
--- a/src/tests/shared_departures.rs
+++ b/src/tests/shared_departures.rs
@@ -1,7 +1,7 @@
 //! What one host learns of an upstream's departure reaches the others, in whichever order and after any silence.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     net::SocketAddr,
     sync::{
         Arc,
@@ -33,9 +33,16 @@
 pub(super) struct HostLinks {
     meshes: Mutex<HashMap<SocketAddr, Arc<PeerMesh>>>,
     are_cut: AtomicBool,
+    /// Hosts that never answer.
+    silent: Mutex<HashSet<SocketAddr>>,
 }
 
 impl HostLinks {
+    /// Adds a host that never answers.
+    pub(super) fn insert_silent(&self, address: SocketAddr) {
+        self.silent.lock().insert(address);
+    }
+
     /// Adds a host, or replaces the one at its address.
     pub(super) fn insert(&self, address: SocketAddr, mesh: Arc<PeerMesh>) {
         self.meshes.lock().insert(address, mesh);
@@ -61,7 +68,7 @@
         peer: SocketAddr,
         first: &PeerMessage,
     ) -> Result<Box<dyn PeerStream>, PeerError> {
-        if self.are_cut.load(Ordering::Relaxed) {
+        if self.are_cut.load(Ordering::Relaxed) || self.silent.lock().contains(&peer) {
             std::future::pending::<()>().await;
         }
 
--- a/src/tests/stream_queries.rs
+++ b/src/tests/stream_queries.rs
@@ -2,17 +2,17 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use tokio::time::{Duration, Instant};
+use tokio::time::{Duration, Instant, sleep};
 
 use super::{
-    entry_fakes::ScriptedChannel,
+    entry_fakes::{ScriptedChannel, upstream},
     entry_runner::{pool, runner},
     shared_departures::HostLinks,
 };
 use crate::{
     PeerTransport,
     entry::{
-        EntryRequest, RequestKind,
+        EntryRequest, PlacementPool, RequestKind,
         mesh_peer::MeshIdentity,
         mesh_state::MeshState,
         peer_mesh::PeerMesh,
@@ -52,24 +52,34 @@
 
 /// The version that a host without knowledge finds, whose two peers know these ones.
 async fn found_version(peers: [&[&str]; 2]) -> RequiredVersion {
+    found_version_at(peers.map(Some), &pool()).await
+}
+
+/// As [`found_version`], with the upstreams of a pool. A peer without versions does not answer.
+async fn found_version_at(
+    peers: [Option<&[&str]>; 2],
+    pool: &Arc<PlacementPool>,
+) -> RequiredVersion {
     let links = Arc::new(HostLinks::default());
     let (mesh, state) = host(&links, 1, &[]);
 
     for (port, versions) in (2..).zip(peers) {
-        host(&links, port, versions);
+        match versions {
+            Some(versions) => drop(host(&links, port, versions)),
+            None => links.insert_silent(address(port)),
+        }
         mesh.add_peer(format!("host-{port}").into(), address(port), "north".into());
     }
 
-    let pool = pool();
     let channel = Arc::new(ScriptedChannel::new(Vec::new()));
-    let routed = runner(&pool, &channel, RequestKind::Stream { can_resume: true }).routed;
+    let routed = runner(pool, &channel, RequestKind::Stream { can_resume: true }).routed;
     let request = EntryRequest {
         id: "r2".into(),
         last_event_id: Some("3".into()),
         resumed_request: Some("r1".into()),
         ..routed.request
     };
-    let finder = VersionFinder { streams: state.streams, mesh, pool };
+    let finder = VersionFinder { streams: state.streams, mesh, pool: Arc::clone(pool) };
     finder.find(&request, &routed.route, "service").await
 }
 
@@ -91,3 +101,26 @@
 async fn find_takes_no_version_of_a_stream_on_which_its_peers_differ() {
     assert_eq!(found_version([&["v1"], &["v2"]]).await, RequiredVersion::Unknown);
 }
+
+/// A pool whose host has followed the list of upstreams, all of version `v1`, for longer than a stream may be taken up.
+async fn pool_of_one_version() -> Arc<PlacementPool> {
+    let pool = pool();
+    pool.reset(vec![upstream("u1", "service", 4)], 1, None);
+    sleep(Duration::from_mins(2)).await;
+    pool
+}
+
+#[tokio::test(start_paused = true)]
+async fn find_takes_the_only_version_that_serves_once_all_peers_have_answered() {
+    let pool = pool_of_one_version().await;
+    let found = found_version_at([Some(&[]), Some(&[])], &pool).await;
+    assert_eq!(found, RequiredVersion::Only("v1".into()));
+}
+
+#[tokio::test(start_paused = true)]
+async fn find_takes_no_version_while_a_peer_that_may_have_begun_the_stream_is_silent() {
+    let pool = pool_of_one_version().await;
+    for peers in [[Some(&[][..]), None], [None, None]] {
+        assert_eq!(found_version_at(peers, &pool).await, RequiredVersion::Unknown, "{peers:?}");
+    }
+}
