--- a/src/entry/store_monitor.rs
+++ b/src/entry/store_monitor.rs
@@ -27,6 +27,10 @@
 /// slow.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Delay of a probe by which the process counts as having stood still. Its watches may have been lost meanwhile, and a connection
+/// that is silent does not show that soon.
+const STANDSTILL_LIMIT: Duration = Duration::from_secs(1);
+
 /// Name after which a probe lists objects. No host has a name that comes later, so the answer is empty.
 const LAST_NAME: &str = "~";
 
@@ -87,9 +91,16 @@
     pub async fn run(self) {
         let mut last_contact = Instant::now();
         let mut last_failure = None;
+        let mut due_at = Instant::now();
 
         loop {
             let probed_at = Instant::now();
+            let delay = probed_at.saturating_duration_since(due_at);
+
+            if delay > STANDSTILL_LIMIT {
+                log::warn!(delay_ms = delay.as_millis() as u64; "the process has stood still, so watches of the store may be lost");
+                last_failure = Some(probed_at);
+            }
             let result = self.probe().await;
             self.is_failing.store(result.is_err(), Ordering::Relaxed);
 
@@ -111,8 +122,9 @@
 
             let is_refused = matches!(result, Err(StoreError::Refused { .. }));
             let interval = if is_refused { REFUSED_PROBE_INTERVAL } else { PROBE_INTERVAL };
+            due_at = probed_at + interval;
             tokio::select! {
-                () = sleep_until(probed_at + interval) => (),
+                () = sleep_until(due_at) => (),
                 () = self.probe_request.notified(), if result.is_ok() => (),
             }
         }
--- a/src/tests/store_monitor.rs
+++ b/src/tests/store_monitor.rs
@@ -118,3 +118,18 @@
     sleep(Duration::from_millis(300)).await;
     assert!(listeners.iter().all(|it| it.listings.lock().len() == 2), "the store answers");
 }
+
+#[tokio::test(start_paused = true)]
+async fn kind_follower_lists_again_after_its_process_has_stood_still() {
+    let store = Arc::new(MemoryStore::default());
+    let monitor = monitor(&store);
+    let listener = follow("a", &store, &monitor);
+    sleep(Duration::from_secs(2)).await;
+    assert_eq!(listener.listings.lock().len(), 1);
+
+    tokio::time::advance(Duration::from_secs(3)).await;
+    sleep(PROBE_TIME).await;
+    let listings = listener.listings.lock();
+    assert_eq!(listings.len(), 2);
+    assert!(listings[1].1.is_some(), "the list is known to have a gap");
+}
