--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -13,6 +13,7 @@
 pub(crate) mod role_policy;
 pub(crate) mod scheduler_directory;
 pub(crate) mod scheduler_entry;
+pub(crate) mod stop_policy;
 
 pub use self::entry_node::{EntryNode, SchedulerStarter};
 pub(crate) use self::{
--- a/src/gateway/entry_node.rs
+++ b/src/gateway/entry_node.rs
@@ -12,7 +12,7 @@
 use async_trait::async_trait;
 use eyre::Result;
 use futures_util::future::join_all;
-use tokio::time::{Duration, sleep, timeout};
+use tokio::time::{Duration, Instant, sleep, timeout};
 
 use crate::{
     BackoffPolicy, PeerHandler, PeerMessage, PeerStream, PeerTransport,
@@ -25,6 +25,7 @@
         DeclineReason, HostNetwork, RequestForwarder, SchedulerDirectory, SchedulerEntry,
         forward_server::{decline, serve_offer},
         role_policy::{candidate_delay, is_region_short, should_schedule},
+        stop_policy::deadline_before_stop,
     },
 };
 
@@ -44,6 +45,9 @@
 /// Time after which a client is asked to retry when no scheduler takes its request.
 const NO_SCHEDULER_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Time after which a client is asked to retry when this host is about to stop. Another host takes the request at once.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(100);
+
 /// Connects a host that has become a scheduler to what only schedulers follow: the configuration and the upstreams.
 pub trait SchedulerStarter: Debug + Send + Sync {
     /// Called once, when the host has become a scheduler.
@@ -61,6 +65,8 @@
     /// The scheduler, once this host has become one.
     host: OnceLock<Arc<EntryHost>>,
     is_draining: AtomicBool,
+    /// When this host ends, once that is known.
+    stops_at: OnceLock<Instant>,
     metrics: Arc<EntryMetrics>,
 }
 
@@ -92,6 +98,7 @@
             forwarder,
             host: OnceLock::new(),
             is_draining: AtomicBool::new(false),
+            stops_at: OnceLock::new(),
             metrics,
         });
 
@@ -237,6 +244,22 @@
 
     /// Handles a request of a client. Dropping the future cancels the request.
     pub async fn handle(&self, request: EntryRequest) -> EntryResponse {
+        let request = match self.stops_at.get() {
+            None => request,
+            Some(stops_at) => {
+                let limited = deadline_before_stop(request.deadline, *stops_at, Instant::now());
+                let Some(deadline) = limited else {
+                    let left_ms = stops_at.saturating_duration_since(Instant::now()).as_millis();
+                    log::info!(request:% = request.id, left_ms = left_ms as u64; "refused: the host stops before the request could end");
+                    return EntryResponse::not_run(
+                        STOPPING_RETRY_AFTER,
+                        "the host is about to stop",
+                    );
+                };
+                EntryRequest { deadline: Some(deadline), ..request }
+            }
+        };
+
         let Some(host) = self.host.get() else {
             let candidates = self.forwarder.directory.candidates(routing_key(&request), None);
             let response = self.forwarder.forward(&request, &candidates).await;
@@ -338,8 +361,10 @@
         self.is_draining.load(Ordering::Relaxed)
     }
 
-    /// Makes the host unready, so that clients move to other hosts. It still serves the requests that arrive.
-    pub fn drain(&self) {
+    /// Makes the host unready, so that clients move to other hosts. It still serves the requests that arrive and can end before
+    /// `stops_at`, when the host closes its connections.
+    pub fn drain(&self, stops_at: Instant) {
+        let _ = self.stops_at.set(stops_at);
         self.is_draining.store(true, Ordering::Relaxed);
 
         if let Some(host) = self.host.get() {
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -46,6 +46,7 @@
 mod shared_departures;
 mod silent_records;
 mod small_parts;
+mod stop_policy;
 mod store_monitor;
 mod stream_queries;
 mod stream_versions;
