--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -10,6 +10,7 @@
 pub(crate) mod forwarded_stream;
 mod host_network;
 pub(crate) mod request_forwarder;
+mod request_handler;
 pub(crate) mod role_policy;
 pub(crate) mod scheduler_directory;
 pub(crate) mod scheduler_entry;
--- a/src/gateway/entry_node.rs
+++ b/src/gateway/entry_node.rs
@@ -17,15 +17,13 @@
 use crate::{
     BackoffPolicy, PeerHandler, PeerMessage, PeerStream, PeerTransport,
     entry::{
-        EntryBackends, EntryHost, EntryRequest, EntryResponse, EntrySettings, ReadFreshness,
-        RouteLimits, entry_metrics::EntryMetrics, mesh_connector::MeshConnector,
-        run_record::RunRecord,
+        EntryBackends, EntryHost, EntrySettings, ReadFreshness, RouteLimits,
+        entry_metrics::EntryMetrics, mesh_connector::MeshConnector,
     },
     gateway::{
         DeclineReason, HostNetwork, RequestForwarder, SchedulerDirectory, SchedulerEntry,
         forward_server::{decline, serve_offer},
         role_policy::{candidate_delay, is_region_short, should_schedule},
-        stop_policy::deadline_before_stop,
     },
 };
 
@@ -42,12 +40,6 @@
 const REGISTRY_BACKOFF: BackoffPolicy =
     BackoffPolicy { first: Duration::from_millis(100), limit: Duration::from_secs(1) };
 
-/// Time after which a client is asked to retry when no scheduler takes its request.
-const NO_SCHEDULER_RETRY_AFTER: Duration = Duration::from_millis(300);
-
-/// Time after which a client is asked to retry when this host is about to stop. Another host takes the request at once.
-const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(100);
-
 /// Connects a host that has become a scheduler to what only schedulers follow: the configuration and the upstreams.
 pub trait SchedulerStarter: Debug + Send + Sync {
     /// Called once, when the host has become a scheduler.
@@ -57,16 +49,16 @@
 /// An entry host with its role.
 #[derive(Debug)]
 pub struct EntryNode {
-    settings: EntrySettings,
+    pub(super) settings: EntrySettings,
     backends: EntryBackends,
     network: HostNetwork,
     starter: Arc<dyn SchedulerStarter>,
-    forwarder: RequestForwarder,
+    pub(super) forwarder: RequestForwarder,
     /// The scheduler, once this host has become one.
-    host: OnceLock<Arc<EntryHost>>,
+    pub(super) host: OnceLock<Arc<EntryHost>>,
     is_draining: AtomicBool,
     /// When this host ends, once that is known.
-    stops_at: OnceLock<Instant>,
+    pub(super) stops_at: OnceLock<Instant>,
     metrics: Arc<EntryMetrics>,
 }
 
@@ -242,106 +234,6 @@
         }
     }
 
-    /// Handles a request of a client. Dropping the future cancels the request.
-    pub async fn handle(&self, request: EntryRequest) -> EntryResponse {
-        let request = match self.stops_at.get() {
-            None => request,
-            Some(stops_at) => {
-                let limited = deadline_before_stop(request.deadline, *stops_at, Instant::now());
-                let Some(deadline) = limited else {
-                    let left_ms = stops_at.saturating_duration_since(Instant::now()).as_millis();
-                    log::info!(request:% = request.id, left_ms = left_ms as u64; "refused: the host stops before the request could end");
-                    return EntryResponse::not_run(
-                        STOPPING_RETRY_AFTER,
-                        "the host is about to stop",
-                    );
-                };
-                EntryRequest { deadline: Some(deadline), ..request }
-            }
-        };
-
-        let Some(host) = self.host.get() else {
-            let candidates = self.forwarder.directory.candidates(routing_key(&request), None);
-            let response = self.forwarder.forward(&request, &candidates).await;
-            return response.unwrap_or_else(|| {
-                log::info!(request:% = request.id, schedulers = candidates.len(); "refused: no scheduler takes the request");
-                EntryResponse::not_run(NO_SCHEDULER_RETRY_AFTER, "no scheduler takes the request")
-            });
-        };
-
-        let owners = self.owners_before_this_host(host, &request);
-
-        if let Some(response) = self.forwarder.forward(&request, &owners).await {
-            return response;
-        }
-
-        let Some(service) = host.service_of(&request) else {
-            return host.handle(request).await;
-        };
-
-        if host.pool().reach().admit(&service) {
-            let response = host.handle(request.clone()).await;
-            if !response.is_out_of_reach() {
-                return response;
-            }
-        }
-
-        self.handle_elsewhere(host, request, &service).await
-    }
-
-    /// Handles a request at a host that reaches its service, as this one does not, or takes only part of its requests yet. The
-    /// other host does not forward it again.
-    async fn handle_elsewhere(
-        &self,
-        host: &Arc<EntryHost>,
-        request: EntryRequest,
-        service: &str,
-    ) -> EntryResponse {
-        let directory = self.directory_of_scheduler(host);
-        let key = routing_key(&request);
-        let candidates = directory.candidates_in_reach(key, service, &self.settings.host);
-
-        if let Some(response) = self.forwarder.forward(&request, &candidates).await {
-            return response;
-        }
-
-        log::info!(
-            request:% = request.id, service, hosts = candidates.len(),
-            took_ms = request.received.elapsed().as_millis() as u64;
-            "no other host takes a request whose service is out of reach here"
-        );
-        let record = RunRecord::new(&request);
-        record.final_response(host.handle(request).await)
-    }
-
-    /// The directory with the schedulers that a scheduler knows.
-    fn directory_of_scheduler(&self, host: &EntryHost) -> &SchedulerDirectory {
-        let directory = &self.forwarder.directory;
-        directory.set_schedulers(host.schedulers());
-        // Clients have seen this host's configuration, and must not see an owner's older one.
-        directory.record_config_version(host.routes().version);
-        directory
-    }
-
-    /// Schedulers that come before this one in the order of a program's owners, so that a turn should run there; none
-    /// for other requests.
-    fn owners_before_this_host(
-        &self,
-        host: &Arc<EntryHost>,
-        request: &EntryRequest,
-    ) -> Vec<SchedulerEntry> {
-        let is_turn = request.program.as_ref().is_some_and(|it| it.token_budget.is_some());
-
-        if !is_turn || !host.mesh().has_owners() {
-            return Vec::new();
-        }
-
-        let directory = self.directory_of_scheduler(host);
-        let service = host.service_of(request);
-        let candidates = directory.candidates(routing_key(request), service.as_deref());
-        candidates.into_iter().take_while(|it| it.host != self.settings.host).collect()
-    }
-
     /// Limits on clients.
     pub fn limits(&self) -> RouteLimits {
         self.host.get().map_or_else(|| self.forwarder.directory.limits(), |it| it.routes().limits)
@@ -405,15 +297,6 @@
     }
 }
 
-/// Key by which a request is assigned to a scheduler: the program for turns, whose budget and history its owner keeps,
-/// and the request itself for all others.
-fn routing_key(request: &EntryRequest) -> &str {
-    match &request.program {
-        Some(program) if program.token_budget.is_some() => &program.id,
-        _ => &request.id,
-    }
-}
-
 #[async_trait]
 impl PeerHandler for EntryNode {
     async fn handle(self: Arc<Self>, first: PeerMessage, mut stream: Box<dyn PeerStream>) {
--- a/src/tests/silent_records.rs
+++ b/src/tests/silent_records.rs
@@ -175,6 +175,16 @@
 
     /// Reserves 50 of 100 tokens for a turn that has three seconds.
     async fn reserve(&self, program: &Arc<str>) -> Result<TurnBudget, BudgetRefusal> {
+        self.reserve_of(100, program, false).await
+    }
+
+    /// Reserves 50 tokens of a budget, for a request that another host may have forwarded.
+    async fn reserve_of(
+        &self,
+        budget: u64,
+        program: &Arc<str>,
+        is_forwarded: bool,
+    ) -> Result<TurnBudget, BudgetRefusal> {
         let context = BudgetContext {
             ledger: Arc::clone(&self.locator.ledger),
             journal: Arc::clone(&self.journal),
@@ -182,7 +192,7 @@
             locator: Arc::clone(&self.locator),
         };
         let deadline = Instant::now() + Duration::from_millis(1_500);
-        TurnBudget::reserve(&context, program, 100, 50, false, deadline).await
+        TurnBudget::reserve(&context, program, budget, 50, is_forwarded, deadline).await
     }
 
     /// Records 70 tokens that the silent host has spent.
@@ -458,3 +468,19 @@
         }
     }
 }
+
+#[tokio::test(start_paused = true)]
+async fn reserve_asks_the_other_hosts_before_a_forwarded_turn_gets_tokens() {
+    let (store, transport) = (Arc::new(MemoryStore::default()), Arc::<HostTransport>::default());
+    let program: Arc<str> = "program".into();
+    let other = HostRun::start(&store, &transport, "other.1", 1);
+    let taker = HostRun::start(&store, &transport, "taker.1", 2);
+    taker.hear(&other, "other.1").await;
+    // Not reported yet, as updates are sent at intervals.
+    other.locator.ledger.lock().reserve(&program, 400, 380, u64::MAX);
+
+    let unasked = taker.reserve_of(400, &program, false).await;
+    assert!(unasked.is_ok(), "the part that a host may reserve by itself");
+    drop(unasked);
+    assert!(taker.reserve_of(400, &program, true).await.is_err(), "the other host has the rest");
+}
