--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -24,7 +24,7 @@
 EVENT_GAP_S = 0.035
 
 STATUS_TEXT = {200: "OK", 201: "Created", 404: "Not Found", 409: "Conflict", 410: "Gone", 421: "Misdirected Request",
-               400: "Bad Request", 503: "Service Unavailable"}
+               400: "Bad Request", 413: "Payload Too Large", 503: "Service Unavailable"}
 
 
 class Record:
@@ -106,6 +106,7 @@
 
     PAGE_ITEMS = 500
     PAGE_BYTES = 1_000_000
+    VALUE_BYTES = 1_048_576
     ANSWER_S = 0.004
 
     def __init__(self):
@@ -186,6 +187,8 @@
         objects = self.kinds.setdefault(kind, {})
         value = json.loads(body) if body else {}
         metadata = value.get("metadata", {})
+        if len(body) > self.VALUE_BYTES:
+            return await self.json(writer, 413, {})
         if method == "POST":
             name = metadata["name"]
             if name in objects:
