--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -248,7 +248,8 @@
             head += f"X-Server-Seal: seal-{request}\r\nX-Weight-Versions: 1\r\n"
             head += "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
             writer.write(head.encode())
-            for number in range(int(headers.get("last-event-id", "0")) + 1, EVENTS + 1):
+            most = int(headers.get("x-token-usage", "0,0").split(",")[1]) // CHUNK_TOKENS
+            for number in range(int(headers.get("last-event-id", "0")) + 1, min(EVENTS, most) + 1):
                 await asyncio.sleep(self.event_gap_s)
                 event = f"id: {number}\ndata: {event_data(request, number)}\n\n".encode()
                 writer.write(b"%x\r\n%s\r\n" % (len(event), event))
