--- a/review/5/case.py
+++ b/review/5/case.py
@@ -5,7 +5,7 @@
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "lib"))
+sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "standins"))
 
 from standins import CHUNK_TOKENS, EVENTS, CannotRun, has_trouble, main  # noqa: E402
 
