A chain's turns are recorded again when a turn that continues them ends

Cause: a turn's record was kept for 75 s from the time it was written, but it is needed until the history retention has passed since the newest turn of its chain. A continued turn was recorded again only if it was older than half of the retention, and a copy from another host or from the store counted as just recorded, however old it was.

Change: when a turn ends, `ChainRecorder` records those turns of its chain again whose records may end before the turn's retention does, in the same batch where they fit. A copy has no known age, so it is recorded again with the first turn that continues it here. Records last for one and a half times the longest retention of any configuration, and 15 s (`RecordRetention`), so that a chain is rewritten every 40 s of its use and not every 10 s.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -5,6 +5,7 @@
 
 pub(crate) mod batch_index;
 pub(crate) mod budget_ledger;
+pub(crate) mod chain_recorder;
 pub(crate) mod crash_guard;
 pub(crate) mod crash_records;
 mod entry_host;
@@ -27,6 +28,7 @@
 pub(crate) mod mesh_state;
 mod object_store;
 mod page_reader;
+mod peer_features;
 pub(crate) mod peer_mesh;
 pub(crate) mod placement_pool;
 pub(crate) mod placement_request;
@@ -39,6 +41,7 @@
 mod reach_prober;
 pub(crate) mod recent_spends;
 pub(crate) mod record_readings;
+pub(crate) mod record_retention;
 pub(crate) mod request_runner;
 mod retirement_keeper;
 mod route_table;
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -16,6 +16,7 @@
         BudgetLedger, EntryBackends, EntryRefusal, EntryRequest, EntryResponse, EntrySettings,
         KindFollower, ObjectListener, PlacementPool, RelayedBody, RouteTable, ServiceConfig,
         ServiceRoute, StoreError, StoreMonitor,
+        chain_recorder::ChainRecorder,
         crash_guard::CRASH_LIMIT,
         crash_records::CrashRecords,
         entry_metrics::EntryMetrics,
@@ -24,6 +25,7 @@
         mesh_state::MeshState,
         peer_mesh::PeerMesh,
         reach_prober::ReachProber,
+        record_retention::MIN_RETENTION,
         request_runner::{RequestRunner, RunnerContext},
         routed_request::RoutedRequest,
         turn_budget::{BudgetContext, BudgetRefusal, TurnBudget},
@@ -47,14 +49,6 @@
 const RESTORE_BACKOFF: BackoffPolicy =
     BackoffPolicy { first: Duration::from_millis(50), limit: Duration::from_millis(500) };
 
-/// Shortest time for which recorded turns stay in the store before their batch may be overwritten. It applies to all
-/// routes, whatever their history retention.
-const BATCH_RETENTION: Duration = Duration::from_mins(1);
-
-/// A turn that is continued is recorded again if its record is older than its route's history retention divided by
-/// this, since a batch may be overwritten once the retention of its own turns is over.
-const REFRESH_DIVISOR: u32 = 2;
-
 /// Time between two rounds of maintenance.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -151,8 +145,7 @@
         let runner_context = Arc::new(RunnerContext {
             pool,
             channel: Arc::clone(&backends.channel),
-            journal: Arc::clone(&journal),
-            history: state.history,
+            chains: ChainRecorder { journal: Arc::clone(&journal), history: state.history },
             crashes: state.crashes,
             presumed_crashes: Mutex::default(),
             streams: state.streams,
@@ -184,7 +177,7 @@
         });
 
         tokio::spawn(Arc::clone(&mesh).run());
-        tokio::spawn(journal.run(mesh as Arc<dyn TurnRecorder>, BATCH_RETENTION));
+        tokio::spawn(journal.run(mesh as Arc<dyn TurnRecorder>, MIN_RETENTION));
         tokio::spawn(Arc::clone(&host).run_maintenance());
         tokio::spawn(Arc::clone(&host).restore());
         tokio::spawn(host.peers.clone().run());
@@ -255,11 +248,21 @@
                 tokio::spawn(self.crash_records.clone().write(notes));
             }
 
+            self.refresh_retention();
             self.budgets.ledger.lock().prune(Instant::now());
-            self.context.metrics.record_history_bytes(self.context.history.lock().cached_bytes());
+            self.context
+                .metrics
+                .record_history_bytes(self.context.chains.history.lock().cached_bytes());
         }
     }
 
+    /// Finds out for how long the other hosts keep their records, on which depends when records are written again.
+    fn refresh_retention(&self) {
+        let mesh = &self.budgets.mesh;
+        mesh.query_features();
+        self.budgets.journal.retention().set_peers_lifetime(mesh.peers_lifetime());
+    }
+
     /// Puts a configuration in force, unless the current one is at least as new.
     pub fn apply_routes(&self, table: RouteTable) {
         let current = self.routes.load().version;
@@ -269,6 +272,7 @@
             return;
         }
 
+        table.history_retentions().for_each(|it| self.budgets.journal.retention().extend(it));
         let capacities: HashMap<Arc<str>, u64> =
             table.services().map(|it| (Arc::clone(&it.name), it.cache_tokens)).collect();
         self.context.pool.set_cache_capacities(capacities);
@@ -336,7 +340,7 @@
 
     /// Waits until all unrecorded spends are recorded, for at most `max_wait`.
     pub async fn flush(&self, max_wait: Duration) {
-        let flushed = timeout(max_wait, self.context.journal.flush_spends()).await.is_ok();
+        let flushed = timeout(max_wait, self.context.chains.journal.flush_spends()).await.is_ok();
         log::info!(flushed; "the flush of the journal has ended");
     }
 
@@ -460,7 +464,7 @@
 
         let routed = RoutedRequest {
             body: chain_body(&chain, &request.body),
-            is_continuation: !chain.is_empty(),
+            chain,
             software_version,
             request,
             route,
@@ -481,7 +485,7 @@
         matches!(timeout(restore_timeout, waiting).await, Ok(Ok(_)))
     }
 
-    /// Finds the turns that a request continues, the oldest first. Turns whose record is old are recorded again.
+    /// Finds the turns that a request continues, the oldest first.
     async fn find_chain(
         &self,
         request: &EntryRequest,
@@ -497,12 +501,7 @@
         let search = timeout(search_timeout, self.budgets.locator.find(previous, retention)).await;
 
         match search.unwrap_or(TurnSearch::Unknown) {
-            TurnSearch::Found(chain) => {
-                let stale_turns =
-                    self.context.history.lock().take_stale(&chain, retention / REFRESH_DIVISOR);
-                stale_turns.into_iter().for_each(|turn| drop(self.context.journal.append(turn)));
-                Ok(chain)
-            }
+            TurnSearch::Found(chain) => Ok(chain),
             TurnSearch::Absent => {
                 let reason = format!("no turn {previous} is recorded");
                 Err(EntryResponse::refused(EntryRefusal::UnknownTurn, reason))
--- a/src/entry/mesh_answers.rs
+++ b/src/entry/mesh_answers.rs
@@ -62,6 +62,7 @@
                 PeerMessage::Knowledge { spends, batches, readings, departures }
             }
             PeerMessage::KnowledgeQuery => PeerMessage::NoAck,
+            PeerMessage::FeaturesQuery => PeerMessage::Features { features: self.local_features() },
             PeerMessage::RecentSpendsQuery { writer, sequence } => {
                 let journal = self.journal.get().filter(|_| writer == self.identity.writer);
                 match journal.and_then(|it| it.recent_spends(sequence)) {
--- a/src/entry/mesh_peer.rs
+++ b/src/entry/mesh_peer.rs
@@ -4,7 +4,7 @@
 
 use tokio::time::{Duration, Instant};
 
-use crate::entry::host_reach::LostServices;
+use crate::entry::{host_reach::LostServices, peer_features::PeerFeatures};
 
 /// Response time above which a peer counts as slow. A round trip between regions takes 16 ms.
 const SLOW_RESPONSE_THRESHOLD: Duration = Duration::from_millis(100);
@@ -16,6 +16,8 @@
     pub(crate) region: Arc<str>,
     /// Run of the peer's process, by the writer that its last message names; `None` before its first message.
     pub(crate) writer: Option<Arc<str>>,
+    /// What the build of that run can do.
+    pub(crate) features: PeerFeatures,
     /// Latest time at which that run can have started. Earlier runs of the host have ended before.
     pub(crate) run_started: Option<Instant>,
     /// Whether the peer has been sent the full state and has missed no change since, so that the next update to it needs
@@ -46,6 +48,7 @@
             address,
             region,
             writer: None,
+            features: PeerFeatures::default(),
             run_started: None,
             is_synced: false,
             in_flight_since: None,
@@ -93,6 +96,7 @@
         }
 
         self.writer = Some(Arc::clone(writer));
+        self.features = PeerFeatures::default();
         self.run_started = Some(run_started);
         self.is_synced = false;
         self.lost_services = LostServices::default();
--- a/src/entry/request_runner.rs
+++ b/src/entry/request_runner.rs
@@ -16,6 +16,7 @@
     entry::{
         ChannelError, EntryRefusal, EntryResponse, PlacementPool, RelayedBody, RelayedResponse,
         RequestKind, UpstreamChannel, UpstreamResponse,
+        chain_recorder::ChainRecorder,
         crash_guard::AttemptWatch,
         entry_metrics::EntryMetrics,
         entry_response::MAX_BUFFERED_ITEMS,
@@ -29,8 +30,6 @@
         stream_relay::{StreamRelay, StreamSource},
         stream_versions::{BegunStream, StreamVersions},
         turn_budget::TurnBudget,
-        turn_history::TurnHistory,
-        turn_journal::TurnJournal,
         upstream_lease::UpstreamLease,
     },
 };
@@ -56,8 +55,7 @@
 pub(crate) struct RunnerContext {
     pub(crate) pool: Arc<PlacementPool>,
     pub(crate) channel: Arc<dyn UpstreamChannel>,
-    pub(crate) journal: Arc<TurnJournal>,
-    pub(crate) history: Arc<Mutex<TurnHistory>>,
+    pub(crate) chains: ChainRecorder,
     pub(crate) crashes: Arc<Mutex<CrashTracker>>,
     pub(crate) presumed_crashes: Mutex<PresumedCrashes>,
     pub(crate) streams: Arc<Mutex<StreamVersions>>,
--- a/src/entry/route_table.rs
+++ b/src/entry/route_table.rs
@@ -171,6 +171,11 @@
         self.routes.get(host)?.iter().find(|route| path.starts_with(&*route.path_prefix))
     }
 
+    /// History retentions of the routes that keep history.
+    pub(crate) fn history_retentions(&self) -> impl Iterator<Item = Duration> {
+        self.routes.values().flatten().filter_map(|it| it.history_retention)
+    }
+
     /// Configurations of all services.
     pub fn services(&self) -> impl Iterator<Item = &Arc<ServiceConfig>> {
         self.services.values()
--- a/src/entry/routed_request.rs
+++ b/src/entry/routed_request.rs
@@ -6,7 +6,8 @@
 use tokio::time::Instant;
 
 use crate::entry::{
-    EntryRequest, ServiceConfig, ServiceRoute, UpstreamRequest, placement_request::PlacementRequest,
+    EntryRequest, ServiceConfig, ServiceRoute, UpstreamRequest,
+    placement_request::PlacementRequest, turn_history::HistoryTurn,
 };
 
 /// A request with its route, its service and its deadline.
@@ -21,8 +22,8 @@
     pub(crate) fingerprint: u64,
     /// Latest time of the final response.
     pub(crate) deadline: Instant,
-    /// Whether the request continues earlier turns.
-    pub(crate) is_continuation: bool,
+    /// The turns that the request continues, the oldest first.
+    pub(crate) chain: Vec<Arc<HistoryTurn>>,
     /// Software version that has begun the request's stream. The stream may only go on at this version.
     pub(crate) software_version: Option<Arc<str>>,
 }
@@ -40,7 +41,7 @@
         PlacementRequest {
             service: Arc::clone(&self.service.name),
             priority: self.route.priority,
-            is_continuation: self.is_continuation,
+            is_continuation: !self.chain.is_empty(),
             finish_by: finish_by.unwrap_or(self.deadline),
             deadline: self.deadline,
             prompt_parts: self.request.prompt_parts.clone(),
--- a/src/entry/stream_relay.rs
+++ b/src/entry/stream_relay.rs
@@ -342,7 +342,7 @@
         }
     }
 
-    /// Records the turn if the route keeps history, and ends the response only once the turn is durable.
+    /// Records the turn if the route keeps history, and ends the response only once the turn and its chain are durable.
     async fn finish(self, progress: StreamProgress) {
         let request = &self.routed.request;
         let spent_tokens = self.budget.as_ref().map_or(0, TurnBudget::spent);
@@ -359,7 +359,9 @@
                 budget.finish();
             }
 
-            let recording = self.context.journal.append(Arc::clone(&turn));
+            let queued_at = Instant::now();
+            let chains = &self.context.chains;
+            let recording = chains.record(&self.routed.chain, &turn, retention);
 
             if !matches!(timeout_at(self.routed.deadline, recording).await, Ok(Ok(()))) {
                 self.context.metrics.count_broken_stream("unrecorded");
@@ -367,7 +369,7 @@
                 return;
             }
 
-            self.context.history.lock().insert(turn, retention);
+            chains.keep(turn, retention, queued_at);
         }
 
         self.context.crashes.lock().clear(self.routed.fingerprint);
--- a/src/entry/turn_history.rs
+++ b/src/entry/turn_history.rs
@@ -43,8 +43,9 @@
 struct CachedTurn {
     turn: Arc<HistoryTurn>,
     expires_at: Instant,
-    /// When this host last wrote the turn to the store. A copy from another host or the store counts as just written.
-    recorded_at: Instant,
+    /// When the last record of the turn was written, at the earliest, if this host knows it. A copy from another host or from
+    /// the store may be about to lose its record.
+    recorded_at: Option<Instant>,
 }
 
 /// Cache of durable turns. Each is kept as long as a request may continue it.
@@ -57,9 +58,23 @@
 }
 
 impl TurnHistory {
-    /// Adds a durable turn, and keeps it for `retention`. The first copy of a turn stays: a run of the request on a host that
-    /// was taken for lost may have recorded another output than the one that the client has received.
+    /// Adds a copy of a durable turn, and keeps it for `retention`. The first copy of a turn stays: a run of the request on a
+    /// host that was taken for lost may have recorded another output than the one that the client has received.
     pub(crate) fn insert(&mut self, turn: Arc<HistoryTurn>, retention: Duration) {
+        self.add(turn, retention, None);
+    }
+
+    /// Adds a turn that this host has recorded at `recorded_at` or later, and keeps it for `retention`.
+    pub(crate) fn insert_recorded(
+        &mut self,
+        turn: Arc<HistoryTurn>,
+        retention: Duration,
+        recorded_at: Instant,
+    ) {
+        self.add(turn, retention, Some(recorded_at));
+    }
+
+    fn add(&mut self, turn: Arc<HistoryTurn>, retention: Duration, recorded_at: Option<Instant>) {
         let now = Instant::now();
         let expires_at = now + retention;
         let id = Arc::clone(&turn.id);
@@ -67,9 +82,9 @@
 
         if let Some(cached) = self.turns.get_mut(&id) {
             cached.expires_at = cached.expires_at.max(expires_at);
-            cached.recorded_at = now;
+            cached.recorded_at = cached.recorded_at.max(recorded_at);
         } else {
-            let cached = CachedTurn { turn, expires_at, recorded_at: now };
+            let cached = CachedTurn { turn, expires_at, recorded_at };
             self.turns.insert(Arc::clone(&id), cached);
             self.cached_bytes += size;
         }
@@ -104,23 +119,27 @@
         TurnChain::Complete(chain)
     }
 
-    /// Returns the turns of a chain whose record in the store is older than `max_age`, and counts them as just written:
-    /// the caller records them again.
+    /// Returns the turns of a chain whose records may have been written before `refresh_before`, and counts them as written
+    /// at `now`: the caller records them again.
     pub(crate) fn take_stale(
         &mut self,
         chain: &[Arc<HistoryTurn>],
-        max_age: Duration,
+        refresh_before: Option<Instant>,
+        now: Instant,
     ) -> Vec<Arc<HistoryTurn>> {
-        let now = Instant::now();
         let mut stale = Vec::new();
 
         for turn in chain {
-            if let Some(cached) = self.turns.get_mut(&turn.id)
-                && now.duration_since(cached.recorded_at) > max_age
-            {
-                cached.recorded_at = now;
-                stale.push(Arc::clone(turn));
+            let mut cached = self.turns.get_mut(&turn.id);
+            let recorded_at = cached.as_ref().and_then(|it| it.recorded_at);
+
+            if recorded_at.is_some_and(|at| refresh_before.is_none_or(|before| at >= before)) {
+                continue;
+            }
+            if let Some(cached) = &mut cached {
+                cached.recorded_at = Some(now);
             }
+            stale.push(Arc::clone(turn));
         }
 
         stale
--- a/src/entry/turn_journal.rs
+++ b/src/entry/turn_journal.rs
@@ -27,6 +27,7 @@
         entry_metrics::EntryMetrics,
         journal_queue::{JournalQueue, PendingBatch, QueuedEntries},
         recent_spends::RecentSpends,
+        record_retention::RecordRetention,
         segment_index::INDEX_KIND,
         turn_history::HistoryTurn,
         written_batches::{BatchSlot, WrittenBatches},
@@ -115,6 +116,7 @@
     work_added: Notify,
     is_store_reachable: AtomicBool,
     recent_spends: Mutex<RecentSpends>,
+    retention: Arc<RecordRetention>,
 }
 
 impl TurnJournal {
@@ -133,9 +135,15 @@
             work_added: Notify::new(),
             is_store_reachable: AtomicBool::new(true),
             recent_spends: Mutex::default(),
+            retention: Arc::default(),
         }
     }
 
+    /// For how long records are kept.
+    pub(crate) fn retention(&self) -> &Arc<RecordRetention> {
+        &self.retention
+    }
+
     /// Whether the store answered this host's last write or probe.
     pub(crate) fn is_store_reachable(&self) -> bool {
         self.is_store_reachable.load(Ordering::Relaxed)
@@ -174,10 +182,11 @@
         receiver
     }
 
-    /// Records batches until the task is dropped.
+    /// Records batches until the task is dropped, and keeps records for turns that are kept for `retention` or longer.
     pub(crate) async fn run(self: Arc<Self>, recorder: Arc<dyn TurnRecorder>, retention: Duration) {
         tokio::spawn(Arc::clone(&self).probe_store());
-        let mut written = WrittenBatches::new(&self.writer, retention);
+        self.retention.extend(retention);
+        let mut written = WrittenBatches::new(&self.writer, Arc::clone(&self.retention));
 
         loop {
             self.wait_for_work(&*recorder).await;
--- a/src/entry/written_batches.rs
+++ b/src/entry/written_batches.rs
@@ -6,13 +6,11 @@
 
 use crate::entry::{
     journal_queue::PendingBatch,
+    record_retention::RecordRetention,
     segment_index::{SegmentIndex, segment_prefix},
     turn_journal::JournalBatch,
 };
 
-/// Time for which a batch is kept beyond the retention of its turns.
-const REUSE_MARGIN: Duration = Duration::from_secs(15);
-
 /// Age from which a segment is closed before the next batch. A reader has to read the batches of the open segment whole.
 const MAX_SEGMENT_AGE: Duration = Duration::from_secs(1);
 
@@ -23,12 +21,12 @@
     revision: u64,
 }
 
-/// A segment whose batches are covered by an index. Its objects may be reused, all at once, from `reusable_from` on.
+/// A segment whose batches are covered by an index. Its objects may be reused, all at once, after the lifetime of a record.
 #[derive(Debug)]
 struct ClosedSegment {
     position: u32,
     objects: Vec<WrittenObject>,
-    reusable_from: Instant,
+    last_written_at: Instant,
 }
 
 /// The segment to which batches are added.
@@ -60,20 +58,19 @@
 #[derive(Debug)]
 pub(crate) struct WrittenBatches {
     writer: Arc<str>,
-    /// Time for which a request may continue a turn of a batch.
-    retention: Duration,
+    retention: Arc<RecordRetention>,
     closed: VecDeque<ClosedSegment>,
     open: OpenSegment,
     /// The index that has to be written before the next batch.
     pending_index: Option<SegmentIndex>,
-    /// Indexes in the store that are removed once their batches may be overwritten.
+    /// Indexes in the store and when they were written. They are removed once their batches may be overwritten.
     indexes: VecDeque<(WrittenObject, Instant)>,
     last_number: u64,
     last_position: u32,
 }
 
 impl WrittenBatches {
-    pub(crate) fn new(writer: &Arc<str>, retention: Duration) -> Self {
+    pub(crate) fn new(writer: &Arc<str>, retention: Arc<RecordRetention>) -> Self {
         let now = Instant::now();
 
         Self {
@@ -133,11 +130,11 @@
         self.closed.push_back(ClosedSegment {
             position: self.open.position,
             objects,
-            reusable_from: self.open.last_written_at + self.retention + REUSE_MARGIN,
+            last_written_at: self.open.last_written_at,
         });
 
         let reused = match self.closed.front() {
-            Some(oldest) if oldest.reusable_from <= now => self.closed.pop_front(),
+            Some(oldest) if self.is_expired(oldest.last_written_at, now) => self.closed.pop_front(),
             _ => None,
         };
         let (position, reusable) = if let Some(segment) = reused {
@@ -168,21 +165,25 @@
             return;
         };
 
-        let removable_from = Instant::now() + self.retention + REUSE_MARGIN;
-
         if let Some(revision) = revision {
             let object = WrittenObject { name: index.name(), revision };
-            self.indexes.push_back((object, removable_from));
+            self.indexes.push_back((object, Instant::now()));
         }
     }
 
+    /// Whether a record that was written at a time is no longer needed.
+    fn is_expired(&self, written_at: Instant, now: Instant) -> bool {
+        now.duration_since(written_at) >= self.retention.lifetime()
+    }
+
     /// Takes the oldest index whose batches are no longer needed: its name and revision. The newest index is never
     /// removed, as readers find the open segment by it.
     pub(crate) fn take_expired_index(&mut self) -> Option<(Arc<str>, u64)> {
+        let now = Instant::now();
         let is_expired =
-            |(_, removable_from): &(WrittenObject, Instant)| *removable_from <= Instant::now();
+            self.indexes.front().is_some_and(|(_, written_at)| self.is_expired(*written_at, now));
 
-        if self.indexes.len() > 1 && self.indexes.front().is_some_and(is_expired) {
+        if self.indexes.len() > 1 && is_expired {
             return self.indexes.pop_front().map(|(object, _)| (object.name, object.revision));
         }
 
--- a/src/membership/peer_message.rs
+++ b/src/membership/peer_message.rs
@@ -268,6 +268,13 @@
     UpstreamsLimited {
         limits: Vec<LimitNote>,
     },
+    /// Entry: request for what the receiver's build can do. The response is [`PeerMessage::Features`], or `Refused` from a
+    /// build that has none.
+    FeaturesQuery,
+    /// Entry: features of the sender's build, each with a value. The receiver ignores those that it doesn't know.
+    Features {
+        features: Vec<(Arc<str>, u64)>,
+    },
 }
 
 impl PeerMessage {
@@ -292,6 +299,8 @@
                 | Self::RecentSpendsQuery { .. }
                 | Self::RecentSpends { .. }
                 | Self::UpstreamsLimited { .. }
+                | Self::FeaturesQuery
+                | Self::Features { .. }
                 | Self::StreamQuery { .. }
                 | Self::StreamFound { .. }
                 | Self::ForwardOffer { .. }
--- a/src/tests/entry_runner.rs
+++ b/src/tests/entry_runner.rs
@@ -14,6 +14,7 @@
         BudgetLedger, EntryRefusal, EntryRequest, EntryResponse, PlacementPool, PossibleRuns,
         RelayedBody, RequestKind, RouteTarget, ServiceConfig, ServiceRoute, StreamItem,
         UpstreamRecord,
+        chain_recorder::ChainRecorder,
         entry_metrics::EntryMetrics,
         placement_request::PlacementRequest,
         request_runner::{RequestRunner, RunnerContext},
@@ -115,11 +116,12 @@
     let metrics = Arc::new(EntryMetrics::new().expect("metrics"));
     let ledger = Arc::new(Mutex::new(BudgetLedger::default()));
 
+    let journal =
+        Arc::new(TurnJournal::new(store, ledger, Arc::clone(&metrics), "host-a.1".into()));
     let context = Arc::new(RunnerContext {
         pool: Arc::clone(pool),
         channel: Arc::clone(channel) as Arc<_>,
-        journal: Arc::new(TurnJournal::new(store, ledger, Arc::clone(&metrics), "host-a.1".into())),
-        history: Arc::default(),
+        chains: ChainRecorder { journal, history: Arc::default() },
         streams: Arc::default(),
         crashes: Arc::clone(crashes),
         presumed_crashes: Mutex::default(),
@@ -172,7 +174,7 @@
         service: Arc::new(service),
         fingerprint: 1,
         deadline: now + Duration::from_secs(2),
-        is_continuation: false,
+        chain: Vec::new(),
         software_version: None,
     };
 
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -38,6 +38,7 @@
 mod program_routes;
 mod receipts;
 mod refusal_statements;
+mod retained_records;
 mod service_reach;
 mod settings;
 mod shard_log_model;
--- a/src/tests/silent_records.rs
+++ b/src/tests/silent_records.rs
@@ -422,7 +422,7 @@
 async fn recent_spends_have_each_batch_that_no_listed_index_covers() {
     for seed in 0..SEEDS {
         let mut random = StdRng::seed_from_u64(seed);
-        let mut written = WrittenBatches::new(&"host-a.1".into(), RETENTION);
+        let mut written = WrittenBatches::new(&"host-a.1".into(), Arc::default());
         let mut recent = RecentSpends::default();
         let mut indexed: Vec<(u64, BTreeSet<u64>)> = Vec::new();
         let mut batches = BTreeSet::new();
