A run is over only once a later one of its host was heard

Cause: after five seconds the others had removed the host's registry entry. From the next reading of the records on they took its run for over and left its open segment out of the search, until the host was listed again. A host whose cut ends records at once, and lists itself again only when it notices that its entry is gone, so a turn recorded in between was in nobody's search, and `TurnLocator::find` took that for a proof that it doesn't exist.

Change: the open segment of a run is left out only if a later run of its host was heard, and the segment read after that. Which runs were heard is kept also for hosts that are no longer peers. The cost: segments of hosts that are gone for good are read with each reading, one call each.

Evidence: `turn_locator_finds_turn_of_run_whose_host_was_not_listed_for_long` fails on (Absent) and passes.

--- a/src/entry/mesh_queries.rs
+++ b/src/entry/mesh_queries.rs
@@ -246,22 +246,16 @@
         }
     }
 
-    /// Latest time at which a run can have ended, if it is known to be over: another run of its host was heard, or is this
-    /// one. `None` as well for a host that is not listed.
+    /// Latest time at which a run can have ended, if it is known to be over: a later run of its host was heard, or is this
+    /// one.
     pub(crate) fn run_end(&self, writer: &str) -> Option<Instant> {
         if is_writer_of(&self.identity.host, writer) {
             return (*self.identity.writer != *writer).then_some(self.started_at);
         }
 
-        let peers = self.peers.lock();
-        let (_, peer) = peers.iter().find(|(host, _)| is_writer_of(host, writer))?;
-        let current = peer.writer.as_ref()?;
-        if **current == *writer { None } else { peer.run_started }
-    }
-
-    /// Whether the host of a run is listed.
-    pub(crate) fn is_listed(&self, writer: &str) -> bool {
-        self.peers.lock().keys().any(|host| is_writer_of(host, writer))
+        let latest_runs = self.latest_runs.lock();
+        let (_, latest) = latest_runs.iter().find(|(host, _)| is_writer_of(host, writer))?;
+        (*latest.writer != *writer).then_some(latest.started_at)
     }
 
     /// Latest time at which any run of a peer has been replaced by another one.
--- a/src/entry/peer_mesh.rs
+++ b/src/entry/peer_mesh.rs
@@ -75,6 +75,14 @@
     }
 }
 
+/// A run of another host that has sent a message.
+#[derive(Debug)]
+pub(super) struct HeardRun {
+    pub(super) writer: Arc<str>,
+    /// Latest time at which the run can have started. Earlier runs of the host have ended before.
+    pub(super) started_at: Instant,
+}
+
 /// The full mesh of entry hosts: sends updates to all others and keeps their state.
 #[derive(Debug)]
 pub(crate) struct PeerMesh {
@@ -88,6 +96,8 @@
     /// them.
     pub(super) has_loaded_records: AtomicBool,
     pub(super) peers: Mutex<HashMap<Arc<str>, MeshPeer>>,
+    /// The run of each host that was heard last, also of hosts that are no longer known as peers.
+    pub(super) latest_runs: Mutex<HashMap<Arc<str>, HeardRun>>,
     /// Hosts that have a registry entry, as this host knows it.
     pub(super) registered: Mutex<HashSet<Arc<str>>>,
     /// Processor time that each registered host may use, in thousandths of a core.
@@ -121,6 +131,7 @@
             state,
             has_loaded_records: AtomicBool::new(false),
             peers: Mutex::default(),
+            latest_runs: Mutex::default(),
             registered: Mutex::default(),
             processor_millis: Mutex::default(),
             last_sequences: Mutex::default(),
@@ -173,6 +184,7 @@
                     self.record_membership_change();
                 }
                 if peer.record_writer(writer, run_started) {
+                    self.record_run(host, writer, run_started);
                     log::info!(peer:% = host, writer:% = writer; "a run of a peer is heard for the first time, so it is sent the full state");
                 }
                 peer.is_draining = is_draining;
@@ -183,6 +195,16 @@
         }
     }
 
+    /// Records a run of a host that was heard, unless a later one was heard before.
+    fn record_run(&self, host: &Arc<str>, writer: &Arc<str>, started_at: Instant) {
+        let mut latest_runs = self.latest_runs.lock();
+
+        if latest_runs.get(host).is_none_or(|latest| latest.started_at <= started_at) {
+            let run = HeardRun { writer: Arc::clone(writer), started_at };
+            latest_runs.insert(Arc::clone(host), run);
+        }
+    }
+
     /// Records the services of which a peer reaches no upstream, by a message of the peer.
     pub(super) fn update_peer_reach(
         &self,
--- a/src/entry/silent_records.rs
+++ b/src/entry/silent_records.rs
@@ -3,14 +3,10 @@
 use std::{collections::HashMap, sync::Arc};
 
 use futures_util::future::join_all;
-use tokio::time::{Duration, Instant};
+use tokio::time::Instant;
 
 use crate::entry::turn_locator::{ReadingScope, SegmentPosition, TurnLocator};
 
-/// Time after which a run of a host that is not listed counts as over: a host that lives and reaches the store lists itself
-/// again, and one that does not can't record by itself.
-const UNLISTED_RUN_TIME: Duration = Duration::from_secs(5);
-
 impl TurnLocator {
     /// Reads what was recorded, unless an earlier reading may be reused by a caller that came at `asked_at` and needs all that was
     /// recorded before `needed`. Returns false if the records can't be read. One reading at a time serves all callers, and
@@ -50,29 +46,18 @@
         reading.await.unwrap_or(false)
     }
 
-    /// The open segments that have to be read, as their runs were not over when they were read last.
+    /// The open segments that have to be read, as their runs were not over when they were read last. A run is over only once
+    /// a later one of its host was heard: a host without a registry entry may have been cut off, and records again as soon as
+    /// it reaches the store.
     pub(super) fn uncovered_segments(
         &self,
         segments: HashMap<Arc<str>, SegmentPosition>,
     ) -> HashMap<Arc<str>, SegmentPosition> {
-        let now = Instant::now();
-        let mut unlisted = self.unlisted_since.lock();
-        unlisted.retain(|writer, _| segments.contains_key(writer) && !self.mesh.is_listed(writer));
-
-        let end = |writer: &Arc<str>, unlisted: &mut HashMap<Arc<str>, Instant>| {
-            self.mesh.run_end(writer).or_else(|| {
-                let is_listed =
-                    *self.mesh.identity.writer == **writer || self.mesh.is_listed(writer);
-                (!is_listed)
-                    .then(|| *unlisted.entry(Arc::clone(writer)).or_insert(now) + UNLISTED_RUN_TIME)
-            })
-        };
-
         let readings = self.readings.lock();
         segments
             .into_iter()
             .filter(|(writer, _)| {
-                let end = end(writer, &mut unlisted);
+                let end = self.mesh.run_end(writer);
                 end.is_none_or(|it| !readings.covers_segment(writer, it))
             })
             .collect()
--- a/src/entry/turn_locator.rs
+++ b/src/entry/turn_locator.rs
@@ -105,8 +105,6 @@
     pub(super) readings: Arc<Mutex<RecordReadings>>,
     /// Position of each run's open segment, by the indexes that this host has read.
     positions: Mutex<HashMap<Arc<str>, SegmentPosition>>,
-    /// Since when the hosts of runs that have records are not listed.
-    pub(super) unlisted_since: Mutex<HashMap<Arc<str>, Instant>>,
 }
 
 impl TurnLocator {
@@ -129,7 +127,6 @@
             reading: Arc::default(),
             readings,
             positions: Mutex::default(),
-            unlisted_since: Mutex::default(),
         }
     }
 
--- a/src/tests/entry_journal.rs
+++ b/src/tests/entry_journal.rs
@@ -324,6 +324,23 @@
     assert_eq!(run.history.lock().cached_bytes(), 0);
 }
 
+/// Guards against a 404 for a turn that a host has recorded just after a cut, before it has listed itself again.
+#[tokio::test(start_paused = true)]
+async fn turn_locator_finds_turn_of_run_whose_host_was_not_listed_for_long() {
+    let store = Arc::new(MemoryStore::default());
+    let reader = HostRun::start(&store, "host-a.1", &Arc::default());
+    let run = HostRun::start(&store, "host-b.1", &Arc::default());
+    assert!(run.record("a", None).await);
+    for _ in 0..3 {
+        reader.locator.list_batches(Instant::now()).await.expect("the store answers");
+        tokio::time::advance(Duration::from_secs(6)).await;
+    }
+
+    assert!(run.record("b", Some("a")).await);
+    let search = reader.locator.find(&"b".into(), RETENTION).await;
+    assert!(matches!(search, TurnSearch::Found(_)), "{search:?}");
+}
+
 #[test]
 fn batch_delay_grows_with_the_hosts_that_share_a_recorder() {
     let delays = [1, 2, 3, 6, 12].map(|hosts| batch_delay(hosts).as_millis());
