Whoever serves a program keeps the records of all its spends

Cause: a host recorded its total of a program when that changed, and the record was overwritten 75 s later although the program went on at another host, which recorded its own total only. After a loss of all hosts no record of the first one's total was left. The same happened on one host: turns within the headroom of an old record renewed nothing.

Change: a host that serves a program, or refuses a turn of it, records the totals of all writers that it knows, unless it has done so within the time after which records have to be renewed (`RecordRetention::refresh_age`). So the records of a program last for the retention after its last use at any host. Accounts in memory are kept for three times the longest retention of the configuration, no longer for three minutes whatever that is.

--- a/src/entry/budget_ledger.rs
+++ b/src/entry/budget_ledger.rs
@@ -9,11 +9,13 @@
 };
 
 use serde::{Deserialize, Serialize};
-use tokio::time::{Duration, Instant};
+use tokio::time::Instant;
 
-/// Time for which an account is kept after its last use. A program that has stopped may resume within the retention of
-/// its turns, which is 60 s in the users' requirements.
-const IDLE_RETENTION: Duration = Duration::from_mins(3);
+use crate::entry::record_retention::RecordRetention;
+
+/// Time for which an account is kept after its last use, as a multiple of the retention of turns. A program that has stopped
+/// may resume within that retention.
+const IDLE_FACTOR: u32 = 3;
 
 /// The store's record runs ahead of the spend by the remaining budget divided by this, so that turns need not wait for
 /// the store. Programs whose turns are recorded need no headroom: the record of each turn carries their exact spend.
@@ -79,9 +81,21 @@
     recorded: u64,
     /// The same without headroom.
     recorded_spent: u64,
+    /// When this host last recorded the total itself.
+    copied_at: Option<Instant>,
 }
 
 impl WriterTotal {
+    /// The total to record for the writer: what it has reported, or recorded itself if that is more.
+    fn tokens_to_copy(self) -> u64 {
+        self.tokens().max(self.recorded_spent)
+    }
+
+    /// Whether this host has recorded the total at `refresh_before` or later, or there is nothing to record.
+    fn is_copied(self, refresh_before: Option<Instant>) -> bool {
+        self.tokens_to_copy() == 0 || is_recent(self.copied_at, refresh_before)
+    }
+
     fn tokens(self) -> u64 {
         self.reported.unwrap_or(self.recorded)
     }
@@ -92,6 +106,11 @@
     }
 }
 
+/// Whether a record that was written at a time lasts, where those from before `refresh_before` may not.
+fn is_recent(written_at: Option<Instant>, refresh_before: Option<Instant>) -> bool {
+    written_at.is_some_and(|at| refresh_before.is_none_or(|before| at >= before))
+}
+
 /// Spend of one program, as far as this host knows it.
 #[derive(Debug)]
 struct ProgramAccount {
@@ -106,6 +125,8 @@
     running_spent: u64,
     /// This writer's total in the store.
     recorded: u64,
+    /// When that was last written.
+    recorded_at: Option<Instant>,
     /// Whether this host has reserved tokens of the program.
     is_served: bool,
     /// Whether the program's turns are recorded as they end.
@@ -124,6 +145,7 @@
             reserved: 0,
             running_spent: 0,
             recorded: 0,
+            recorded_at: None,
             is_served: false,
             has_history: false,
             unannounced: None,
@@ -152,6 +174,12 @@
         self.local_spent() + remaining / HEADROOM_DIVISOR
     }
 
+    /// Whether the store has all known totals in records that last, as far as this host has written them.
+    fn has_lasting_records(&self, refresh_before: Option<Instant>) -> bool {
+        let is_recorded = self.local_spent() == 0 || is_recent(self.recorded_at, refresh_before);
+        is_recorded && self.other_writers.values().all(|it| it.is_copied(refresh_before))
+    }
+
     fn unrecorded_tokens(&self) -> u64 {
         let others_unrecorded: u64 =
             self.other_writers.values().map(|it| it.unrecorded_tokens()).sum();
@@ -179,6 +207,8 @@
     unrecorded: HashSet<Arc<str>>,
     /// The writer of this run.
     local_writer: Option<Arc<str>>,
+    /// For how long records last.
+    retention: Arc<RecordRetention>,
 }
 
 impl BudgetLedger {
@@ -202,6 +232,7 @@
         tokens: u64,
         host_count: u64,
     ) -> ReserveOutcome {
+        self.refresh_records(program);
         let account = self.account(program);
         account.budget = account.budget.max(budget);
         let total = account.total() + tokens;
@@ -286,6 +317,22 @@
         account.running_spent = account.running_spent.saturating_sub(spent);
         account.settled += spent;
         self.unreported.insert(Arc::clone(program));
+        self.refresh_records(program);
+    }
+
+    /// Marks a program that is used for the next batch if the records of its totals may end before the program does: those of
+    /// this writer, and those of the others, who may never record them again.
+    fn refresh_records(&mut self, program: &Arc<str>) {
+        let refresh_before = self.refresh_before();
+        let account = self.accounts.get(program);
+
+        if account.is_some_and(|it| !it.has_lasting_records(refresh_before)) {
+            self.unrecorded.insert(Arc::clone(program));
+        }
+    }
+
+    fn refresh_before(&self) -> Option<Instant> {
+        self.retention.refresh_before(self.retention.longest(), Instant::now())
     }
 
     /// Tokens that this host has spent or other hosts have reported for a program, and that the store does not have.
@@ -330,8 +377,10 @@
     }
 
     /// Takes the totals to write with the next batch: for each marked program this writer's total with headroom, and
-    /// the totals that other writers have reported but not recorded, since those writers may have failed.
+    /// the totals of other writers that they have not recorded, since they may have failed, or whose record this host has not
+    /// renewed lately, since they may not serve the program any more.
     pub(crate) fn take_unrecorded(&mut self) -> Vec<SpendRecord> {
+        let refresh_before = self.refresh_before();
         let mut records = Vec::new();
 
         for program in std::mem::take(&mut self.unrecorded) {
@@ -346,13 +395,14 @@
                 spent: account.local_spent(),
             });
 
-            let unrecorded =
-                account.other_writers.iter().filter(|(_, total)| total.unrecorded_tokens() > 0);
+            let unrecorded = account.other_writers.iter().filter(|(_, total)| {
+                total.unrecorded_tokens() > 0 || !total.is_copied(refresh_before)
+            });
             records.extend(unrecorded.map(|(writer, total)| SpendRecord {
                 writer: Some(Arc::clone(writer)),
                 program: Arc::clone(&program),
-                tokens: total.tokens(),
-                spent: total.tokens(),
+                tokens: total.tokens_to_copy(),
+                spent: total.tokens_to_copy(),
             }));
         }
 
@@ -361,6 +411,8 @@
 
     /// Marks totals as recorded, once their batch is durable.
     pub(crate) fn mark_recorded(&mut self, records: &[SpendRecord]) {
+        let now = Instant::now();
+
         for record in records {
             // A recorder also knows of programs of which it has heard nothing else.
             let account = self.account(&record.program);
@@ -368,8 +420,10 @@
             if let Some(writer) = &record.writer {
                 let total = account.other_writers.entry(Arc::clone(writer)).or_default();
                 total.recorded = total.recorded.max(record.tokens);
+                total.copied_at = Some(now);
             } else {
                 account.recorded = account.recorded.max(record.tokens);
+                account.recorded_at = Some(now);
                 self.unreported.insert(Arc::clone(&record.program));
             }
         }
@@ -417,6 +471,11 @@
         }
     }
 
+    /// Shares what decides for how long records last.
+    pub(crate) fn set_retention(&mut self, retention: Arc<RecordRetention>) {
+        self.retention = retention;
+    }
+
     /// Sets the writer whose totals this ledger keeps by itself, so that its records are not counted a second time.
     pub(crate) fn set_local_writer(&mut self, writer: Arc<str>) {
         self.local_writer = Some(writer);
@@ -473,10 +532,11 @@
         }
     }
 
-    /// Removes accounts that have been idle for [`IDLE_RETENTION`] and have no running turns.
+    /// Removes accounts that have been idle for longer than any program pauses, and have no running turns.
     pub(crate) fn prune(&mut self, now: Instant) {
+        let idle_retention = self.retention.longest() * IDLE_FACTOR;
         self.accounts.retain(|_, account| {
-            account.reserved > 0 || now.duration_since(account.last_used) < IDLE_RETENTION
+            account.reserved > 0 || now.duration_since(account.last_used) < idle_retention
         });
     }
 }
--- a/src/entry/turn_journal.rs
+++ b/src/entry/turn_journal.rs
@@ -186,6 +186,7 @@
     pub(crate) async fn run(self: Arc<Self>, recorder: Arc<dyn TurnRecorder>, retention: Duration) {
         tokio::spawn(Arc::clone(&self).probe_store());
         self.retention.extend(retention);
+        self.ledger.lock().set_retention(Arc::clone(&self.retention));
         let mut written = WrittenBatches::new(&self.writer, Arc::clone(&self.retention));
 
         loop {
--- a/src/tests/entry_journal.rs
+++ b/src/tests/entry_journal.rs
@@ -14,7 +14,7 @@
     entry::{
         BudgetLedger, ObjectStore,
         batch_index::BatchIndex,
-        budget_ledger::{SpendNote, SpendRecord, is_writer_of},
+        budget_ledger::{ReserveOutcome, SpendNote, SpendRecord, is_writer_of},
         entry_metrics::EntryMetrics,
         mesh_peer::MeshIdentity,
         mesh_state::MeshState,
@@ -149,6 +149,24 @@
         matches!(timeout(Duration::from_secs(3), receiver).await, Ok(Ok(())))
     }
 
+    /// Runs turns of a program with a budget of 2,000 tokens, each of 50, until they have spent `tokens`. If the program has
+    /// history, its records carry no headroom.
+    async fn spend(&self, program: &Arc<str>, tokens: u64, has_history: bool) {
+        for _ in 0..tokens / 50 {
+            let mut ledger = self.locator.ledger.lock();
+            assert_ne!(ledger.reserve(program, 2_000, 50, 1), ReserveOutcome::OverBudget);
+            ledger.spend(program, 50);
+            ledger.settle(program, 50, 50);
+            if has_history {
+                ledger.finish_turn(program);
+            }
+            drop(ledger);
+            sleep(Duration::from_millis(100)).await;
+        }
+        // Spends are recorded once a second.
+        sleep(Duration::from_secs(2)).await;
+    }
+
     /// Reserves the whole budget of a new program, which the other hosts have to confirm.
     async fn reserve(&self, program: &str) -> Result<TurnBudget, BudgetRefusal> {
         let context = BudgetContext {
@@ -162,6 +180,14 @@
     }
 }
 
+/// Lets time pass in which a host records a turn of another program each second.
+async fn run_others(run: &HostRun, seconds: u64) {
+    for number in 0..seconds {
+        tokio::time::advance(Duration::from_secs(1)).await;
+        assert!(run.record(&format!("other-{number}"), None).await);
+    }
+}
+
 /// Starts a host with a peer that does not answer, in a fleet of which `writer_count` hosts record turns.
 async fn run_beside_silent_peer(store: &Arc<MemoryStore>, writer_count: u32) -> HostRun {
     for number in 0..writer_count {
@@ -341,6 +367,44 @@
     assert!(matches!(search, TurnSearch::Found(_)), "{search:?}");
 }
 
+/// Guards against a budget that is given out again: what one host had recorded of a program's spend was removed while the
+/// program went on at another host.
+#[tokio::test(start_paused = true)]
+async fn turn_budget_counts_spends_of_a_writer_that_has_stopped_serving_the_program() {
+    let store = Arc::new(MemoryStore::default());
+    let program: Arc<str> = "program".into();
+    let first = HostRun::start(&store, "host-b.1", &Arc::default());
+    let second = HostRun::start(&store, "host-c.1", &Arc::default());
+    first.spend(&program, 400, true).await;
+    run_others(&first, 44).await;
+
+    let note = first.locator.ledger.lock().local_note(&program);
+    second.locator.ledger.lock().merge_reported(&"host-b.1".into(), &[note]);
+    second.spend(&program, 50, true).await;
+    run_others(&first, 41).await;
+
+    // All hosts are lost, and their memory with them.
+    let next = HostRun::start(&store, "host-a.2", &Arc::default());
+    next.locator.list_batches(Instant::now()).await.expect("the store answers");
+    assert_eq!(next.locator.ledger.lock().total(&program), 450);
+}
+
+/// Guards against the same while one host alone serves a program, within the headroom of its first record.
+#[tokio::test(start_paused = true)]
+async fn turn_budget_counts_spends_that_the_headroom_of_an_old_record_covers() {
+    let store = Arc::new(MemoryStore::default());
+    let program: Arc<str> = "program".into();
+    let run = HostRun::start(&store, "host-b.1", &Arc::default());
+    run.spend(&program, 50, false).await;
+    run_others(&run, 50).await;
+    run.spend(&program, 50, false).await;
+    run_others(&run, 58).await;
+
+    let next = HostRun::start(&store, "host-a.2", &Arc::default());
+    next.locator.list_batches(Instant::now()).await.expect("the store answers");
+    assert!(next.locator.ledger.lock().total(&program) >= 100);
+}
+
 #[test]
 fn batch_delay_grows_with_the_hosts_that_share_a_recorder() {
     let delays = [1, 2, 3, 6, 12].map(|hosts| batch_delay(hosts).as_millis());
