A host that was cut off removes no entries of hosts that live, and a peer that is heard stays a peer

Cause: a host that is cut off hears nobody, so after five seconds it took all others for dead. It removed their registry entries one after the other, and those removals whose turn came after the cut took effect. The hosts dropped these peers until they had registered again, and who isn't a known peer isn't asked for its spends.

Change (`peer_contact`): silence counts only while another peer answers and the store can be followed, counted from the start of both. Each removal is decided anew when its turn comes, rests on the revision of the entry that was read, and is given up after 500 ms. A peer whose entry is gone is kept, unless it was never heard or has announced that it stops, until it is dead by this host's own account. When such a peer is dropped, the records are read once more before a spend is confirmed without it. After a time without any answer, the first one ends the backoff of updates to all others.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -28,6 +28,7 @@
 pub(crate) mod mesh_state;
 mod object_store;
 mod page_reader;
+mod peer_contact;
 mod peer_features;
 pub(crate) mod peer_mesh;
 pub(crate) mod placement_pool;
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -239,10 +239,7 @@
                 self.register().await;
             }
 
-            for host in self.budgets.mesh.dead_peers() {
-                log::warn!(peer:% = host; "a peer has been unresponsive for long, removing its registry entry");
-                self.registry.remove(&host).await;
-            }
+            self.remove_dead_peers().await;
 
             for notes in self.context.crashes.lock().take_unrecorded(CRASH_LIMIT) {
                 tokio::spawn(self.crash_records.clone().write(notes));
@@ -256,6 +253,27 @@
         }
     }
 
+    /// Removes the registry entries of dead peers, and drops those that have none. Each removal waits for the store, so a peer
+    /// may have been heard again when its turn comes.
+    async fn remove_dead_peers(&self) {
+        let mesh = &self.budgets.mesh;
+
+        for dead in mesh.dead_peers(self.monitor.answered_since()) {
+            if !mesh.is_dead(&dead, self.monitor.answered_since()) {
+                continue;
+            }
+
+            let host = &dead.host;
+            if let Some(revision) = dead.entry_revision {
+                log::warn!(peer:% = host, revision; "a peer has been unresponsive for long, removing its registry entry");
+                self.registry.remove_entry(host, revision).await;
+            } else {
+                log::warn!(peer:% = host; "a peer without a registry entry has been unresponsive for long, dropping it");
+                mesh.drop_dead(host);
+            }
+        }
+    }
+
     /// Finds out for how long the other hosts keep their records, on which depends when records are written again.
     fn refresh_retention(&self) {
         let mesh = &self.budgets.mesh;
--- a/src/entry/host_registry.rs
+++ b/src/entry/host_registry.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashSet, net::SocketAddr, sync::Arc};
 
 use serde::{Deserialize, Serialize};
-use tokio::time::Duration;
+use tokio::time::{Duration, timeout};
 
 use crate::{
     BackoffPolicy, KeyFiles,
@@ -28,6 +28,9 @@
 const STORE_BACKOFF: BackoffPolicy =
     BackoffPolicy { first: Duration::from_millis(50), limit: Duration::from_millis(500) };
 
+/// Time after which the removal of another host's entry is given up.
+const REMOVAL_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Registry entry of a host: where peers reach it.
 #[derive(Debug, Deserialize, Serialize)]
 struct HostEntry {
@@ -147,6 +150,24 @@
         }
     }
 
+    /// Removes a registry entry if it still has the given revision. A host that is still alive notices this and registers
+    /// again. A call that takes long is given up, so that it does not take effect once the host is heard again.
+    pub(crate) async fn remove_entry(&self, host: &Arc<str>, revision: u64) {
+        let removal = self.store.remove(REGISTRY_KIND, host, revision);
+
+        match timeout(REMOVAL_TIMEOUT, removal).await {
+            Ok(Ok(outcome)) => {
+                log::info!(peer:% = host, revision, outcome:?; "the store has answered the removal of a registry entry");
+            }
+            Ok(Err(error)) => {
+                log::warn!(peer:% = host; "failed to remove the registry entry of a host: {error}");
+            }
+            Err(_) => {
+                log::warn!(peer:% = host; "the store does not answer the removal of a registry entry");
+            }
+        }
+    }
+
     /// Removes a host's registry entry. A host that is still alive notices this and registers again.
     pub(crate) async fn remove(&self, host: &Arc<str>) {
         let result = match self.store.get(REGISTRY_KIND, host).await {
@@ -208,7 +229,7 @@
     fn remove_registered(&self, host: &str) {
         self.registered.lock().remove(host);
         self.processor_millis.lock().remove(host);
-        self.remove_peer(host);
+        self.remove_entry(host);
     }
 }
 
@@ -216,7 +237,8 @@
     fn reset(&self, listing: KindListing) {
         let listed: HashSet<Arc<str>> =
             listing.objects.iter().map(|it| Arc::clone(&it.name)).collect();
-        let unlisted: Vec<Arc<str>> = self.registered.lock().difference(&listed).cloned().collect();
+        let registered: Vec<Arc<str>> = self.registered.lock().keys().cloned().collect();
+        let unlisted = registered.into_iter().filter(|it| !listed.contains(it));
 
         for name in unlisted {
             log::info!(peer:% = name, revision = listing.revision; "the registry entry of a peer is gone");
@@ -237,7 +259,7 @@
             return;
         }
 
-        self.registered.lock().insert(Arc::clone(&name));
+        self.registered.lock().insert(Arc::clone(&name), change.object.revision);
 
         match change.object.decode::<HostEntry>() {
             Some(entry) => {
--- a/src/entry/peer_mesh.rs
+++ b/src/entry/peer_mesh.rs
@@ -1,7 +1,7 @@
 //! The other entry hosts and the updates that this host sends them: spends, request crashes and whether it drains.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::HashMap,
     net::SocketAddr,
     sync::{
         Arc, OnceLock,
@@ -20,6 +20,7 @@
         mesh_connector::MeshConnector,
         mesh_peer::{MeshIdentity, MeshPeer},
         mesh_state::MeshState,
+        peer_contact::PeerContact,
         stream_versions::BegunStream,
         turn_journal::TurnJournal,
         upstream_departures::UpstreamDeparture,
@@ -51,10 +52,6 @@
 /// checks hosts every second and needs the results of two checks before it acts.
 const FAILOVER_WINDOW: Duration = Duration::from_secs(5);
 
-/// Time after which an unresponsive peer counts as dead and its registry entry is removed. A host that is still alive
-/// registers again.
-const DEAD_PEER_TIMEOUT: Duration = Duration::from_secs(5);
-
 /// What the other hosts have to be told.
 #[derive(Clone, Debug)]
 struct MeshChanges {
@@ -98,8 +95,11 @@
     pub(super) peers: Mutex<HashMap<Arc<str>, MeshPeer>>,
     /// The run of each host that was heard last, also of hosts that are no longer known as peers.
     pub(super) latest_runs: Mutex<HashMap<Arc<str>, HeardRun>>,
-    /// Hosts that have a registry entry, as this host knows it.
-    pub(super) registered: Mutex<HashSet<Arc<str>>>,
+    /// Revisions of the hosts' registry entries, as this host knows them.
+    pub(super) registered: Mutex<HashMap<Arc<str>, u64>>,
+    pub(super) contact: Mutex<PeerContact>,
+    /// When this host last dropped a peer that had not announced that it stops.
+    pub(super) dropped_at: Mutex<Option<Instant>>,
     /// Processor time that each registered host may use, in thousandths of a core.
     pub(super) processor_millis: Mutex<HashMap<Arc<str>, u32>>,
     /// Highest sequence number received from each writer.
@@ -133,6 +133,8 @@
             peers: Mutex::default(),
             latest_runs: Mutex::default(),
             registered: Mutex::default(),
+            contact: Mutex::new(PeerContact::new(Instant::now())),
+            dropped_at: Mutex::default(),
             processor_millis: Mutex::default(),
             last_sequences: Mutex::default(),
             sequence: AtomicU64::new(0),
@@ -189,6 +191,7 @@
                 }
                 peer.is_draining = is_draining;
                 peer.mark_responsive();
+                self.record_contact(&mut peers);
                 true
             }
             _ => false,
@@ -252,7 +255,7 @@
         }
     }
 
-    /// Removes a host whose registry entry is gone. If it is this host, it has to register again.
+    /// Removes a peer. If it is this host, it has to register again.
     pub(crate) fn remove_peer(&self, host: &str) {
         if *host == *self.identity.host {
             self.is_deregistered.store(true, Ordering::Relaxed);
@@ -335,22 +338,10 @@
         self.is_draining.load(Ordering::Relaxed)
     }
 
-    fn record_membership_change(&self) {
+    pub(super) fn record_membership_change(&self) {
         *self.membership_changed_at.lock() = Instant::now();
     }
 
-    /// Peers that have been unresponsive for longer than [`DEAD_PEER_TIMEOUT`].
-    pub(crate) fn dead_peers(&self) -> Vec<Arc<str>> {
-        let peers = self.peers.lock();
-        peers
-            .iter()
-            .filter(|(_, peer)| {
-                peer.unresponsive_since.is_some_and(|at| at.elapsed() > DEAD_PEER_TIMEOUT)
-            })
-            .map(|(host, _)| Arc::clone(host))
-            .collect()
-    }
-
     /// Sends updates to the peers until the task is dropped.
     pub(crate) async fn run(self: Arc<Self>) {
         loop {
@@ -499,6 +490,7 @@
                 log::info!(peer:% = host; "a peer answers again");
             }
             peer.mark_responsive();
+            self.record_contact(&mut peers);
             return;
         }
 
@@ -512,6 +504,7 @@
         peer.failures += 1;
         let delay = BACKOFF_BASE.saturating_mul(1 << peer.failures.min(6)).min(MAX_BACKOFF);
         peer.begin_backoff(Instant::now(), delay);
+        self.record_silence(&peers);
         drop(peers);
         // A stale connection to a host that died or was cut off must not delay the next attempt. It is not closed, since
         // clients' requests run on it if the host is only slow.
--- a/src/entry/store_monitor.rs
+++ b/src/entry/store_monitor.rs
@@ -5,6 +5,7 @@
     atomic::{AtomicBool, Ordering},
 };
 
+use parking_lot::Mutex;
 use tokio::{
     sync::{Notify, watch},
     time::{Duration, Instant, sleep, sleep_until, timeout},
@@ -43,6 +44,8 @@
     ended_gap: watch::Sender<Option<FollowGap>>,
     /// Whether the last probe has failed.
     is_failing: Arc<AtomicBool>,
+    /// Since when all probes were answered; `None` while they fail.
+    answered_since: Arc<Mutex<Option<Instant>>>,
     /// Asks for a probe, since a call of a follower has failed.
     probe_request: Arc<Notify>,
 }
@@ -54,10 +57,16 @@
             store,
             ended_gap: watch::Sender::new(None),
             is_failing: Arc::default(),
+            answered_since: Arc::default(),
             probe_request: Arc::default(),
         }
     }
 
+    /// Since when the store has answered this host without a break, in which the process did not stand still either.
+    pub(crate) fn answered_since(&self) -> Option<Instant> {
+        *self.answered_since.lock()
+    }
+
     /// Receives each gap once it has ended.
     pub(crate) fn ended_gaps(&self) -> watch::Receiver<Option<FollowGap>> {
         self.ended_gap.subscribe()
@@ -100,6 +109,7 @@
             if delay > STANDSTILL_LIMIT {
                 log::warn!(delay_ms = delay.as_millis() as u64; "the process has stood still, so watches of the store may be lost");
                 last_failure = Some(probed_at);
+                *self.answered_since.lock() = None;
             }
             let result = self.probe().await;
             self.is_failing.store(result.is_err(), Ordering::Relaxed);
@@ -112,8 +122,10 @@
                         self.ended_gap.send_replace(Some(FollowGap { last_contact, last_failure }));
                     }
                     last_contact = probed_at;
+                    self.answered_since.lock().get_or_insert(probed_at);
                 }
                 Err(error) => {
+                    *self.answered_since.lock() = None;
                     if last_failure.replace(probed_at).is_none() {
                         log::warn!("the store does not answer a probe: {error}");
                     }
--- a/src/entry/turn_budget.rs
+++ b/src/entry/turn_budget.rs
@@ -73,14 +73,16 @@
     async fn confirm_spend(&self, program: &Arc<str>, deadline: Instant) -> bool {
         let started = Instant::now();
         let mut exchange = self.mesh.begin_exchange(program, deadline - started);
-        let mut needs_reading = self.needs_records_of_ended_runs(program);
+        let needs_dropped = self.needs_records_of_dropped_peers();
+        let mut needs_reading = needs_dropped || self.needs_records_of_ended_runs(program);
         let late_at = started + LATE_RESPONSE_TIME;
         let reading_at =
             if exchange.has_failing_peers() || needs_reading { started } else { late_at };
         let mut reading = Box::pin(async {
             sleep_until(reading_at).await;
             let asked_at = Instant::now();
-            self.locator.read_spends(asked_at, self.mesh.last_run_end()).await
+            let needed = self.mesh.last_run_end().max(self.mesh.last_drop());
+            self.locator.read_spends(asked_at, needed).await
         });
         let mut is_reading_over = false;
         let mut are_records_read = false;
@@ -118,6 +120,11 @@
             }
         }
 
+        if needs_dropped && self.needs_records_of_dropped_peers() {
+            Self::log_confirmation(program, &exchange, started, false);
+            return false;
+        }
+
         let outstanding = &exchange.outstanding;
         {
             let is_outstanding =
@@ -144,6 +151,13 @@
         })
     }
 
+    /// Whether a peer was dropped since the records were read last. It may have recorded spends of any program that it has
+    /// reported to nobody.
+    fn needs_records_of_dropped_peers(&self) -> bool {
+        let dropped_at = self.mesh.last_drop();
+        dropped_at.is_some_and(|at| !self.locator.readings.lock().covers(at))
+    }
+
     fn log_confirmation(
         program: &Arc<str>,
         exchange: &SpendExchange<'_>,
--- a/src/tests/host_registry.rs
+++ b/src/tests/host_registry.rs
@@ -5,12 +5,12 @@
 use serde_json::value::to_raw_value;
 
 use crate::{
-    PeerTransport,
+    PeerHandler, PeerMessage, PeerTransport,
     entry::{
         KindListing, ObjectListener, StoredObject, mesh_peer::MeshIdentity, mesh_state::MeshState,
         peer_mesh::PeerMesh,
     },
-    tests::shared_departures::HostLinks,
+    tests::{entry_fakes::ResponseStream, shared_departures::HostLinks},
 };
 
 fn address(port: u16) -> SocketAddr {
@@ -40,6 +40,24 @@
     KindListing { objects: numbers.iter().map(entry).collect(), revision: 1, gap: None }
 }
 
+/// A message of `host-2`.
+async fn hear_second(mesh: &Arc<PeerMesh>, is_draining: bool) {
+    let update = PeerMessage::SpendsNoted {
+        host: "host-2".into(),
+        address: address(2),
+        region: "north".into(),
+        writer: "host-2.1".into(),
+        sequence: 0,
+        run_age_ms: 0,
+        is_draining,
+        notes: Vec::new(),
+        streams: Vec::new(),
+        lost_services: Arc::default(),
+    };
+    let stream = Box::new(ResponseStream { response: None });
+    Arc::clone(mesh).handle(update, stream).await;
+}
+
 fn schedulers(mesh: &PeerMesh) -> Vec<String> {
     let mut names: Vec<String> = mesh.schedulers().iter().map(|it| it.host.to_string()).collect();
     names.sort();
@@ -70,3 +88,18 @@
     mesh.reset(listing(&[2]));
     assert!(!mesh.take_deregistered());
 }
+
+/// Guards against hosts of a zone that don't ask each other: a host that was cut off had removed the entries of both.
+#[tokio::test(start_paused = true)]
+async fn reset_keeps_host_that_is_heard_without_an_entry() {
+    let mesh = Arc::new(mesh());
+    mesh.reset(listing(&[1, 2]));
+    hear_second(&mesh, false).await;
+    mesh.reset(listing(&[1]));
+    assert_eq!(schedulers(&mesh), ["host-1", "host-2"]);
+
+    hear_second(&mesh, true).await;
+    mesh.reset(listing(&[1, 2]));
+    mesh.reset(listing(&[1]));
+    assert_eq!(schedulers(&mesh), ["host-1"], "it has stopped");
+}
--- a/src/tests/silent_records.rs
+++ b/src/tests/silent_records.rs
@@ -484,3 +484,60 @@
     drop(unasked);
     assert!(taker.reserve_of(400, &program, true).await.is_err(), "the other host has the rest");
 }
+
+/// Hosts that have heard each other, and then hear nobody any more: `run` and two others.
+async fn hosts_after_cut() -> (Arc<HostTransport>, [HostRun; 3]) {
+    let (store, transport) = (Arc::new(MemoryStore::default()), Arc::<HostTransport>::default());
+    let run = HostRun::start(&store, &transport, "run.1", 1);
+    let others = [
+        HostRun::start(&store, &transport, "other-2.1", 2),
+        HostRun::start(&store, &transport, "other-3.1", 3),
+    ];
+    for (other, writer) in others.iter().zip(["other-2.1", "other-3.1"]) {
+        run.hear(other, writer).await;
+        transport.hosts.lock().remove(&other.address);
+    }
+    run.mesh.send_updates();
+    sleep(Duration::from_millis(10)).await;
+    let [second, third] = others;
+    (transport, [run, second, third])
+}
+
+/// Guards against hosts that don't ask each other as their entries were removed by one that was cut off.
+#[tokio::test(start_paused = true)]
+async fn dead_peers_are_none_on_a_host_that_was_cut_off() {
+    let (transport, [run, second, third]) = hosts_after_cut().await;
+    let followed_since = Some(Instant::now());
+    sleep(Duration::from_secs(12)).await;
+    assert!(run.mesh.dead_peers(followed_since).is_empty(), "the host hears nobody");
+
+    transport.hosts.lock().insert(second.address, Arc::clone(&second.mesh));
+    run.hear(&second, "other-2.1").await;
+    sleep(Duration::from_secs(4)).await;
+    assert!(run.mesh.dead_peers(followed_since).is_empty(), "its silence may have been the cut");
+
+    // Two seconds later the other one was silent for long enough, unless the store could not be followed.
+    run.mesh.send_updates();
+    sleep(Duration::from_secs(2)).await;
+    let dead: Vec<Arc<str>> =
+        run.mesh.dead_peers(followed_since).into_iter().map(|it| it.host).collect();
+    assert_eq!(dead, ["other-3".into()]);
+    assert!(run.mesh.dead_peers(None).is_empty());
+    assert!(run.mesh.dead_peers(Some(Instant::now())).is_empty());
+    drop(third);
+}
+
+/// Guards against spends that are given out again: what a dropped host has recorded was reported to nobody.
+#[tokio::test(start_paused = true)]
+async fn turn_budget_counts_what_a_dropped_host_has_recorded() {
+    let (store, transport) = (Arc::new(MemoryStore::default()), Arc::<HostTransport>::default());
+    let program: Arc<str> = "program".into();
+    let recorder = HostRun::start(&store, &transport, "recorder.1", 1);
+    let run = HostRun::start(&store, &transport, "run.1", 2);
+    run.hear(&recorder, "recorder.1").await;
+    run.locator.list_batches(Instant::now()).await.expect("the store answers");
+    recorder.record_for_silent_host(&program).await;
+    run.mesh.drop_dead("silent");
+    assert!(run.reserve(&program).await.is_err());
+    assert_eq!(run.locator.ledger.lock().total(&program), 70);
+}
