A host that hears nobody doesn't take records for the answers of others

Cause: peers that don't acknowledge updates were counted by what they had recorded. A host that was cut off counted all others so, while these lived, spent, and no longer asked it. After the cut that went on until the backoff of updates had ended, as peers that had failed were not asked.

Change: the records of silent peers stand in for their answers only if another peer has answered the same exchange, and if the silent ones have failed to answer since this host is in contact. Peers that have only failed before are asked.

--- a/src/entry/mesh_peer.rs
+++ b/src/entry/mesh_peer.rs
@@ -36,6 +36,8 @@
     /// Updates in a row that the peer has not acknowledged.
     pub(crate) failures: u32,
     pub(crate) unresponsive_since: Option<Instant>,
+    /// When the last update was sent that the peer has not acknowledged.
+    pub(crate) failed_at: Option<Instant>,
     /// Until when no updates are sent to the peer, since it did not acknowledge the last one.
     pub(crate) backoff_until: Option<Instant>,
     /// Until when the peer is not asked to record, since it failed to do so.
@@ -58,6 +60,7 @@
             reach_sequence: 0,
             failures: 0,
             unresponsive_since: None,
+            failed_at: None,
             backoff_until: None,
             record_backoff_until: None,
         }
--- a/src/entry/peer_contact.rs
+++ b/src/entry/peer_contact.rs
@@ -7,7 +7,7 @@
 
 use tokio::time::{Duration, Instant};
 
-use crate::entry::{mesh_peer::MeshPeer, peer_mesh::PeerMesh};
+use crate::entry::{mesh_peer::MeshPeer, mesh_queries::SpendExchange, peer_mesh::PeerMesh};
 
 /// Time after which an unresponsive peer counts as dead, while others answer. A host that is still alive registers again.
 const DEAD_PEER_TIMEOUT: Duration = Duration::from_secs(5);
@@ -63,6 +63,32 @@
         if peers.len() > 1 { since } else { since.or(Some(self.started_at)) }
     }
 
+    /// Whether a peer fails to answer although this host is in contact with others, as far as updates have shown since then.
+    pub(super) fn is_silent_in_contact(
+        &self,
+        peers: &HashMap<Arc<str>, MeshPeer>,
+        peer: &MeshPeer,
+    ) -> bool {
+        let since = self.contact_since(peers);
+        peer.failures > 0 && since.is_some_and(|since| peer.failed_at.is_some_and(|at| at >= since))
+    }
+
+    /// Whether the records of the peers that have not answered an exchange may stand in for them: others have answered it, and
+    /// these were silent meanwhile. A host that hears nobody may have been given up by the others, who then don't ask it any
+    /// more, so it must not go by their records.
+    pub(crate) fn may_go_by_records(&self, exchange: &SpendExchange<'_>) -> bool {
+        let peers = self.peers.lock();
+        let Some(since) = self.contact_since(&peers) else {
+            return false;
+        };
+        let has_failed_queries = !exchange.is_waiting() && exchange.started_at >= since;
+        let is_silent = |host: &Arc<str>| {
+            peers.get(host).is_none_or(|peer| self.is_silent_in_contact(&peers, peer))
+        };
+        let is_in_contact = exchange.answered > 0 || peers.len() <= 1;
+        is_in_contact && (has_failed_queries || exchange.outstanding.iter().all(is_silent))
+    }
+
     /// Peers that have been unresponsive for longer than [`DEAD_PEER_TIMEOUT`], in which this host was in contact with others
     /// and has followed the store since `followed_since`.
     pub(crate) fn dead_peers(&self, followed_since: Option<Instant>) -> Vec<DeadPeer> {
--- a/src/entry/peer_mesh.rs
+++ b/src/entry/peer_mesh.rs
@@ -483,7 +483,7 @@
             return;
         };
 
-        peer.in_flight_since = None;
+        let sent_at = peer.in_flight_since.take();
 
         if is_acknowledged {
             if peer.failures > 0 {
@@ -502,6 +502,7 @@
         peer.is_synced = false;
         peer.unresponsive_since.get_or_insert_with(Instant::now);
         peer.failures += 1;
+        peer.failed_at = sent_at.or(peer.failed_at);
         let delay = BACKOFF_BASE.saturating_mul(1 << peer.failures.min(6)).min(MAX_BACKOFF);
         peer.begin_backoff(Instant::now(), delay);
         self.record_silence(&peers);
--- a/src/entry/turn_budget.rs
+++ b/src/entry/turn_budget.rs
@@ -91,7 +91,8 @@
             // A host that acknowledges updates is only late, and may be reserving at the same time.
             let may_stand_in = are_records_read
                 && exchange.holders.is_empty()
-                && (!exchange.is_waiting() || self.mesh.are_failing(&exchange.outstanding));
+                && (!exchange.is_waiting() || self.mesh.are_failing(&exchange.outstanding))
+                && self.mesh.may_go_by_records(&exchange);
 
             if !needs_reading && (exchange.outstanding.is_empty() || may_stand_in) {
                 break;
--- a/src/tests/silent_records.rs
+++ b/src/tests/silent_records.rs
@@ -503,6 +503,29 @@
     (transport, [run, second, third])
 }
 
+/// Guards against a budget that is given out twice: a host that was cut off took the records of hosts that lived for their
+/// answers, while these no longer asked it.
+#[tokio::test(start_paused = true)]
+async fn turn_budget_is_refused_on_a_host_that_hears_nobody() {
+    let (_transport, [run, ..]) = hosts_after_cut().await;
+    assert!(run.reserve(&"program".into()).await.is_err(), "it may be cut off");
+}
+
+/// Guards against the same right after the cut, when the first of the others answers again.
+#[tokio::test(start_paused = true)]
+async fn turn_budget_asks_all_hosts_again_once_one_is_heard_after_a_cut() {
+    let (transport, [run, second, third]) = hosts_after_cut().await;
+    let program: Arc<str> = "program".into();
+    let outcome = third.locator.ledger.lock().reserve(&program, 100, 60, 1);
+    assert_eq!(outcome, ReserveOutcome::Confirmed);
+
+    for other in [&second, &third] {
+        transport.hosts.lock().insert(other.address, Arc::clone(&other.mesh));
+    }
+    run.hear(&second, "other-2.1").await;
+    assert!(run.reserve(&program).await.is_err(), "another host has reserved 60 of 100 tokens");
+}
+
 /// Guards against hosts that don't ask each other as their entries were removed by one that was cut off.
 #[tokio::test(start_paused = true)]
 async fn dead_peers_are_none_on_a_host_that_was_cut_off() {
