All buffered bodies of a host share a budget of its memory

A report of other operators: a faulty upstream sent bytes without end, the host kept them all and ran out of memory.

Cause: each body has a limit of its own (8 MiB for a response, 4 MiB for a request, 1 MiB for an event), buffers double, and nothing bounds the sum.

Change: `BufferBudget` counts what is buffered of responses, events, kept output, prompts of continued turns and clients' bodies, up to a fifth of `limits.memory_mb`. A body that finds no room is given up: a response is lost, a stream is broken off, a client's body and a continued turn are refused as not run with Retry-After. The first 32 KB of each body and parts of streams up to 4 KB aren't counted, so the small bodies of others are served meanwhile. The turns in memory are limited to the same size; what is removed is found in the store again.

Evidence: `run_of_many_long_responses_stays_within_the_memory_of_the_host`, which needs the budget to be built; without the count in `LeasedBuffer::reserve` it fails.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -5,6 +5,7 @@
 
 pub(crate) mod batch_index;
 pub(crate) mod budget_ledger;
+mod buffer_budget;
 pub(crate) mod chain_recorder;
 pub(crate) mod crash_guard;
 pub(crate) mod crash_records;
@@ -69,6 +70,7 @@
 pub(crate) use self::host_registry::HostRegistry;
 pub use self::{
     budget_ledger::BudgetLedger,
+    buffer_budget::{BufferBudget, BuffersFull, LeasedBuffer},
     entry_host::EntryHost,
     entry_request::{EntryRequest, ProgramContext, PromptPart},
     entry_response::{EntryRefusal, EntryResponse, RelayedBody, RelayedResponse, StreamItem},
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -3,6 +3,7 @@
 use std::{collections::HashMap, sync::Arc};
 
 use arc_swap::ArcSwap;
+use bytes::Bytes;
 use parking_lot::Mutex;
 use tokio::{
     sync::watch,
@@ -13,9 +14,10 @@
 use crate::{
     BackoffPolicy, PeerTransport,
     entry::{
-        BudgetLedger, EntryBackends, EntryRefusal, EntryRequest, EntryResponse, EntrySettings,
-        KindFollower, ObjectListener, PlacementPool, RelayedBody, RouteTable, ServiceConfig,
-        ServiceRoute, StoreError, StoreMonitor,
+        BudgetLedger, BufferBudget, BuffersFull, EntryBackends, EntryRefusal, EntryRequest,
+        EntryResponse, EntrySettings, KindFollower, ObjectListener, PlacementPool, RelayedBody,
+        RouteTable, ServiceConfig, ServiceRoute, StoreError, StoreMonitor,
+        buffer_budget::BufferLease,
         chain_recorder::ChainRecorder,
         crash_guard::CRASH_LIMIT,
         crash_records::CrashRecords,
@@ -29,7 +31,7 @@
         request_runner::{RequestRunner, RunnerContext},
         routed_request::RoutedRequest,
         turn_budget::{BudgetContext, BudgetRefusal, TurnBudget},
-        turn_history::{HistoryTurn, chain_body},
+        turn_history::{HistoryTurn, chain_body, chain_size},
         turn_journal::{TurnJournal, TurnRecorder},
         turn_locator::{TurnLocator, TurnSearch},
         version_finder::{RequiredVersion, VersionFinder},
@@ -45,6 +47,9 @@
 /// service, or the recorded turns and budgets.
 const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Time after which a client is asked to retry while the buffers of the host are full.
+const BUFFERS_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// Backoff between attempts to read the recorded turns and budgets.
 const RESTORE_BACKOFF: BackoffPolicy =
     BackoffPolicy { first: Duration::from_millis(50), limit: Duration::from_millis(500) };
@@ -83,6 +88,7 @@
         settings: &EntrySettings,
         backends: &EntryBackends,
         network: &HostNetwork,
+        buffers: Arc<BufferBudget>,
         metrics: Arc<EntryMetrics>,
     ) -> Arc<Self> {
         let settings = settings.clone();
@@ -106,6 +112,7 @@
             reach: Arc::clone(pool.reach()),
             ..MeshState::default()
         };
+        state.history.lock().set_limit(buffers.capacity());
         let identity = MeshIdentity {
             host: Arc::clone(&settings.host),
             address: settings.peers_address,
@@ -145,6 +152,7 @@
         let runner_context = Arc::new(RunnerContext {
             pool,
             channel: Arc::clone(&backends.channel),
+            buffers,
             chains: ChainRecorder { journal: Arc::clone(&journal), history: state.history },
             crashes: state.crashes,
             presumed_crashes: Mutex::default(),
@@ -480,8 +488,14 @@
             Err(response) => return response,
         };
 
+        let body_lease = match self.lease_chain_body(&chain, &request.body) {
+            Ok(lease) => lease,
+            Err(error) => return EntryResponse::not_run(BUFFERS_RETRY_AFTER, error.to_string()),
+        };
+
         let routed = RoutedRequest {
             body: chain_body(&chain, &request.body),
+            _body_lease: body_lease,
             chain,
             software_version,
             request,
@@ -494,6 +508,21 @@
         RequestRunner::new(Arc::clone(&self.context), routed, budget).run().await
     }
 
+    /// Counts the prompt of a request that continues earlier turns, as it is a copy of all of them.
+    fn lease_chain_body(
+        &self,
+        chain: &[Arc<HistoryTurn>],
+        input: &Bytes,
+    ) -> Result<Option<BufferLease>, BuffersFull> {
+        if chain.is_empty() {
+            return Ok(None);
+        }
+
+        let mut lease = self.context.buffers.lease();
+        lease.resize(chain_size(chain, input))?;
+        Ok(Some(lease))
+    }
+
     /// Waits until the turns and budgets of earlier runs are loaded, for at most half of the request's remaining time.
     /// Returns whether they are.
     async fn wait_until_restored(&self, deadline: Instant) -> bool {
--- a/src/entry/event_framer.rs
+++ b/src/entry/event_framer.rs
@@ -1,7 +1,11 @@
 //! Splits a stream of server-sent events into whole events.
 
+use std::sync::Arc;
+
 use bytes::{Bytes, BytesMut};
 
+use crate::entry::{BufferBudget, buffer_budget::BufferLease};
+
 /// Largest event that is buffered, in bytes. The largest event in the users' specifications has 870 bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
@@ -18,13 +22,29 @@
 #[derive(Debug, Default)]
 pub(crate) struct EventFramer {
     buffer: BytesMut,
+    /// Counts the buffer against the host's memory; `None` if that is not limited.
+    lease: Option<BufferLease>,
+    /// Whether the host had no room for all that was pushed.
+    is_over_budget: bool,
     /// Length of the buffer's prefix that has been searched and holds no end of an event.
     scanned_bytes: usize,
 }
 
 impl EventFramer {
+    /// Creates a framer whose buffer counts against a budget.
+    pub(crate) fn new(budget: &Arc<BufferBudget>) -> Self {
+        Self { lease: Some(budget.lease()), ..Self::default() }
+    }
+
     pub(crate) fn push(&mut self, bytes: &[u8]) {
-        self.buffer.extend_from_slice(bytes);
+        let size = self.buffer.len() + bytes.len();
+        let is_counted = self.lease.as_mut().is_none_or(|it| it.resize(size).is_ok());
+
+        if is_counted {
+            self.buffer.extend_from_slice(bytes);
+        } else {
+            self.is_over_budget = true;
+        }
     }
 
     /// Whether the buffer holds the beginning of an event. Call it once [`EventFramer::next_event`] returns `None`.
@@ -32,9 +52,10 @@
         !self.buffer.is_empty()
     }
 
-    /// Whether the buffered bytes exceed the largest size of an event.
+    /// Whether the buffered bytes exceed the largest size of an event, or the host had no room for them. The stream can't go
+    /// on then.
     pub(crate) fn is_event_too_long(&self) -> bool {
-        self.buffer.len() > MAX_EVENT_BYTES
+        self.is_over_budget || self.buffer.len() > MAX_EVENT_BYTES
     }
 
     /// Removes and returns the next whole event.
--- a/src/entry/request_runner.rs
+++ b/src/entry/request_runner.rs
@@ -3,7 +3,6 @@
 
 use std::sync::Arc;
 
-use bytes::BytesMut;
 use hyper::StatusCode;
 use parking_lot::Mutex;
 use tokio::{
@@ -14,8 +13,8 @@
 use crate::{
     CrashTracker,
     entry::{
-        ChannelError, EntryRefusal, EntryResponse, PlacementPool, RelayedBody, RelayedResponse,
-        RequestKind, UpstreamChannel, UpstreamResponse,
+        BufferBudget, ChannelError, EntryRefusal, EntryResponse, PlacementPool, RelayedBody,
+        RelayedResponse, RequestKind, UpstreamChannel, UpstreamResponse,
         chain_recorder::ChainRecorder,
         crash_guard::AttemptWatch,
         entry_metrics::EntryMetrics,
@@ -56,6 +55,7 @@
     pub(crate) pool: Arc<PlacementPool>,
     pub(crate) channel: Arc<dyn UpstreamChannel>,
     pub(crate) chains: ChainRecorder,
+    pub(crate) buffers: Arc<BufferBudget>,
     pub(crate) crashes: Arc<Mutex<CrashTracker>>,
     pub(crate) presumed_crashes: Mutex<PresumedCrashes>,
     pub(crate) streams: Arc<Mutex<StreamVersions>>,
@@ -330,11 +330,16 @@
         mut response: UpstreamResponse,
         attempt_deadline: Instant,
     ) -> AttemptResult {
-        let mut body = BytesMut::new();
+        let mut body = self.context.buffers.buffer();
 
         loop {
             match timeout_at(attempt_deadline, response.body.next()).await {
-                Ok(Ok(Some(chunk))) => body.extend_from_slice(&chunk),
+                Ok(Ok(Some(chunk))) => {
+                    if let Err(error) = body.push(&chunk) {
+                        watch.finish();
+                        return self.finish_unusable(lease, error.to_string().into());
+                    }
+                }
                 Ok(Ok(None)) => break,
                 Ok(Err(error)) => {
                     watch.finish_broken(&error.to_string());
@@ -406,7 +411,7 @@
             return self.finish_unusable(lease, "the stream bears no signature".into());
         }
 
-        let mut framer = EventFramer::default();
+        let mut framer = EventFramer::new(&self.context.buffers);
 
         loop {
             if let Some(event) = framer.next_event() {
@@ -441,7 +446,8 @@
 
             if framer.is_event_too_long() {
                 watch.finish();
-                return self.finish_unusable(lease, "an event exceeds the size limit".into());
+                let reason = "an event is too long, or the buffers of this host are full";
+                return self.finish_unusable(lease, reason.into());
             }
         }
     }
--- a/src/entry/routed_request.rs
+++ b/src/entry/routed_request.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 use crate::entry::{
-    EntryRequest, ServiceConfig, ServiceRoute, UpstreamRequest,
+    EntryRequest, ServiceConfig, ServiceRoute, UpstreamRequest, buffer_budget::BufferLease,
     placement_request::PlacementRequest, turn_history::HistoryTurn,
 };
 
@@ -18,6 +18,8 @@
     pub(crate) service: Arc<ServiceConfig>,
     /// Body to send: that of the request, preceded by the inputs and outputs of the turns that it continues.
     pub(crate) body: Bytes,
+    /// Counts the body, if it is not that of the request.
+    pub(crate) _body_lease: Option<BufferLease>,
     /// Hash of the request's content, which identifies requests that crash upstreams.
     pub(crate) fingerprint: u64,
     /// Latest time of the final response.
--- a/src/entry/stream_relay.rs
+++ b/src/entry/stream_relay.rs
@@ -3,7 +3,6 @@
 
 use std::sync::Arc;
 
-use bytes::BytesMut;
 use hyper::{HeaderMap, StatusCode};
 use tokio::{
     sync::mpsc,
@@ -11,7 +10,8 @@
 };
 
 use crate::entry::{
-    UpstreamBody,
+    BufferBudget, LeasedBuffer, UpstreamBody,
+    buffer_budget::uncounted,
     crash_guard::AttemptWatch,
     entry_response::StreamItem,
     event_framer::{EventFramer, StreamEvent},
@@ -65,6 +65,8 @@
     Silent(Box<ResumedResponse>),
     ClientDisconnected,
     DeadlineExceeded,
+    /// This host has no room for more of the stream.
+    BuffersFull,
 }
 
 /// How a stream to a client has ended.
@@ -75,6 +77,7 @@
     Broken,
     ClientDisconnected,
     DeadlineExceeded,
+    BuffersFull,
 }
 
 /// Relays one stream to its client.
@@ -90,7 +93,7 @@
 }
 
 /// What has been sent to the client so far.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct StreamProgress {
     pub(super) last_event_id: Option<Arc<str>>,
     /// Whether each id, of two at least, was the one before plus one. Then an event that skips an id leaves out another one.
@@ -100,10 +103,20 @@
     /// Number of events without data.
     empty_events: u64,
     /// Data of the events, each followed by a line feed; collected only if the route keeps history.
-    output: BytesMut,
+    output: LeasedBuffer,
 }
 
 impl StreamProgress {
+    fn new(buffers: &Arc<BufferBudget>) -> Self {
+        Self {
+            last_event_id: None,
+            has_consecutive_ids: None,
+            events: 0,
+            empty_events: 0,
+            output: buffers.buffer(),
+        }
+    }
+
     fn record_id(&mut self, id: &str) {
         if let Some(last_id) = &self.last_event_id {
             let is_next = is_next_id(last_id, id);
@@ -134,7 +147,7 @@
     /// Relays the whole stream. If it ends early, the sender is dropped without [`StreamItem::End`], and the client's
     /// connection is broken off. If the client leaves first, nothing more is sent to an upstream.
     pub(crate) async fn run(mut self, source: StreamSource) {
-        let mut progress = StreamProgress::default();
+        let mut progress = StreamProgress::new(&self.context.buffers);
         let sender = self.sender.clone();
 
         let end = tokio::select! {
@@ -155,6 +168,13 @@
             RelayEnd::ClientDisconnected => {
                 log::info!(request:% = self.routed.request.id, events = progress.events; "the client has disconnected");
             }
+            RelayEnd::BuffersFull => {
+                self.context.metrics.count_broken_stream("buffers_full");
+                log::warn!(
+                    request:% = self.routed.request.id, events = progress.events, used = self.context.buffers.used();
+                    "broken off: the buffers of this host are full"
+                );
+            }
             RelayEnd::DeadlineExceeded => {
                 self.context.metrics.count_broken_stream("deadline");
                 log::info!(request:% = self.routed.request.id, events = progress.events; "broken off: the deadline has passed");
@@ -173,6 +193,7 @@
                 SourceEnd::Complete => return RelayEnd::Complete,
                 SourceEnd::ClientDisconnected => return RelayEnd::ClientDisconnected,
                 SourceEnd::DeadlineExceeded => return RelayEnd::DeadlineExceeded,
+                SourceEnd::BuffersFull => return RelayEnd::BuffersFull,
                 SourceEnd::Broken(reason) => {
                     log::warn!(
                         request:% = self.routed.request.id, upstream:% = upstream, events = progress.events,
@@ -320,9 +341,10 @@
                 return Err(SourceEnd::DeadlineExceeded);
             }
 
-            if self.routed.route.history_retention.is_some() {
-                progress.output.extend_from_slice(data);
-                progress.output.extend_from_slice(b"\n");
+            if self.routed.route.history_retention.is_some()
+                && [data, &b"\n"[..]].iter().any(|it| progress.output.push(it).is_err())
+            {
+                return Err(SourceEnd::BuffersFull);
             }
         } else {
             progress.empty_events += 1;
@@ -332,8 +354,8 @@
             progress.record_id(id);
         }
 
-        let sending =
-            timeout_at(self.routed.deadline, self.sender.send(StreamItem::Bytes(event.bytes)));
+        let bytes = self.context.buffers.count(event.bytes).map_err(|_| SourceEnd::BuffersFull)?;
+        let sending = timeout_at(self.routed.deadline, self.sender.send(StreamItem::Bytes(bytes)));
 
         match sending.await {
             Ok(Ok(())) => Ok(()),
@@ -351,8 +373,8 @@
             let turn = Arc::new(HistoryTurn {
                 id: Arc::clone(&request.id),
                 previous: request.program.as_ref().and_then(|it| it.previous_turn.clone()),
-                input: request.body.clone(),
-                output: progress.output.freeze(),
+                input: uncounted(&request.body),
+                output: progress.output.into_uncounted(),
             });
 
             if let Some(budget) = self.budget {
--- a/src/entry/stream_resume.rs
+++ b/src/entry/stream_resume.rs
@@ -6,7 +6,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::entry::{
-    ChannelError, UpstreamResponse,
+    BufferBudget, ChannelError, UpstreamResponse,
     crash_guard::AttemptWatch,
     event_framer::EventFramer,
     pooled_upstream::LeaseOutcome,
@@ -60,7 +60,7 @@
 
             let upstream = Arc::clone(&resumed.lease.record.id);
 
-            if let Some(source) = read_new_event(resumed, progress).await {
+            if let Some(source) = read_new_event(&self.context.buffers, resumed, progress).await {
                 log::info!(
                     request:% = self.routed.request.id, upstream:% = upstream,
                     software_version:? = self.routed.software_version, after_event:? = progress.last_event_id;
@@ -162,11 +162,12 @@
 
 /// Reads to the first event that has not been sent to the client. Returns `None` if the upstream sends none in time.
 async fn read_new_event(
+    buffers: &Arc<BufferBudget>,
     resumed: ResumedResponse,
     progress: &StreamProgress,
 ) -> Option<StreamSource> {
     let ResumedResponse { lease, mut watch, mut response, deadline } = resumed;
-    let mut framer = EventFramer::default();
+    let mut framer = EventFramer::new(buffers);
 
     loop {
         while let Some(event) = framer.next_event() {
--- a/src/entry/turn_history.rs
+++ b/src/entry/turn_history.rs
@@ -55,6 +55,8 @@
     /// When to check each turn for expiry, in order of insertion. A turn whose expiry was postponed is queued again.
     expiry_queue: VecDeque<(Instant, Arc<str>)>,
     cached_bytes: usize,
+    /// Most bytes to keep, if that is limited. What is removed is found in the store again.
+    max_bytes: Option<usize>,
 }
 
 impl TurnHistory {
@@ -93,6 +95,11 @@
         self.prune(now);
     }
 
+    /// Keeps at most this many bytes from now on.
+    pub(crate) fn set_limit(&mut self, max_bytes: usize) {
+        self.max_bytes = Some(max_bytes);
+    }
+
     pub(crate) fn cached_bytes(&self) -> usize {
         self.cached_bytes
     }
@@ -145,10 +152,14 @@
         stale
     }
 
-    /// Removes expired turns.
+    fn is_over_limit(&self) -> bool {
+        self.max_bytes.is_some_and(|it| self.cached_bytes > it)
+    }
+
+    /// Removes expired turns, and the oldest ones while all take too much memory.
     fn prune(&mut self, now: Instant) {
         while let Some((check_at, _)) = self.expiry_queue.front()
-            && *check_at <= now
+            && (*check_at <= now || self.is_over_limit())
         {
             let Some((_, id)) = self.expiry_queue.pop_front() else {
                 return;
@@ -157,7 +168,7 @@
                 continue;
             };
 
-            if cached.expires_at > now {
+            if cached.expires_at > now && !self.is_over_limit() {
                 self.expiry_queue.push_back((cached.expires_at, id));
             } else if let Some(cached) = self.turns.remove(&id) {
                 self.cached_bytes -= cached.turn.size();
@@ -166,14 +177,18 @@
     }
 }
 
+/// Bytes of the prompt that [`chain_body`] makes.
+pub(crate) fn chain_size(chain: &[Arc<HistoryTurn>], input: &Bytes) -> usize {
+    chain.iter().map(|it| it.size()).sum::<usize>() + input.len()
+}
+
 /// Joins a chain and a new input into the prompt that is sent to the upstream.
 pub(crate) fn chain_body(chain: &[Arc<HistoryTurn>], input: &Bytes) -> Bytes {
     if chain.is_empty() {
         return input.clone();
     }
 
-    let size: usize = chain.iter().map(|it| it.size()).sum();
-    let mut body = BytesMut::with_capacity(size + input.len());
+    let mut body = BytesMut::with_capacity(chain_size(chain, input));
 
     for turn in chain {
         body.extend_from_slice(&turn.input);
--- a/src/gateway/entry_node.rs
+++ b/src/gateway/entry_node.rs
@@ -17,7 +17,7 @@
 use crate::{
     BackoffPolicy, PeerHandler, PeerMessage, PeerStream, PeerTransport,
     entry::{
-        EntryBackends, EntryHost, EntrySettings, ReadFreshness, RouteLimits,
+        BufferBudget, EntryBackends, EntryHost, EntrySettings, ReadFreshness, RouteLimits,
         entry_metrics::EntryMetrics, mesh_connector::MeshConnector,
     },
     gateway::{
@@ -60,6 +60,7 @@
     /// When this host ends, once that is known.
     pub(super) stops_at: OnceLock<Instant>,
     metrics: Arc<EntryMetrics>,
+    buffers: Arc<BufferBudget>,
 }
 
 impl EntryNode {
@@ -82,7 +83,9 @@
             departures: Arc::clone(&network.departures),
         };
 
+        let buffers = Arc::new(BufferBudget::new(settings.memory_bytes));
         let node = Arc::new(Self {
+            buffers,
             settings,
             backends,
             network,
@@ -152,7 +155,9 @@
         log::info!(processor_share = self.settings.processor_share; "becoming a scheduler");
         self.metrics.record_role(true);
         let metrics = Arc::clone(&self.metrics);
-        let host = EntryHost::start(&self.settings, &self.backends, &self.network, metrics);
+        let buffers = Arc::clone(&self.buffers);
+        let host =
+            EntryHost::start(&self.settings, &self.backends, &self.network, buffers, metrics);
         self.starter.start(&host);
 
         if self.is_draining.load(Ordering::Relaxed) {
@@ -234,6 +239,11 @@
         }
     }
 
+    /// Memory for the bodies that this host buffers.
+    pub fn buffers(&self) -> &Arc<BufferBudget> {
+        &self.buffers
+    }
+
     /// Limits on clients.
     pub fn limits(&self) -> RouteLimits {
         self.host.get().map_or_else(|| self.forwarder.directory.limits(), |it| it.routes().limits)
--- a/src/tests/entry_runner.rs
+++ b/src/tests/entry_runner.rs
@@ -11,9 +11,9 @@
 use crate::{
     CrashTracker,
     entry::{
-        BudgetLedger, EntryRefusal, EntryRequest, EntryResponse, PlacementPool, PossibleRuns,
-        RelayedBody, RequestKind, RouteTarget, ServiceConfig, ServiceRoute, StreamItem,
-        UpstreamRecord,
+        BudgetLedger, BufferBudget, EntryRefusal, EntryRequest, EntryResponse, PlacementPool,
+        PossibleRuns, RelayedBody, RequestKind, RouteTarget, ServiceConfig, ServiceRoute,
+        StreamItem, UpstreamRecord,
         chain_recorder::ChainRecorder,
         entry_metrics::EntryMetrics,
         placement_request::PlacementRequest,
@@ -111,6 +111,17 @@
     channel: &Arc<ScriptedChannel>,
     kind: RequestKind,
     crashes: &Arc<Mutex<CrashTracker>>,
+) -> RequestRunner {
+    runner_with_buffers(pool, channel, kind, crashes, &Arc::default())
+}
+
+/// As [`runner_with_crashes`], on a host with these buffers.
+pub(super) fn runner_with_buffers(
+    pool: &Arc<PlacementPool>,
+    channel: &Arc<ScriptedChannel>,
+    kind: RequestKind,
+    crashes: &Arc<Mutex<CrashTracker>>,
+    buffers: &Arc<BufferBudget>,
 ) -> RequestRunner {
     let store = Arc::new(MemoryStore::default());
     let metrics = Arc::new(EntryMetrics::new().expect("metrics"));
@@ -122,6 +133,7 @@
         pool: Arc::clone(pool),
         channel: Arc::clone(channel) as Arc<_>,
         chains: ChainRecorder { journal, history: Arc::default() },
+        buffers: Arc::clone(buffers),
         streams: Arc::default(),
         crashes: Arc::clone(crashes),
         presumed_crashes: Mutex::default(),
@@ -175,6 +187,7 @@
         fingerprint: 1,
         deadline: now + Duration::from_secs(2),
         chain: Vec::new(),
+        _body_lease: None,
         software_version: None,
     };
 
--- a/src/tests/lost_links.rs
+++ b/src/tests/lost_links.rs
@@ -162,6 +162,7 @@
                 regions: BTreeMap::new(),
                 peers_address: ([127, 0, 0, 1], 0).into(),
                 processor_share: 1.0,
+                memory_bytes: None,
                 expiry: ExpiryBounds::default(),
             };
             let backends = EntryBackends {
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod abandoned_connections;
 mod broken_streams;
+mod buffer_budget;
 mod cell_dispatcher;
 mod cell_queue;
 mod cluster_view;
--- a/src/tests/retained_records.rs
+++ b/src/tests/retained_records.rs
@@ -69,6 +69,7 @@
         regions: std::collections::BTreeMap::new(),
         peers_address: ([127, 0, 0, 1], 0).into(),
         processor_share: 1.0,
+        memory_bytes: None,
         expiry: ExpiryBounds::default(),
     };
     let stream = ScriptedResponse::Stream { chunks: vec!["data: out\n\n"], is_complete: true };
