--- a/src/entry/budget_ledger.rs
+++ b/src/entry/budget_ledger.rs
@@ -63,7 +63,17 @@
     pub(crate) spent: u64,
 }
 
+/// Most bytes that a record takes for the names of its fields and for its numbers.
+const RECORD_FIELD_BYTES: usize = 112;
+
 impl SpendRecord {
+    /// Most bytes that the record takes in a batch, as JSON.
+    pub(crate) fn record_size(&self) -> usize {
+        let writer_bytes = self.writer.as_ref().map_or(0, |it| it.len());
+        // An escaped character takes up to six bytes.
+        self.program.len() * 6 + writer_bytes + RECORD_FIELD_BYTES
+    }
+
     /// Returns the record with its writer, which is that of the batch if it names none. A record that goes into a batch of
     /// another host has to name it.
     pub(crate) fn with_writer(&self, batch_writer: &Arc<str>) -> Self {
@@ -341,6 +351,11 @@
         self.accounts.get(program).map_or(0, ProgramAccount::unrecorded_tokens)
     }
 
+    /// Marks totals again whose batch has not been written.
+    pub(crate) fn restore_unrecorded(&mut self, records: &[SpendRecord]) {
+        self.unrecorded.extend(records.iter().map(|it| Arc::clone(&it.program)));
+    }
+
     /// Marks a program's known totals for the next batch.
     pub(crate) fn mark_unrecorded(&mut self, program: &Arc<str>) {
         self.unrecorded.insert(Arc::clone(program));
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -126,6 +126,9 @@
             Arc::clone(&metrics),
             writer,
         ));
+        if let Some(value_bytes) = settings.store_value_bytes {
+            journal.set_value_limit(value_bytes);
+        }
         mesh.set_journal(Arc::clone(&journal));
         let locator = Arc::new(TurnLocator::new(
             Arc::clone(&backends.store),
@@ -478,6 +481,13 @@
             }
         };
 
+        if route.history_retention.is_some()
+            && self.context.chains.journal.is_input_too_large(&request.body)
+        {
+            let reason = "the turn is larger than the values of the store, so it can't be kept";
+            return EntryResponse::refused(EntryRefusal::TooLarge, reason);
+        }
+
         let chain = match self.find_chain(&request, &route, deadline).await {
             Ok(chain) => chain,
             Err(response) => return response,
--- a/src/entry/entry_settings.rs
+++ b/src/entry/entry_settings.rs
@@ -17,6 +17,8 @@
     pub peers_address: SocketAddr,
     /// Part of a core that the host may use, by which larger hosts are preferred as schedulers.
     pub processor_share: f64,
+    /// Largest value that the store takes, in bytes, if the platform states it.
+    pub store_value_bytes: Option<usize>,
     /// Memory that the host may use, in bytes, if that is limited.
     pub memory_bytes: Option<u64>,
     /// What the platform states of its upstreams' entries.
--- a/src/entry/object_store.rs
+++ b/src/entry/object_store.rs
@@ -106,6 +106,13 @@
     },
 }
 
+impl StoreError {
+    /// Whether the store will never take the same content: it is malformed or too large.
+    pub(crate) fn is_rejection(&self) -> bool {
+        matches!(self, Self::Refused { status: 400 | 413 | 422 })
+    }
+}
+
 /// Operations of the store that the system uses.
 #[async_trait]
 pub trait ObjectStore: Debug + Send + Sync {
--- a/src/entry/turn_history.rs
+++ b/src/entry/turn_history.rs
@@ -30,6 +30,20 @@
     pub(crate) fn size(&self) -> usize {
         self.input.len() + self.output.len()
     }
+
+    /// Most bytes that the turn takes in a record, which holds input and output as base64.
+    pub(crate) fn record_size(&self) -> usize {
+        let id_bytes = self.id.len() + self.previous.as_ref().map_or(0, |it| it.len());
+        base64_size(self.input.len()) + base64_size(self.output.len()) + id_bytes + FIELD_BYTES
+    }
+}
+
+/// Most bytes that a record takes for the names of a turn's fields.
+const FIELD_BYTES: usize = 128;
+
+/// Most bytes of the base64 text of this many bytes.
+pub(crate) fn base64_size(bytes: usize) -> usize {
+    bytes.div_ceil(3) * 4
 }
 
 /// The turns that a new one continues, the oldest first, or the id of the latest one that is not in memory.
--- a/src/entry/turn_journal.rs
+++ b/src/entry/turn_journal.rs
@@ -6,11 +6,12 @@
     fmt::Debug,
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
 };
 
 use async_trait::async_trait;
+use bytes::Bytes;
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
@@ -25,11 +26,11 @@
         BudgetLedger, ObjectStore, StoreError, WriteOutcome,
         budget_ledger::SpendRecord,
         entry_metrics::EntryMetrics,
-        journal_queue::{JournalQueue, PendingBatch, QueuedEntries},
+        journal_queue::{JournalQueue, PendingBatch, QueuedEntries, is_too_large},
         recent_spends::RecentSpends,
         record_retention::RecordRetention,
         segment_index::INDEX_KIND,
-        turn_history::HistoryTurn,
+        turn_history::{HistoryTurn, base64_size},
         written_batches::{BatchSlot, WrittenBatches},
     },
 };
@@ -67,6 +68,9 @@
 /// turn that the rules allow beyond a budget cover them.
 const SPEND_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Largest value of the store if the platform states none, in bytes.
+const DEFAULT_VALUE_BYTES: usize = 1 << 20;
+
 /// Delay between attempts of a write.
 const WRITE_BACKOFF: BackoffPolicy =
     BackoffPolicy { first: Duration::from_millis(60), limit: Duration::from_millis(500) };
@@ -117,6 +121,8 @@
     is_store_reachable: AtomicBool,
     recent_spends: Mutex<RecentSpends>,
     retention: Arc<RecordRetention>,
+    /// Largest value that the store takes.
+    value_bytes: AtomicUsize,
 }
 
 impl TurnJournal {
@@ -136,9 +142,20 @@
             is_store_reachable: AtomicBool::new(true),
             recent_spends: Mutex::default(),
             retention: Arc::default(),
+            value_bytes: AtomicUsize::new(DEFAULT_VALUE_BYTES),
         }
     }
 
+    /// Sets the size of the largest value that the store takes.
+    pub(crate) fn set_value_limit(&self, value_bytes: usize) {
+        self.value_bytes.store(value_bytes, Ordering::Relaxed);
+    }
+
+    /// Whether the record of a turn is larger than the values of the store, whatever its output is.
+    pub(crate) fn is_input_too_large(&self, input: &Bytes) -> bool {
+        is_too_large(base64_size(input.len()), self.value_bytes.load(Ordering::Relaxed))
+    }
+
     /// For how long records are kept.
     pub(crate) fn retention(&self) -> &Arc<RecordRetention> {
         &self.retention
@@ -191,23 +208,58 @@
 
         loop {
             self.wait_for_work(&*recorder).await;
-            let QueuedEntries { turns, forwarded, spend_waiters } = self.queue.lock().take();
+            let value_bytes = self.value_bytes.load(Ordering::Relaxed);
+            let QueuedEntries { turns, forwarded, spend_waiters } =
+                self.queue.lock().take(value_bytes);
             let records = self.ledger.lock().take_unrecorded();
             let contents = turns.iter().map(|it| HistoryTurn::clone(&it.turn)).collect();
             let mut pending = PendingBatch { turns: contents, records, forwarded };
-
-            if !pending.is_empty() {
-                self.record(&mut pending, &*recorder, &mut written).await;
-                self.ledger.lock().mark_recorded(&pending.records);
+            let spend_batches = pending.split_records(value_bytes);
+            let are_turns_recorded =
+                self.record_pending(&mut pending, &*recorder, &mut written).await;
+            let mut are_spends_recorded = are_turns_recorded;
+
+            for mut batch in spend_batches {
+                are_spends_recorded &=
+                    self.record_pending(&mut batch, &*recorder, &mut written).await;
             }
+
             self.remove_expired_index(&mut written).await;
 
-            let forward_waiters = pending.forwarded.into_iter().map(|it| it.done);
-            let turn_waiters = turns.into_iter().map(|it| it.done);
-            turn_waiters.chain(forward_waiters).chain(spend_waiters).for_each(notify_done);
+            // Waiters that are dropped without a notification know that nothing was recorded.
+            if are_turns_recorded {
+                let forward_waiters = pending.forwarded.into_iter().map(|it| it.done);
+                let turn_waiters = turns.into_iter().map(|it| it.done);
+                turn_waiters.chain(forward_waiters).for_each(notify_done);
+            }
+            if are_spends_recorded {
+                spend_waiters.into_iter().for_each(notify_done);
+            }
         }
     }
 
+    /// Makes a batch durable and counts its spends as recorded. Returns false if the store never takes it.
+    async fn record_pending(
+        &self,
+        pending: &mut PendingBatch,
+        recorder: &dyn TurnRecorder,
+        written: &mut WrittenBatches,
+    ) -> bool {
+        if pending.is_empty() {
+            return true;
+        }
+
+        let is_recorded = self.record(pending, recorder, written).await;
+        let mut ledger = self.ledger.lock();
+
+        if is_recorded {
+            ledger.mark_recorded(&pending.records);
+        } else {
+            ledger.restore_unrecorded(&pending.records);
+        }
+        is_recorded
+    }
+
     /// Waits until the delay of a batch has passed since the first entry was queued, or until unrecorded spends are due
     /// although the queue is empty.
     async fn wait_for_work(&self, recorder: &dyn TurnRecorder) {
@@ -235,14 +287,14 @@
     }
 
     /// Makes a batch durable: through the preferred host, else by a write of this host, else through a fallback host
-    /// that reaches the store. Retries until one has succeeded. Batches that were forwarded to this host are not
-    /// forwarded again.
+    /// that reaches the store. Retries until one has succeeded, unless the store rejects the content; then it returns false.
+    /// Batches that were forwarded to this host are not forwarded again.
     async fn record(
         &self,
         pending: &mut PendingBatch,
         recorder: &dyn TurnRecorder,
         written: &mut WrittenBatches,
-    ) {
+    ) -> bool {
         let started = Instant::now();
         let records: Vec<SpendRecord> =
             pending.records.iter().map(|it| it.with_writer(&self.writer)).collect();
@@ -253,7 +305,7 @@
             && recorder.record(&host, &pending.turns, &records).await
         {
             self.report_recorded(pending, &host, started, 0);
-            return;
+            return true;
         }
 
         let batch = written.next_batch(pending);
@@ -271,7 +323,7 @@
                     written.return_slot(slot);
                 }
                 self.report_recorded(pending, &host, started, attempt);
-                return;
+                return true;
             }
 
             let has_fallback = may_forward && !recorder.fallback_hosts().is_empty();
@@ -288,7 +340,8 @@
                 Ok(result) => result,
                 Err(_) => Err(StoreError::Unanswered { reason: "no answer in time".into() }),
             };
-            self.is_store_reachable.store(result.is_ok(), Ordering::Relaxed);
+            let is_rejected = result.as_ref().is_err_and(StoreError::is_rejection);
+            self.is_store_reachable.store(result.is_ok() || is_rejected, Ordering::Relaxed);
 
             match result {
                 Ok(true) => {
@@ -297,10 +350,20 @@
                         written.add(slot, &batch);
                     }
                     self.report_recorded(pending, &self.writer, started, attempt);
-                    return;
+                    return true;
                 }
                 // The reused object can't be replaced any more, so the batch is written under a new name without delay.
                 Ok(false) => (),
+                Err(error) if is_rejected => {
+                    if let Some(slot) = slot.take() {
+                        written.return_slot(slot);
+                    }
+                    log::error!(
+                        batch = batch.number, turns = batch.turns.len(), bytes = content.get().len();
+                        "the store rejects a batch, so its turns are given up: {error}"
+                    );
+                    return false;
+                }
                 Err(error) => {
                     log::warn!(
                         batch = batch.number, turns = batch.turns.len(), attempts = attempt + 1;
--- a/src/tests/lost_links.rs
+++ b/src/tests/lost_links.rs
@@ -163,6 +163,7 @@
                 peers_address: ([127, 0, 0, 1], 0).into(),
                 processor_share: 1.0,
                 memory_bytes: None,
+                store_value_bytes: None,
                 expiry: ExpiryBounds::default(),
             };
             let backends = EntryBackends {
--- a/src/tests/retained_records.rs
+++ b/src/tests/retained_records.rs
@@ -70,6 +70,7 @@
         peers_address: ([127, 0, 0, 1], 0).into(),
         processor_share: 1.0,
         memory_bytes: None,
+        store_value_bytes: None,
         expiry: ExpiryBounds::default(),
     };
     let stream = ScriptedResponse::Stream { chunks: vec!["data: out\n\n"], is_complete: true };
