Two hosts that go by each other's records write their reservations down first

Cause: of two hosts that don't hear each other, each counts the other by its records. These lack what the other has just reserved, so both gave out the rest of the budget.

Change (`written_reservations`): before records stand in for a silent host, this host writes its own total with all reservations into an object of its own, and only then reads those of the others, so that of two hosts one at least sees the other. One round of a write and two reads serves all who wait. A host without a registry entry doesn't go by records, nor one that has listed itself again less than 3 s ago, since others may not look for its total. If a silent host has reserved the tokens, the turn is told to retry, not that the budget is spent. Builds that don't know the objects neither write nor read them, as before.

Evidence: `turn_budget_is_given_out_on_one_side_of_a_cut_at_most` and three more tests fail if the exchange of reservations is left out, and pass with it.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -66,6 +66,7 @@
 mod upstream_record;
 pub(crate) mod version_finder;
 pub(crate) mod written_batches;
+pub(crate) mod written_reservations;
 
 pub(crate) use self::host_registry::HostRegistry;
 pub use self::{
--- a/src/entry/budget_ledger.rs
+++ b/src/entry/budget_ledger.rs
@@ -93,6 +93,8 @@
     recorded_spent: u64,
     /// When this host last recorded the total itself.
     copied_at: Option<Instant>,
+    /// The total that the writer has written down with its reservations, as it went by records itself.
+    written: u64,
 }
 
 impl WriterTotal {
@@ -267,6 +269,40 @@
         self.total(program) <= budget
     }
 
+    /// The same if silent hosts have spent what they have written down as reserved.
+    pub(crate) fn is_within_written(
+        &self,
+        program: &Arc<str>,
+        budget: u64,
+        is_silent: impl Fn(&str) -> bool,
+    ) -> bool {
+        self.accounts.get(program).is_none_or(|account| {
+            let tokens = |(writer, total): (&Arc<str>, &WriterTotal)| {
+                if is_silent(writer) { total.tokens().max(total.written) } else { total.tokens() }
+            };
+            account.local_total() + account.other_writers.iter().map(tokens).sum::<u64>() <= budget
+        })
+    }
+
+    /// Whether turns of a program run on this host.
+    pub(crate) fn has_reservations(&self, program: &Arc<str>) -> bool {
+        self.accounts.get(program).is_some_and(|it| it.reserved > 0)
+    }
+
+    /// Replaces what all other writers have written down as reserved.
+    pub(crate) fn set_written(&mut self, written: &HashMap<Arc<str>, Vec<SpendNote>>) {
+        let totals = self.accounts.values_mut().flat_map(|it| it.other_writers.values_mut());
+        totals.for_each(|total| total.written = 0);
+
+        for (writer, notes) in written {
+            for note in notes {
+                let account = self.account(&note.program);
+                let total = account.other_writers.entry(Arc::clone(writer)).or_default();
+                total.written = note.tokens;
+            }
+        }
+    }
+
     /// Begins to announce a program to these hosts, unless it has been announced before.
     pub(crate) fn begin_announcement(&mut self, program: &Arc<str>, hosts: HashSet<Arc<str>>) {
         self.account(program).unannounced.get_or_insert(hosts);
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -35,6 +35,7 @@
         turn_journal::{TurnJournal, TurnRecorder},
         turn_locator::{TurnLocator, TurnSearch},
         version_finder::{RequiredVersion, VersionFinder},
+        written_reservations::WrittenReservations,
     },
     gateway::{ForwardedRequests, HostNetwork, SchedulerEntry},
     hex_text,
@@ -139,7 +140,14 @@
             state.readings,
         ));
 
+        let reservations = Arc::new(WrittenReservations::new(
+            Arc::clone(&backends.store),
+            Arc::clone(&ledger),
+            Arc::clone(&mesh),
+        ));
+
         let budgets = BudgetContext {
+            reservations,
             ledger,
             journal: Arc::clone(&journal),
             mesh: Arc::clone(&mesh),
@@ -230,6 +238,12 @@
         }
 
         mesh.mark_records_loaded();
+        let reservations = Arc::clone(&self.budgets.reservations);
+        tokio::spawn(async move {
+            if let Err(error) = reservations.remove_of_earlier_runs().await {
+                log::warn!("the reservations of earlier runs can't be removed: {error}");
+            }
+        });
         Ok(())
     }
 
@@ -248,8 +262,10 @@
                     "another host has removed this host's registry entry, registering again"
                 );
                 self.register().await;
+                self.budgets.reservations.record_listing();
             }
 
+            self.budgets.reservations.remove_unneeded().await;
             self.remove_dead_peers().await;
 
             for notes in self.context.crashes.lock().take_unrecorded(CRASH_LIMIT) {
--- a/src/entry/peer_contact.rs
+++ b/src/entry/peer_contact.rs
@@ -12,6 +12,16 @@
 /// Time after which an unresponsive peer counts as dead, while others answer. A host that is still alive registers again.
 const DEAD_PEER_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Time for which the turns of a dropped peer may still run.
+const DROPPED_TIME: Duration = Duration::from_secs(10);
+
+/// Peer that this host has dropped.
+#[derive(Debug)]
+pub(super) struct DroppedPeer {
+    host: Arc<str>,
+    at: Instant,
+}
+
 /// Peer that counts as dead.
 #[derive(Clone, Debug)]
 pub(crate) struct DeadPeer {
@@ -138,12 +148,21 @@
     /// Drops a dead peer that has no registry entry. What it has recorded is read before a program's spend is confirmed
     /// without it.
     pub(crate) fn drop_dead(&self, host: &str) {
-        *self.dropped_at.lock() = Some(Instant::now());
+        let now = Instant::now();
+        let mut dropped = self.dropped.lock();
+        dropped.retain(|it| now.duration_since(it.at) < DROPPED_TIME);
+        dropped.push(DroppedPeer { host: host.into(), at: now });
+        drop(dropped);
         self.remove_peer(host);
     }
 
+    /// Hosts that were dropped lately. What they have reserved until then may still be spent.
+    pub(crate) fn dropped_hosts(&self) -> Vec<Arc<str>> {
+        self.dropped.lock().iter().map(|it| Arc::clone(&it.host)).collect()
+    }
+
     /// When this host last dropped a peer that had not announced that it stops.
     pub(crate) fn last_drop(&self) -> Option<Instant> {
-        *self.dropped_at.lock()
+        self.dropped.lock().iter().map(|it| it.at).max()
     }
 }
--- a/src/entry/peer_mesh.rs
+++ b/src/entry/peer_mesh.rs
@@ -15,12 +15,12 @@
 use crate::{
     CrashNote, PeerMessage, PeerTransport,
     entry::{
-        budget_ledger::SpendNote,
+        budget_ledger::{SpendNote, is_writer_of},
         host_reach::LostServices,
         mesh_connector::MeshConnector,
         mesh_peer::{MeshIdentity, MeshPeer},
         mesh_state::MeshState,
-        peer_contact::PeerContact,
+        peer_contact::{DroppedPeer, PeerContact},
         stream_versions::BegunStream,
         turn_journal::TurnJournal,
         upstream_departures::UpstreamDeparture,
@@ -98,8 +98,8 @@
     /// Revisions of the hosts' registry entries, as this host knows them.
     pub(super) registered: Mutex<HashMap<Arc<str>, u64>>,
     pub(super) contact: Mutex<PeerContact>,
-    /// When this host last dropped a peer that had not announced that it stops.
-    pub(super) dropped_at: Mutex<Option<Instant>>,
+    /// Peers that this host has dropped lately although they had not announced that they stop.
+    pub(super) dropped: Mutex<Vec<DroppedPeer>>,
     /// Processor time that each registered host may use, in thousandths of a core.
     pub(super) processor_millis: Mutex<HashMap<Arc<str>, u32>>,
     /// Highest sequence number received from each writer.
@@ -134,7 +134,7 @@
             latest_runs: Mutex::default(),
             registered: Mutex::default(),
             contact: Mutex::new(PeerContact::new(Instant::now())),
-            dropped_at: Mutex::default(),
+            dropped: Mutex::default(),
             processor_millis: Mutex::default(),
             last_sequences: Mutex::default(),
             sequence: AtomicU64::new(0),
@@ -236,6 +236,16 @@
         self.is_deregistered.swap(false, Ordering::Relaxed)
     }
 
+    /// Notices that this host has no registry entry.
+    pub(crate) fn record_deregistered(&self) {
+        self.is_deregistered.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether `writer` is a run of this host.
+    pub(crate) fn is_own_run(&self, writer: &str) -> bool {
+        is_writer_of(&self.identity.host, writer)
+    }
+
     /// Waits until each peer has received this host's state or has failed to respond. Until then a peer might hand out
     /// a program's tokens without knowing that this host may do so too.
     pub(crate) async fn wait_until_synced(&self) {
@@ -258,7 +268,7 @@
     /// Removes a peer. If it is this host, it has to register again.
     pub(crate) fn remove_peer(&self, host: &str) {
         if *host == *self.identity.host {
-            self.is_deregistered.store(true, Ordering::Relaxed);
+            self.record_deregistered();
         }
 
         self.record_membership_change();
--- a/src/entry/turn_budget.rs
+++ b/src/entry/turn_budget.rs
@@ -1,6 +1,9 @@
 //! Reserves the part of a program's budget that one running turn may spend.
 
-use std::sync::Arc;
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, Ordering},
+};
 
 use parking_lot::Mutex;
 use tokio::time::{Duration, Instant, sleep, sleep_until, timeout, timeout_at};
@@ -14,6 +17,7 @@
         peer_mesh::PeerMesh,
         turn_journal::TurnJournal,
         turn_locator::TurnLocator,
+        written_reservations::WrittenReservations,
     },
 };
 
@@ -65,12 +69,20 @@
     pub(crate) journal: Arc<TurnJournal>,
     pub(crate) mesh: Arc<PeerMesh>,
     pub(crate) locator: Arc<TurnLocator>,
+    pub(crate) reservations: Arc<WrittenReservations>,
 }
 
 impl BudgetContext {
     /// Merges the other hosts' totals for a program into the ledger. Where a host is late, it reads what is recorded, and goes on
-    /// with what comes first, if that host fails to acknowledge updates and does not serve the program. Returns false if neither has come for some host by the deadline.
-    async fn confirm_spend(&self, program: &Arc<str>, deadline: Instant) -> bool {
+    /// with what comes first, if that host fails to acknowledge updates and does not serve the program. For a turn that has
+    /// reserved tokens it also compares reservations with the silent hosts. Returns the hosts that are counted by their records, or
+    /// `None` if for some host nothing has come by the deadline.
+    async fn confirm_spend(
+        &self,
+        program: &Arc<str>,
+        has_reserved: bool,
+        deadline: Instant,
+    ) -> Option<Vec<Arc<str>>> {
         let started = Instant::now();
         let mut exchange = self.mesh.begin_exchange(program, deadline - started);
         let needs_dropped = self.needs_records_of_dropped_peers();
@@ -78,16 +90,21 @@
         let late_at = started + LATE_RESPONSE_TIME;
         let reading_at =
             if exchange.has_failing_peers() || needs_reading { started } else { late_at };
+        let is_waiting = AtomicBool::new(true);
         let mut reading = Box::pin(async {
             sleep_until(reading_at).await;
             let asked_at = Instant::now();
             let needed = self.mesh.last_run_end().max(self.mesh.last_drop());
-            self.locator.read_spends(asked_at, needed).await
+            let are_read = self.locator.read_spends(asked_at, needed).await;
+            // What silent hosts have reserved is not in their records.
+            let compares = has_reserved && (needs_dropped || is_waiting.load(Ordering::Relaxed));
+            are_read && (!compares || self.reservations.exchange(program).await)
         });
         let mut is_reading_over = false;
         let mut are_records_read = false;
 
         loop {
+            is_waiting.store(!exchange.outstanding.is_empty(), Ordering::Relaxed);
             // A host that acknowledges updates is only late, and may be reserving at the same time.
             let may_stand_in = are_records_read
                 && exchange.holders.is_empty()
@@ -99,7 +116,7 @@
             }
             if is_reading_over && !exchange.is_waiting() {
                 Self::log_confirmation(program, &exchange, started, false);
-                return false;
+                return None;
             }
 
             tokio::select! {
@@ -115,7 +132,7 @@
                     needs_reading = false;
                     if !exchange.outstanding.is_empty() {
                         Self::log_confirmation(program, &exchange, started, false);
-                        return false;
+                        return None;
                     }
                 }
             }
@@ -123,7 +140,7 @@
 
         if needs_dropped && self.needs_records_of_dropped_peers() {
             Self::log_confirmation(program, &exchange, started, false);
-            return false;
+            return None;
         }
 
         let outstanding = &exchange.outstanding;
@@ -138,7 +155,8 @@
         if !outstanding.is_empty() {
             Self::log_confirmation(program, &exchange, started, true);
         }
-        true
+        let dropped = self.mesh.dropped_hosts();
+        Some(exchange.outstanding.into_iter().chain(dropped).collect())
     }
 
     /// Whether a run that has spent tokens of a program has ended since the records were read last. It may have spent more after
@@ -211,6 +229,7 @@
     ) -> Result<Self, BudgetRefusal> {
         let sharing_hosts = context.mesh.sharing_host_count().filter(|_| !is_forwarded);
         let host_count = sharing_hosts.unwrap_or(u64::MAX);
+        let mut has_conflict = false;
 
         for attempt in 0..MAX_RESERVE_ATTEMPTS {
             if attempt > 0 {
@@ -220,7 +239,7 @@
             let outcome = context.ledger.lock().reserve(program, budget, tokens, host_count);
 
             if outcome == ReserveOutcome::OverBudget {
-                if attempt > 0 || !context.confirm_spend(program, deadline).await {
+                if attempt > 0 || context.confirm_spend(program, false, deadline).await.is_none() {
                     break;
                 }
                 // Reservations of other hosts may have been settled since their last reports.
@@ -237,12 +256,24 @@
             if outcome == ReserveOutcome::Confirmed {
                 return Ok(reservation);
             }
-            if !context.confirm_spend(program, deadline).await {
+            let Some(silent_hosts) = context.confirm_spend(program, true, deadline).await else {
                 return Err(BudgetRefusal::Unknown);
-            }
-            if context.ledger.lock().is_within(program, budget) {
+            };
+            let is_silent = |writer: &str| silent_hosts.iter().any(|it| is_writer_of(it, writer));
+            let (is_within, is_within_written) = {
+                let ledger = context.ledger.lock();
+                let is_within_written = ledger.is_within_written(program, budget, is_silent);
+                (ledger.is_within(program, budget), is_within_written)
+            };
+            if is_within && is_within_written {
                 return Ok(reservation);
             }
+            has_conflict = is_within;
+        }
+
+        // A silent host has reserved the tokens, and may not spend them.
+        if has_conflict {
+            return Err(BudgetRefusal::Unknown);
         }
 
         if context.ledger.lock().total(program) + tokens <= budget {
--- a/src/tests/entry_fakes.rs
+++ b/src/tests/entry_fakes.rs
@@ -17,7 +17,7 @@
     entry::{
         ChannelError, ObjectPage, ObjectStore, ReadFreshness, SendGuard, StoreError, StoredObject,
         UpstreamBody, UpstreamChannel, UpstreamPhase, UpstreamRecord, UpstreamRequest,
-        UpstreamResponse, WatchBatch, WriteOutcome,
+        UpstreamResponse, WatchBatch, WriteOutcome, host_registry::REGISTRY_KIND,
     },
 };
 
@@ -62,6 +62,12 @@
         self.state.lock().call_count
     }
 
+    /// Lists a host in the registry.
+    pub(super) fn list_host(&self, host: &str) {
+        let content = RawValue::from_string("{}".to_owned()).expect("valid JSON");
+        self.state.lock().put(REGISTRY_KIND, host, &content);
+    }
+
     pub(super) fn object_count(&self, kind: &str) -> usize {
         self.state.lock().objects.keys().filter(|(it, _)| it == kind).count()
     }
--- a/src/tests/entry_journal.rs
+++ b/src/tests/entry_journal.rs
@@ -24,6 +24,7 @@
         turn_history::{HistoryTurn, TurnHistory},
         turn_journal::{JOURNAL_KIND, TurnJournal, TurnRecorder, batch_delay},
         turn_locator::{TurnLocator, TurnSearch},
+        written_reservations::WrittenReservations,
     },
 };
 
@@ -104,11 +105,13 @@
 struct HostRun {
     journal: Arc<TurnJournal>,
     locator: Arc<TurnLocator>,
+    reservations: Arc<WrittenReservations>,
     history: Arc<Mutex<TurnHistory>>,
 }
 
 impl HostRun {
     fn start(store: &Arc<MemoryStore>, writer: &str, recorder: &Arc<FakeRecorder>) -> Self {
+        store.list_host("host-a");
         let store = Arc::clone(store) as Arc<dyn ObjectStore>;
         let ledger = Arc::new(Mutex::new(BudgetLedger::default()));
         let metrics = Arc::new(EntryMetrics::new().expect("metrics"));
@@ -137,10 +140,15 @@
                 ..MeshState::default()
             },
         ));
+        let reservations = Arc::new(WrittenReservations::new(
+            Arc::clone(&store),
+            Arc::clone(&ledger),
+            Arc::clone(&mesh),
+        ));
         let locator =
             Arc::new(TurnLocator::new(store, Arc::clone(&history), ledger, mesh, index, readings));
         tokio::spawn(Arc::clone(&journal).run(Arc::clone(recorder) as Arc<_>, RETENTION));
-        Self { journal, locator, history }
+        Self { journal, locator, reservations, history }
     }
 
     /// Records a turn. Returns whether it became durable within 3 s.
@@ -174,6 +182,7 @@
             journal: Arc::clone(&self.journal),
             mesh: Arc::clone(&self.locator.mesh),
             locator: Arc::clone(&self.locator),
+            reservations: Arc::clone(&self.reservations),
         };
         let deadline = Instant::now() + Duration::from_millis(1_500);
         TurnBudget::reserve(&context, &program.into(), 567, 567, false, deadline).await
--- a/src/tests/silent_records.rs
+++ b/src/tests/silent_records.rs
@@ -29,6 +29,7 @@
         turn_journal::TurnJournal,
         turn_locator::TurnLocator,
         written_batches::WrittenBatches,
+        written_reservations::{RESERVATION_KIND, WrittenReservations},
     },
 };
 
@@ -110,6 +111,7 @@
     mesh: Arc<PeerMesh>,
     journal: Arc<TurnJournal>,
     locator: Arc<TurnLocator>,
+    reservations: Arc<WrittenReservations>,
 }
 
 impl HostRun {
@@ -120,6 +122,7 @@
         port: u16,
     ) -> Self {
         let address = SocketAddr::from(([127, 0, 0, 1], port));
+        store.list_host(host_of(writer));
         let store = Arc::clone(store) as Arc<dyn ObjectStore>;
         let state = MeshState::default();
         let ledger: Arc<Mutex<BudgetLedger>> = Arc::clone(&state.ledger);
@@ -147,9 +150,14 @@
         mesh.set_journal(Arc::clone(&journal));
         tokio::spawn(Arc::clone(&journal).run(Arc::clone(&mesh) as Arc<_>, RETENTION));
         transport.hosts.lock().insert(address, Arc::clone(&mesh));
+        let reservations = Arc::new(WrittenReservations::new(
+            Arc::clone(&store),
+            Arc::clone(&ledger),
+            Arc::clone(&mesh),
+        ));
         let locator =
             Arc::new(TurnLocator::new(store, history, ledger, Arc::clone(&mesh), index, readings));
-        Self { address, mesh, journal, locator }
+        Self { address, mesh, journal, locator, reservations }
     }
 
     /// Hears the first update of another run, which has just started.
@@ -190,6 +198,7 @@
             journal: Arc::clone(&self.journal),
             mesh: Arc::clone(&self.mesh),
             locator: Arc::clone(&self.locator),
+            reservations: Arc::clone(&self.reservations),
         };
         let deadline = Instant::now() + Duration::from_millis(1_500);
         TurnBudget::reserve(&context, program, budget, 50, is_forwarded, deadline).await
@@ -564,3 +573,86 @@
     assert!(run.reserve(&program).await.is_err());
     assert_eq!(run.locator.ledger.lock().total(&program), 70);
 }
+
+/// The turns of a dropped host may still run, for which it has written a reservation down.
+#[tokio::test(start_paused = true)]
+async fn turn_budget_counts_what_a_dropped_host_has_reserved() {
+    let (_store, [a, _b, c, _d]) = split_pairs().await;
+    let program: Arc<str> = "program".into();
+    let reserved = a.reserve_of(90, &program, false).await.expect("nobody else has reserved it");
+    sleep(Duration::from_secs(2)).await;
+    c.mesh.drop_dead("a");
+    c.mesh.drop_dead("b");
+    assert_eq!(c.reserve_of(90, &program, false).await.err(), Some(BudgetRefusal::Unknown));
+    drop(reserved);
+}
+
+/// Two pairs of hosts, of which each hears only its own: both go by the records of the other pair.
+async fn split_pairs() -> (Arc<MemoryStore>, [HostRun; 4]) {
+    let store = Arc::new(MemoryStore::default());
+    let transports = [Arc::<HostTransport>::default(), Arc::<HostTransport>::default()];
+    let runs = [(0, "a.1", 1), (0, "b.1", 2), (1, "c.1", 3), (1, "d.1", 4)]
+        .map(|(side, writer, port)| HostRun::start(&store, &transports[side], writer, port));
+    let writers = ["a.1", "b.1", "c.1", "d.1"];
+
+    for run in &runs {
+        for (other, writer) in runs.iter().zip(writers) {
+            if other.address != run.address {
+                run.hear(other, writer).await;
+            }
+        }
+        run.mesh.send_updates();
+    }
+    sleep(Duration::from_millis(10)).await;
+    (store, runs)
+}
+
+/// Guards against a budget that is given out on both sides of a cut: each side went by what the other had recorded, which
+/// lacks what it had just reserved.
+#[tokio::test(start_paused = true)]
+async fn turn_budget_is_given_out_on_one_side_of_a_cut_at_most() {
+    for delay_ms in [0, 2, 5, 8, 13, 21, 40] {
+        let (_store, [a, _b, c, _d]) = split_pairs().await;
+        let program: Arc<str> = "program".into();
+        let late = async {
+            sleep(Duration::from_millis(delay_ms)).await;
+            c.reserve_of(90, &program, false).await
+        };
+        let (first, second) = tokio::join!(a.reserve_of(90, &program, false), late);
+        let granted = [&first, &second].iter().filter(|it| it.is_ok()).count();
+        assert!(granted <= 1, "after {delay_ms} ms both sides have 50 of 90 tokens");
+    }
+}
+
+/// The side that comes later is told to retry: the tokens are reserved, and may not be spent.
+#[tokio::test(start_paused = true)]
+async fn turn_budget_is_unknown_while_a_silent_host_has_reserved_it() {
+    let (store, [a, _b, c, _d]) = split_pairs().await;
+    let program: Arc<str> = "program".into();
+    let first = a.reserve_of(90, &program, false).await.expect("nobody else has reserved it");
+    assert_eq!(c.reserve_of(90, &program, false).await.err(), Some(BudgetRefusal::Unknown));
+    assert!(c.reserve_of(200, &program, false).await.is_ok(), "there is room for both");
+    drop(first);
+    assert_eq!(store.object_count(RESERVATION_KIND), 2);
+    sleep(Duration::from_secs(11)).await;
+    a.reservations.remove_unneeded().await;
+    c.reservations.remove_unneeded().await;
+    assert_eq!(store.object_count(RESERVATION_KIND), 0);
+}
+
+/// Guards against a host that others no longer ask, as its entry is gone, and that goes by their records.
+#[tokio::test(start_paused = true)]
+async fn turn_budget_is_refused_on_a_host_that_is_not_listed() {
+    let (store, [a, ..]) = split_pairs().await;
+    let entry = store.get("entry-hosts", "a").await.expect("the store answers").expect("an entry");
+    store.remove("entry-hosts", "a", entry.revision).await.expect("the store answers");
+    let program: Arc<str> = "program".into();
+    assert!(a.reserve(&program).await.is_err());
+    assert!(a.mesh.take_deregistered(), "it lists itself again");
+
+    store.list_host("a");
+    a.reservations.record_listing();
+    assert!(a.reserve(&program).await.is_err(), "others may not know yet that it is listed");
+    sleep(Duration::from_secs(4)).await;
+    assert!(a.reserve(&program).await.is_ok());
+}
