Tests of turns and spends that are larger than a value; an index stays below that size too

The in-memory store refuses values beyond 1 MiB with 413 as the platform's does.

A segment is closed once its index has 256 KB, and the spends of a batch take half of a value at most (`turn_journal_records_more_spends_than_a_value_holds`).

--- a/src/entry/journal_queue.rs
+++ b/src/entry/journal_queue.rs
@@ -56,10 +56,12 @@
         self.turns.iter().map(HistoryTurn::record_size).sum::<usize>() + forwarded
     }
 
-    /// Takes out the spends that don't fit into a value of `value_bytes` together with the turns, as batches of their own.
+    /// Takes out the spends that don't fit into a value of `value_bytes` together with the turns, as batches of their own. The
+    /// spends of a batch take half of a value at most, as the index of its segment has them as well.
     pub(crate) fn split_records(&mut self, value_bytes: usize) -> Vec<PendingBatch> {
-        let limit = value_bytes.saturating_sub(BATCH_FIELD_BYTES);
-        let mut left = limit.saturating_sub(self.content_size());
+        let limit = value_bytes / 2;
+        let free = value_bytes.saturating_sub(BATCH_FIELD_BYTES + self.content_size());
+        let mut left = free.min(limit);
         let mut batches: Vec<Self> = Vec::new();
 
         for record in std::mem::take(&mut self.records) {
--- a/src/entry/segment_index.rs
+++ b/src/entry/segment_index.rs
@@ -55,6 +55,14 @@
         self.spends.extend(batch.spends.iter().cloned());
     }
 
+    /// Most bytes that the index takes in the store.
+    pub(crate) fn size(&self) -> usize {
+        let ids =
+            |batch: &IndexedBatch| batch.turns.iter().map(|it| it.len() * 6 + 3).sum::<usize>();
+        let batches = self.batches.iter().map(|batch| batch.batch.len() + 32 + ids(batch));
+        batches.sum::<usize>() + self.spends.iter().map(SpendRecord::record_size).sum::<usize>()
+    }
+
     /// Drops spends that a later record of the same writer and program replaces. Totals only grow.
     pub(crate) fn drop_replaced_spends(&mut self) {
         let mut latest: HashMap<(Option<Arc<str>>, Arc<str>), SpendRecord> = HashMap::new();
--- a/src/entry/written_batches.rs
+++ b/src/entry/written_batches.rs
@@ -14,6 +14,9 @@
 /// Age from which a segment is closed before the next batch. A reader has to read the batches of the open segment whole.
 const MAX_SEGMENT_AGE: Duration = Duration::from_secs(1);
 
+/// Size of an index from which its segment is closed, since an index is one value of the store.
+const MAX_INDEX_BYTES: usize = 256 << 10;
+
 /// An object of the store with a batch, and its revision.
 #[derive(Clone, Debug)]
 struct WrittenObject {
@@ -113,7 +116,8 @@
     /// may have been applied.
     pub(crate) fn index_to_write(&mut self) -> Option<SegmentIndex> {
         let now = Instant::now();
-        let is_due = now.duration_since(self.open.opened_at) >= MAX_SEGMENT_AGE;
+        let is_due = now.duration_since(self.open.opened_at) >= MAX_SEGMENT_AGE
+            || self.open.index.size() > MAX_INDEX_BYTES;
 
         if self.pending_index.is_none() && is_due && !self.open.index.batches.is_empty() {
             self.close_segment(now);
--- a/src/tests/entry_fakes.rs
+++ b/src/tests/entry_fakes.rs
@@ -24,6 +24,9 @@
 /// Largest number of objects on a page. It is small, so that a few objects take several pages.
 const MAX_PAGE_ITEMS: usize = 3;
 
+/// Largest value, in bytes.
+pub(super) const MAX_VALUE_BYTES: usize = 1 << 20;
+
 /// Time that each call takes.
 const CALL_LATENCY: Duration = Duration::from_millis(4);
 
@@ -93,9 +96,15 @@
         &self,
         kind: &str,
         name: &str,
+        content: Option<&RawValue>,
         change: impl FnOnce(&mut StoreState, Option<StoredObject>) -> WriteOutcome,
     ) -> Result<WriteOutcome, StoreError> {
         let fault = self.begin_call().await?;
+
+        if content.is_some_and(|it| it.get().len() > MAX_VALUE_BYTES) {
+            return Err(StoreError::Refused { status: 413 });
+        }
+
         let mut state = self.state.lock();
         let current = state.objects.get(&(kind.to_owned(), name.into())).cloned();
         let outcome = change(&mut state, current);
@@ -153,7 +162,7 @@
         name: &str,
         content: &RawValue,
     ) -> Result<WriteOutcome, StoreError> {
-        self.write(kind, name, |state, current| match current {
+        self.write(kind, name, Some(content), |state, current| match current {
             Some(_) => WriteOutcome::Conflict,
             None => state.put(kind, name, content),
         })
@@ -167,7 +176,7 @@
         content: &RawValue,
         revision: u64,
     ) -> Result<WriteOutcome, StoreError> {
-        self.write(kind, name, |state, current| match current {
+        self.write(kind, name, Some(content), |state, current| match current {
             Some(object) if object.revision == revision => state.put(kind, name, content),
             _ => WriteOutcome::Conflict,
         })
@@ -191,7 +200,7 @@
         name: &str,
         revision: u64,
     ) -> Result<WriteOutcome, StoreError> {
-        self.write(kind, name, |state, current| match current {
+        self.write(kind, name, None, |state, current| match current {
             Some(object) if object.revision == revision => {
                 state.objects.remove(&(kind.to_owned(), name.into()));
                 WriteOutcome::Written { revision }
--- a/src/tests/entry_journal.rs
+++ b/src/tests/entry_journal.rs
@@ -414,6 +414,67 @@
     assert!(next.locator.ledger.lock().total(&program) >= 100);
 }
 
+fn turn_of_size(id: &str, bytes: usize) -> Arc<HistoryTurn> {
+    let input = Bytes::from(vec![b'a'; bytes]);
+    Arc::new(HistoryTurn { input, ..HistoryTurn::clone(&turn(id, None)) })
+}
+
+/// Guards against a journal that tries a batch again without end, and records nothing that comes after it.
+#[tokio::test(start_paused = true)]
+async fn turn_journal_records_later_turns_after_one_that_is_larger_than_a_value() {
+    let store = Arc::new(MemoryStore::default());
+    let run = HostRun::start(&store, "host-a.1", &Arc::default());
+    let large = run.journal.append(turn_of_size("large", 900_000));
+    let outcome = timeout(Duration::from_secs(1), large).await.expect("in time");
+    assert!(outcome.is_err(), "its response must not end as if it were kept");
+    assert!(run.record("a", None).await);
+    assert_eq!(run.locator.find(&"large".into(), RETENTION).await, TurnSearch::Absent);
+}
+
+/// The same for what other hosts forward, alone and together with others.
+#[tokio::test(start_paused = true)]
+async fn turn_journal_records_later_turns_after_a_forwarded_one_that_is_larger_than_a_value() {
+    let store = Arc::new(MemoryStore::default());
+    let run = HostRun::start(&store, "host-a.1", &Arc::default());
+    let forward = |id: &str, bytes: usize| {
+        let turn = HistoryTurn::clone(&turn_of_size(id, bytes));
+        run.journal.append_forwarded(vec![turn], Vec::new())
+    };
+    let fitting = [forward("b", 190_000), forward("c", 700_000), forward("d", 700_000)];
+    let large = forward("e", 900_000);
+    assert!(timeout(Duration::from_secs(1), large).await.expect("in time").is_err());
+    for receiver in fitting {
+        timeout(Duration::from_secs(1), receiver).await.expect("in time").expect("recorded");
+    }
+    assert!(run.record("a", None).await);
+}
+
+/// Spends that don't fit into one value are recorded in several, before any waiter is notified.
+#[tokio::test(start_paused = true)]
+async fn turn_journal_records_more_spends_than_a_value_holds() {
+    let store = Arc::new(MemoryStore::default());
+    let run = HostRun::start(&store, "host-b.1", &Arc::default());
+    for number in 0..12_000 {
+        let program: Arc<str> = format!("program-{number}").into();
+        let mut ledger = run.locator.ledger.lock();
+        assert_ne!(ledger.reserve(&program, 2_000, 50, 1), ReserveOutcome::OverBudget);
+        ledger.spend(&program, 50);
+        ledger.settle(&program, 50, 50);
+    }
+    let large = run.journal.append(turn_of_size("large", 700_000));
+    let flushed = run.journal.flush_spends();
+    timeout(Duration::from_secs(2), flushed).await.expect("in time").expect("recorded");
+    timeout(Duration::from_secs(1), large).await.expect("in time").expect("recorded");
+    // The index of the segment is a value as well.
+    sleep(Duration::from_secs(2)).await;
+    assert!(run.record("a", None).await);
+    let reader = HostRun::start(&store, "host-a.2", &Arc::default());
+    reader.locator.list_batches(Instant::now()).await.expect("the store answers");
+    let ledger = reader.locator.ledger.lock();
+    let spent = (0..12_000).filter(|it| ledger.total(&format!("program-{it}").into()) >= 50);
+    assert_eq!(spent.count(), 12_000);
+}
+
 #[test]
 fn batch_delay_grows_with_the_hosts_that_share_a_recorder() {
     let delays = [1, 2, 3, 6, 12].map(|hosts| batch_delay(hosts).as_millis());
