--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -265,7 +265,9 @@
                 self.budgets.reservations.record_listing();
             }
 
-            self.budgets.reservations.remove_unneeded().await;
+            // The store may not answer, and what follows must not wait for it.
+            let reservations = Arc::clone(&self.budgets.reservations);
+            tokio::spawn(async move { reservations.remove_unneeded().await });
             self.remove_dead_peers().await;
 
             for notes in self.context.crashes.lock().take_unrecorded(CRASH_LIMIT) {
--- a/src/entry/peer_mesh.rs
+++ b/src/entry/peer_mesh.rs
@@ -83,7 +83,7 @@
 /// The full mesh of entry hosts: sends updates to all others and keeps their state.
 #[derive(Debug)]
 pub(crate) struct PeerMesh {
-    pub(super) identity: MeshIdentity,
+    pub(crate) identity: MeshIdentity,
     /// Start of this run.
     pub(super) started_at: Instant,
     pub(super) journal: OnceLock<Arc<TurnJournal>>,
--- a/src/entry/written_reservations.rs
+++ b/src/entry/written_reservations.rs
@@ -219,24 +219,15 @@
         Ok(count)
     }
 
-    /// Removes the object once none of its totals is needed, and those of earlier runs of this host.
+    /// Removes the object once none of its totals is needed.
     pub(crate) async fn remove_unneeded(&self) {
-        let now = Instant::now();
-        let revision = {
-            let state = self.state.lock();
-            let ledger = self.ledger.lock();
-            let is_needed = state.programs.iter().any(|(program, needed_at)| {
-                now.duration_since(*needed_at) < WRITTEN_TIME || ledger.has_reservations(program)
-            });
-            if is_needed { None } else { state.revision }
-        };
-        let Some(revision) = revision else {
-            return;
-        };
         // No round writes the object meanwhile.
         let Ok(_round) = self.round.try_lock() else {
             return;
         };
+        let Some(revision) = self.unneeded_revision() else {
+            return;
+        };
 
         let writer = &self.mesh.identity.writer;
         if let Err(error) = self.store.remove(RESERVATION_KIND, writer, revision).await {
@@ -247,6 +238,17 @@
         state.written = None;
     }
 
+    /// Revision of the object if none of its totals is needed any more.
+    fn unneeded_revision(&self) -> Option<u64> {
+        let now = Instant::now();
+        let state = self.state.lock();
+        let ledger = self.ledger.lock();
+        let is_needed = state.programs.iter().any(|(program, needed_at)| {
+            now.duration_since(*needed_at) < WRITTEN_TIME || ledger.has_reservations(program)
+        });
+        state.revision.filter(|_| !is_needed)
+    }
+
     /// Removes the objects of earlier runs of this host.
     pub(crate) async fn remove_of_earlier_runs(&self) -> Result<(), StoreError> {
         let mut pages = PageReader::new(&*self.store, RESERVATION_KIND, None);
--- a/src/tests/entry_journal.rs
+++ b/src/tests/entry_journal.rs
@@ -59,7 +59,7 @@
 
 /// Another host that records all that it is sent; by default there is none.
 #[derive(Debug, Default)]
-struct FakeRecorder {
+pub(super) struct FakeRecorder {
     host: Option<Arc<str>>,
     is_preferred: bool,
     turns: Mutex<Vec<Arc<str>>>,
@@ -92,7 +92,7 @@
     }
 }
 
-fn turn(id: &str, previous: Option<&str>) -> Arc<HistoryTurn> {
+pub(super) fn turn(id: &str, previous: Option<&str>) -> Arc<HistoryTurn> {
     Arc::new(HistoryTurn {
         id: id.into(),
         previous: previous.map(Arc::from),
@@ -102,15 +102,19 @@
 }
 
 /// The journal and the locator of one run of a host.
-struct HostRun {
-    journal: Arc<TurnJournal>,
-    locator: Arc<TurnLocator>,
+pub(super) struct HostRun {
+    pub(super) journal: Arc<TurnJournal>,
+    pub(super) locator: Arc<TurnLocator>,
     reservations: Arc<WrittenReservations>,
-    history: Arc<Mutex<TurnHistory>>,
+    pub(super) history: Arc<Mutex<TurnHistory>>,
 }
 
 impl HostRun {
-    fn start(store: &Arc<MemoryStore>, writer: &str, recorder: &Arc<FakeRecorder>) -> Self {
+    pub(super) fn start(
+        store: &Arc<MemoryStore>,
+        writer: &str,
+        recorder: &Arc<FakeRecorder>,
+    ) -> Self {
         store.list_host("host-a");
         let store = Arc::clone(store) as Arc<dyn ObjectStore>;
         let ledger = Arc::new(Mutex::new(BudgetLedger::default()));
@@ -152,7 +156,7 @@
     }
 
     /// Records a turn. Returns whether it became durable within 3 s.
-    async fn record(&self, id: &str, previous: Option<&str>) -> bool {
+    pub(super) async fn record(&self, id: &str, previous: Option<&str>) -> bool {
         let receiver = self.journal.append(turn(id, previous));
         matches!(timeout(Duration::from_secs(3), receiver).await, Ok(Ok(())))
     }
