--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -127,9 +127,7 @@
             Arc::clone(&metrics),
             writer,
         ));
-        if let Some(value_bytes) = settings.store_value_bytes {
-            journal.set_value_limit(value_bytes);
-        }
+        settings.store_value_bytes.iter().for_each(|it| journal.set_value_limit(*it));
         mesh.set_journal(Arc::clone(&journal));
         let locator = Arc::new(TurnLocator::new(
             Arc::clone(&backends.store),
--- a/src/entry/written_reservations.rs
+++ b/src/entry/written_reservations.rs
@@ -202,15 +202,11 @@
                 if *object.name == *self.mesh.identity.writer || is_over {
                     continue;
                 }
-                match object.decode::<WrittenTotals>() {
-                    Some(totals) => {
-                        written.insert(Arc::clone(&object.name), totals.notes);
-                    }
-                    None => {
-                        let reason = format!("the totals of {} can't be decoded", object.name);
-                        return Err(StoreError::Unanswered { reason: reason.into() });
-                    }
-                }
+                let Some(totals) = object.decode::<WrittenTotals>() else {
+                    let reason = format!("the totals of {} can't be decoded", object.name);
+                    return Err(StoreError::Unanswered { reason: reason.into() });
+                };
+                written.insert(Arc::clone(&object.name), totals.notes);
             }
         }
 
--- a/src/tests/buffer_budget.rs
+++ b/src/tests/buffer_budget.rs
@@ -89,7 +89,7 @@
     assert!(buffers.used() <= buffers.capacity());
 
     let mut small = buffers.buffer();
-    assert_eq!(small.push(&[0; 20_000]), Ok(()));
+    assert_eq!(small.push(&vec![0; 20_000]), Ok(()));
     assert!(buffers.count(bytes::Bytes::from(vec![0; 900])).is_ok());
     assert!(buffers.count(bytes::Bytes::from(vec![0; 60_000])).is_err());
     drop(large);
--- a/src/tests/entry_journal.rs
+++ b/src/tests/entry_journal.rs
@@ -161,18 +161,22 @@
         matches!(timeout(Duration::from_secs(3), receiver).await, Ok(Ok(())))
     }
 
+    /// Runs a turn of 50 tokens.
+    fn spend_turn(&self, program: &Arc<str>, has_history: bool) {
+        let mut ledger = self.locator.ledger.lock();
+        assert_ne!(ledger.reserve(program, 2_000, 50, 1), ReserveOutcome::OverBudget);
+        ledger.spend(program, 50);
+        ledger.settle(program, 50, 50);
+        if has_history {
+            ledger.finish_turn(program);
+        }
+    }
+
     /// Runs turns of a program with a budget of 2,000 tokens, each of 50, until they have spent `tokens`. If the program has
     /// history, its records carry no headroom.
     async fn spend(&self, program: &Arc<str>, tokens: u64, has_history: bool) {
         for _ in 0..tokens / 50 {
-            let mut ledger = self.locator.ledger.lock();
-            assert_ne!(ledger.reserve(program, 2_000, 50, 1), ReserveOutcome::OverBudget);
-            ledger.spend(program, 50);
-            ledger.settle(program, 50, 50);
-            if has_history {
-                ledger.finish_turn(program);
-            }
-            drop(ledger);
+            self.spend_turn(program, has_history);
             sleep(Duration::from_millis(100)).await;
         }
         // Spends are recorded once a second.
