--- a/src/entry/written_reservations.rs
+++ b/src/entry/written_reservations.rs
@@ -8,7 +8,7 @@
 
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
-use tokio::time::{Duration, Instant};
+use tokio::time::{Duration, Instant, sleep_until};
 
 use crate::entry::{
     BudgetLedger, ObjectStore, StoreError, WriteOutcome, budget_ledger::SpendNote,
@@ -25,6 +25,16 @@
 /// Time after a host has listed itself again in which others may not know of it yet. Until then they don't look for its total.
 const LISTING_TIME: Duration = Duration::from_secs(3);
 
+/// Time between the starts of two rounds. Each takes a write, and the store takes a number of writes a second from all hosts
+/// together, so it grows with the number of hosts.
+const ROUND_INTERVAL: Duration = Duration::from_millis(30);
+
+/// Number of peers with which a host waits for one interval.
+const PEERS_PER_INTERVAL: usize = 4;
+
+/// Largest multiple of the interval.
+const MAX_INTERVAL_FACTOR: u32 = 16;
+
 /// Content of a run's object. Readers ignore fields that they don't know.
 #[derive(Debug, Deserialize, Eq, PartialEq, Serialize)]
 struct WrittenTotals {
@@ -42,6 +52,7 @@
     revision: Option<u64>,
     /// Content of the object at that revision.
     written: Option<WrittenTotals>,
+    last_round_at: Option<Instant>,
     /// When this host listed itself again.
     listed_again_at: Option<Instant>,
 }
@@ -98,6 +109,7 @@
             // Goes on if the caller stops waiting, as others wait for it too.
             let reservations = Arc::clone(self);
             let round = tokio::spawn(async move {
+                reservations.wait_for_next_round().await;
                 let ticket = reservations.state.lock().last_ticket;
                 let is_complete = match reservations.run_round().await {
                     Ok(is_complete) => is_complete,
@@ -117,6 +129,18 @@
         result.is_complete
     }
 
+    /// Waits until the next round may begin, which serves all who have come by then.
+    async fn wait_for_next_round(&self) {
+        let factor = (self.mesh.peers.lock().len() / PEERS_PER_INTERVAL) as u32;
+        let interval = ROUND_INTERVAL * factor.clamp(1, MAX_INTERVAL_FACTOR);
+        let last_round_at = self.state.lock().last_round_at;
+
+        if let Some(last_round_at) = last_round_at {
+            sleep_until(last_round_at + interval).await;
+        }
+        self.state.lock().last_round_at = Some(Instant::now());
+    }
+
     async fn run_round(&self) -> Result<bool, StoreError> {
         let started = Instant::now();
         self.write_totals().await?;
