The only host left of a fleet serves programs

Cause: the rule that a host which hears nobody may be cut off was added before reservations were written down. With these it isn't needed: whoever lives on the other side sees what this host has reserved, and a host that isn't listed doesn't go by records. So a host that hears nobody goes by records again; one that has just been in contact again asks all others first. Witnesses, which only showed that a host is not cut off, are gone.

--- a/src/entry/mesh_queries.rs
+++ b/src/entry/mesh_queries.rs
@@ -39,8 +39,6 @@
     pub(crate) holders: Vec<Arc<str>>,
     /// Number of peers that are not asked, as they do not respond to updates either.
     failing: usize,
-    /// Number of peers that have responded, also of those whose spends are not needed.
-    pub(super) answered: usize,
     answers: FuturesUnordered<BoxFuture<'a, Option<Arc<str>>>>,
 }
 
@@ -59,7 +57,6 @@
     pub(crate) async fn receive(&mut self) {
         match self.answers.next().await {
             Some(Some(host)) => {
-                self.answered += 1;
                 self.outstanding.retain(|it| *it != host);
                 self.holders.retain(|it| *it != host);
             }
@@ -84,9 +81,6 @@
 /// Time without an acknowledgement after which a peer counts as lost rather than late. Connections are given up after it, too.
 const LOST_PEER_TIME: Duration = Duration::from_secs(2);
 
-/// Most peers that are asked only to show that this host is not cut off.
-const MAX_WITNESSES: usize = 2;
-
 /// A peer to which a spend query may be sent.
 #[derive(Debug)]
 struct QueriedPeer {
@@ -182,16 +176,14 @@
                 })
                 .collect()
         };
-        let witnesses = self.witnesses(&peers);
 
         let query = Arc::new(PeerMessage::SpendQuery {
             writer: Arc::clone(&self.identity.writer),
             sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
             note: self.state.ledger.lock().local_note(program),
         });
-        let asked = peers.iter().filter(|peer| peer.is_asked);
-        let asked = asked.map(|peer| (Arc::clone(&peer.host), peer.address));
-        let answers = asked.chain(witnesses).map(|(host, address)| {
+        let answers = peers.iter().filter(|peer| peer.is_asked).map(|peer| {
+            let (host, address) = (Arc::clone(&peer.host), peer.address);
             self.query_spend(host, address, Arc::clone(&query), limit).boxed()
         });
 
@@ -199,7 +191,6 @@
             started_at: Instant::now(),
             asked: peers.len(),
             failing: peers.iter().filter(|peer| !peer.is_asked).count(),
-            answered: 0,
             holders: peers
                 .iter()
                 .filter(|peer| peer.is_holder)
@@ -218,21 +209,6 @@
                 || peers.values().all(|peer| peer.failures > 0))
     }
 
-    /// Responsive peers that are asked beside those of an exchange that can't respond: their answers show that this host is
-    /// not cut off itself.
-    fn witnesses(&self, queried: &[QueriedPeer]) -> Vec<(Arc<str>, SocketAddr)> {
-        let needs_witness = queried.iter().any(|it| !it.is_asked);
-
-        if !needs_witness || queried.iter().any(|it| it.is_asked) {
-            return Vec::new();
-        }
-
-        let peers = self.peers.lock();
-        let responsive = peers.iter().filter(|(_, peer)| peer.failures == 0);
-        let witnesses = responsive.map(|(host, peer)| (Arc::clone(host), peer.address));
-        witnesses.take(MAX_WITNESSES).collect()
-    }
-
     /// Whether none of these peers acknowledges updates.
     pub(crate) fn are_failing(&self, hosts: &[Arc<str>]) -> bool {
         let peers = self.peers.lock();
--- a/src/entry/peer_contact.rs
+++ b/src/entry/peer_contact.rs
@@ -83,20 +83,18 @@
         peer.failures > 0 && since.is_some_and(|since| peer.failed_at.is_some_and(|at| at >= since))
     }
 
-    /// Whether the records of the peers that have not answered an exchange may stand in for them: others have answered it, and
-    /// these were silent meanwhile. A host that hears nobody may have been given up by the others, who then don't ask it any
-    /// more, so it must not go by their records.
+    /// Whether the records of the peers that have not answered an exchange may stand in for them: they were silent since this
+    /// host is in contact with others, or it hears nobody. What was silent before may only have been out of its reach.
     pub(crate) fn may_go_by_records(&self, exchange: &SpendExchange<'_>) -> bool {
         let peers = self.peers.lock();
         let Some(since) = self.contact_since(&peers) else {
-            return false;
+            return true;
         };
         let has_failed_queries = !exchange.is_waiting() && exchange.started_at >= since;
         let is_silent = |host: &Arc<str>| {
             peers.get(host).is_none_or(|peer| self.is_silent_in_contact(&peers, peer))
         };
-        let is_in_contact = exchange.answered > 0 || peers.len() <= 1;
-        is_in_contact && (has_failed_queries || exchange.outstanding.iter().all(is_silent))
+        has_failed_queries || exchange.outstanding.iter().all(is_silent)
     }
 
     /// Peers that have been unresponsive for longer than [`DEAD_PEER_TIMEOUT`], in which this host was in contact with others
