--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -23,6 +23,7 @@
 mod host_registry;
 mod http_upstream;
 mod journal_audit;
+mod landed_frames;
 mod late_acks;
 mod leaving_upstreams;
 mod log_limiter;
