A run is over only once a later one of its host has answered a later question

What callers saw: LOST, suspected only. A turn that a restarted host had recorded could be answered 404 by a host that had not heard the new run yet, or that heard a late message of an earlier one. Cause: another run of the host that had been heard was taken for the later one, by the time at which its message arrived. The open segment of a run that only seemed to be over was read once and then left out of each search; written reservations of such a run were left out as well. A message may be late, and a run may have records before it is heard. Change: run_lives. A host has one run at a time, so a run is over for certain once another one of its host has answered a question that was sent after the first one was known. Exchanges of spends give such answers; a reading of spends asks for one where it is missing, with a question that all builds answer. No frame or record has changed. Readings that the heard run calls for (a run that may be over) stay as they were.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -48,6 +48,7 @@
 mod retirement_keeper;
 mod route_table;
 pub(crate) mod routed_request;
+pub(crate) mod run_lives;
 pub(crate) mod run_record;
 pub(crate) mod segment_index;
 pub(crate) mod silent_records;
--- a/src/entry/mesh_queries.rs
+++ b/src/entry/mesh_queries.rs
@@ -1,7 +1,7 @@
 //! Queries to other entry hosts: for recorded spends and turns, for what a program has spent, and for single turns.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     net::SocketAddr,
     sync::{Arc, atomic::Ordering},
 };
@@ -27,6 +27,9 @@
 /// Time for a peer to respond to the query for a stream that a client takes up.
 const STREAM_QUERY_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Number beyond that of any segment of a run.
+const NO_SEGMENT: u64 = u64::MAX >> 1;
+
 /// Exchange of spends with the peers that may hand out a program's tokens as well.
 pub(crate) struct SpendExchange<'a> {
     pub(super) started_at: Instant,
@@ -223,8 +226,11 @@
         query: Arc<PeerMessage>,
         limit: Duration,
     ) -> Option<Arc<str>> {
+        let asked_at = Instant::now();
+
         match timeout(limit, self.connector.exchange(address, &query)).await {
             Ok(Ok(PeerMessage::Spend { writer, sequence, note })) => {
+                self.run_lives.lock().record_answer(&host, &writer, asked_at);
                 let program = Arc::clone(&note.program);
                 self.merge_reported_spends(&writer, sequence, &[note]);
                 self.state.ledger.lock().mark_announced(&program, &host);
@@ -245,19 +251,62 @@
             return self.journal.get()?.recent_spends(sequence);
         }
 
-        let is_of_writer =
-            |peer: &&MeshPeer| peer.failures == 0 && peer.writer.as_ref() == Some(writer);
-        let address = self.peers.lock().values().find(is_of_writer)?.address;
+        let (host, address) = {
+            let peers = self.peers.lock();
+            let is_of_writer = |(_, peer): &(&Arc<str>, &MeshPeer)| {
+                peer.failures == 0 && peer.writer.as_ref() == Some(writer)
+            };
+            let (host, peer) = peers.iter().find(is_of_writer)?;
+            (Arc::clone(host), peer.address)
+        };
         let query = PeerMessage::RecentSpendsQuery { writer: Arc::clone(writer), sequence };
+        let asked_at = Instant::now();
 
         match timeout(PEER_TIMEOUT, self.connector.exchange(address, &query)).await {
-            Ok(Ok(PeerMessage::RecentSpends { spends })) => Some(spends),
+            Ok(Ok(PeerMessage::RecentSpends { spends })) => {
+                self.run_lives.lock().record_answer(&host, writer, asked_at);
+                Some(spends)
+            }
             _ => None,
         }
     }
 
-    /// Latest time at which a run can have ended, if it is known to be over: a later run of its host was heard, or is this
-    /// one.
+    /// Asks the run of a host that was heard last whether it lives, if that is another one than `writer`, which then is over.
+    pub(crate) async fn prove_run_end(&self, writer: &str) {
+        let successor = {
+            let peers = self.peers.lock();
+            let peer = peers.iter().find(|(host, _)| is_writer_of(host, writer));
+            peer.and_then(|(_, peer)| peer.writer.clone()).filter(|it| **it != *writer)
+        };
+
+        // Any answer of the run is a proof.
+        if let Some(successor) = successor
+            && self.query_recent_spends(&successor, NO_SEGMENT).await.is_none()
+        {
+            log::info!(writer:% = writer, successor:% = successor; "the end of a run can't be proved yet, as the run after it does not answer");
+        }
+    }
+
+    /// Latest time at which a run can have ended, if it is over for certain.
+    pub(crate) fn proved_run_end(&self, writer: &Arc<str>) -> Option<Instant> {
+        if self.is_own_run(writer) {
+            return (*self.identity.writer != **writer).then_some(self.started_at);
+        }
+
+        let mut lives = self.run_lives.lock();
+        lives.note_run(writer, Instant::now());
+        lives.end(writer)
+    }
+
+    /// Forgets the order of runs that have no records and were not heard last.
+    pub(crate) fn retain_runs(&self, recorded: &HashSet<Arc<str>>) {
+        let mut needed = recorded.clone();
+        needed.extend(self.peers.lock().values().filter_map(|peer| peer.writer.clone()));
+        self.run_lives.lock().retain(&needed);
+    }
+
+    /// Latest time at which a run can have ended, if it may be over, as another run of its host was heard, or is this one. A
+    /// message may have arrived late, so this is no proof.
     pub(crate) fn run_end(&self, writer: &str) -> Option<Instant> {
         if is_writer_of(&self.identity.host, writer) {
             return (*self.identity.writer != *writer).then_some(self.started_at);
--- a/src/entry/peer_mesh.rs
+++ b/src/entry/peer_mesh.rs
@@ -21,6 +21,7 @@
         mesh_peer::{MeshIdentity, MeshPeer},
         mesh_state::MeshState,
         peer_contact::{DroppedPeer, PeerContact},
+        run_lives::RunLives,
         stream_versions::BegunStream,
         turn_journal::TurnJournal,
         upstream_departures::UpstreamDeparture,
@@ -95,6 +96,8 @@
     pub(super) peers: Mutex<HashMap<Arc<str>, MeshPeer>>,
     /// The run of each host that was heard last, also of hosts that are no longer known as peers.
     pub(super) latest_runs: Mutex<HashMap<Arc<str>, HeardRun>>,
+    /// Which runs of other hosts are over for certain.
+    pub(super) run_lives: Mutex<RunLives>,
     /// Revisions of the hosts' registry entries, as this host knows them.
     pub(super) registered: Mutex<HashMap<Arc<str>, u64>>,
     pub(super) contact: Mutex<PeerContact>,
@@ -132,6 +135,7 @@
             has_loaded_records: AtomicBool::new(false),
             peers: Mutex::default(),
             latest_runs: Mutex::default(),
+            run_lives: Mutex::default(),
             registered: Mutex::default(),
             contact: Mutex::new(PeerContact::new(Instant::now())),
             dropped: Mutex::default(),
@@ -185,6 +189,7 @@
                     log::info!(peer:% = host, is_draining; "a peer has become reachable again, or has begun or ended draining");
                     self.record_membership_change();
                 }
+                self.run_lives.lock().record_message(writer, Instant::now(), run_started);
                 if peer.record_writer(writer, run_started) {
                     self.record_run(host, writer, run_started);
                     log::info!(peer:% = host, writer:% = writer; "a run of a peer is heard for the first time, so it is sent the full state");
--- a/src/entry/silent_records.rs
+++ b/src/entry/silent_records.rs
@@ -47,24 +47,24 @@
     }
 
     /// The open segments that have to be read, as their runs were not over when they were read last. A run is over only once
-    /// a later one of its host was heard: a host without a registry entry may have been cut off, and records again as soon as
-    /// it reaches the store.
+    /// a later one of its host has proved it: a host without a registry entry may have been cut off, and records again as soon
+    /// as it reaches the store.
     pub(super) fn uncovered_segments(
         &self,
         segments: HashMap<Arc<str>, SegmentPosition>,
     ) -> HashMap<Arc<str>, SegmentPosition> {
-        let readings = self.readings.lock();
-        segments
-            .into_iter()
-            .filter(|(writer, _)| {
-                let end = self.mesh.run_end(writer);
-                end.is_none_or(|it| !readings.covers_segment(writer, it))
-            })
-            .collect()
+        segments.into_iter().filter(|(writer, _)| !self.is_covered(writer)).collect()
+    }
+
+    /// Whether a run is over, and its open segment was read after its end.
+    fn is_covered(&self, writer: &Arc<str>) -> bool {
+        let end = self.mesh.proved_run_end(writer);
+        end.is_some_and(|it| self.readings.lock().covers_segment(writer, it))
     }
 
     /// Asks the runs that write the open segments for the spends in them, since the batches also hold the content of turns.
-    /// Returns the segments of those that do not answer.
+    /// Returns the segments of those that do not answer. Where another run of the host is heard, it is asked for a proof that the
+    /// earlier one is over, so that its segment need not be read each time.
     pub(super) async fn query_open_segments(
         &self,
         segments: HashMap<Arc<str>, SegmentPosition>,
@@ -75,7 +75,10 @@
                     self.ledger.lock().merge_recorded(&writer, &spends);
                     None
                 }
-                None => Some((writer, position)),
+                None => {
+                    self.mesh.prove_run_end(&writer).await;
+                    (!self.is_covered(&writer)).then_some((writer, position))
+                }
             }
         });
         join_all(queries).await.into_iter().flatten().collect()
--- a/src/entry/turn_locator.rs
+++ b/src/entry/turn_locator.rs
@@ -261,6 +261,7 @@
 
         self.index.lock().retain_merged(&listed);
         let writers: HashSet<Arc<str>> = listed.iter().filter_map(|it| index_writer(it)).collect();
+        self.mesh.retain_runs(&writers);
         let segments: HashMap<Arc<str>, SegmentPosition> = {
             let mut positions = self.positions.lock();
             positions.retain(|writer, _| writers.contains(writer));
--- a/src/entry/written_reservations.rs
+++ b/src/entry/written_reservations.rs
@@ -222,7 +222,7 @@
         while let Some(page) = pages.next().await? {
             for object in &page.items {
                 // A run that is over spends nothing more, and its records have what it has spent.
-                let is_over = self.mesh.run_end(&object.name).is_some();
+                let is_over = self.mesh.proved_run_end(&object.name).is_some();
                 if *object.name == *self.mesh.identity.writer || is_over {
                     continue;
                 }
--- a/src/tests/entry_fakes.rs
+++ b/src/tests/entry_fakes.rs
@@ -13,11 +13,12 @@
 use tokio::time::{Duration, Instant, sleep, sleep_until};
 
 use crate::{
-    PeerError, PeerMessage, PeerStream, RequestRate,
+    PeerError, PeerHandler, PeerMessage, PeerStream, RequestRate,
     entry::{
         ChannelError, ObjectPage, ObjectStore, ReadFreshness, SendGuard, StoreError, StoredObject,
         UpstreamBody, UpstreamChannel, UpstreamPhase, UpstreamRecord, UpstreamRequest,
         UpstreamResponse, WatchBatch, WriteOutcome, host_registry::REGISTRY_KIND,
+        peer_mesh::PeerMesh,
     },
 };
 
@@ -398,3 +399,35 @@
         Ok(())
     }
 }
+
+/// Stream on which a host answers one message.
+#[derive(Debug)]
+struct AnswerStream(Arc<Mutex<Option<PeerMessage>>>);
+
+#[async_trait]
+impl PeerStream for AnswerStream {
+    async fn receive(&mut self) -> Result<Option<PeerMessage>, PeerError> {
+        Ok(None)
+    }
+
+    async fn send(&mut self, message: &PeerMessage) -> Result<(), PeerError> {
+        *self.0.lock() = Some(message.clone());
+        Ok(())
+    }
+
+    fn finish(&mut self) {}
+
+    async fn wait_until_received(&mut self) -> Result<(), PeerError> {
+        Ok(())
+    }
+}
+
+/// Hands a message to a host, and returns its answer.
+pub(super) async fn exchange_message(
+    host: &Arc<PeerMesh>,
+    message: PeerMessage,
+) -> Option<PeerMessage> {
+    let answer = Arc::new(Mutex::new(None));
+    Arc::clone(host).handle(message, Box::new(AnswerStream(Arc::clone(&answer)))).await;
+    answer.lock().take()
+}
--- /dev/null
+++ b/src/tests/record_listings.rs
@@ -0,0 +1,62 @@
+//! Listings of recorded turns beside runs whose order is not known.
+
+use std::sync::Arc;
+
+use tokio::time::{Duration, advance, timeout};
+
+use super::{
+    entry_fakes::MemoryStore,
+    silent_records::{HostRun, HostTransport, RETENTION},
+};
+use crate::entry::{turn_history::HistoryTurn, turn_locator::TurnSearch};
+
+fn turn(id: &str) -> HistoryTurn {
+    HistoryTurn { id: id.into(), previous: None, input: "in".into(), output: "out".into() }
+}
+
+async fn record(run: &HostRun, id: &str) {
+    let receiver = run.journal.append_forwarded(vec![turn(id)], Vec::new());
+    timeout(Duration::from_secs(1), receiver).await.expect("in time").expect("recorded");
+}
+
+async fn find(run: &HostRun, id: &str) -> TurnSearch {
+    run.locator.find(&id.into(), RETENTION).await
+}
+
+async fn finds(run: &HostRun, id: &str) -> bool {
+    matches!(find(run, id).await, TurnSearch::Found(_))
+}
+
+/// Guards against a turn that is answered 404: a run that was not heard yet was taken for an earlier one than the run that was.
+#[tokio::test(start_paused = true)]
+async fn find_reads_the_segment_of_a_run_that_is_not_heard_yet() {
+    let (store, transport) = (Arc::new(MemoryStore::default()), Arc::<HostTransport>::default());
+    let reader = HostRun::start(&store, &transport, "reader.1", 1);
+    let first = HostRun::start(&store, &transport, "writer.1", 2);
+    reader.hear(&first, "writer.1").await;
+    advance(Duration::from_millis(1)).await;
+
+    // The host restarts, and the reader does not hear the new run.
+    let second = HostRun::start(&store, &transport, "writer.2", 2);
+    record(&second, "one").await;
+    assert!(finds(&reader, "one").await);
+    record(&second, "two").await;
+    assert!(finds(&reader, "two").await);
+}
+
+/// Guards against a turn that is answered 404: a message of an earlier run that arrives late makes it seem to be the later one.
+#[tokio::test(start_paused = true)]
+async fn find_reads_the_segment_of_a_run_beside_a_late_message_of_an_earlier_one() {
+    let (store, transport) = (Arc::new(MemoryStore::default()), Arc::<HostTransport>::default());
+    let reader = HostRun::start(&store, &transport, "reader.1", 1);
+    let second = HostRun::start(&store, &transport, "writer.2", 2);
+    advance(Duration::from_secs(2)).await;
+    reader.hear_at_age(&second, "writer.2", 2_000).await;
+    reader.hear_at_age(&second, "writer.1", 500).await;
+    advance(Duration::from_millis(1)).await;
+
+    record(&second, "one").await;
+    assert!(finds(&reader, "one").await);
+    record(&second, "two").await;
+    assert!(finds(&reader, "two").await);
+}
--- a/src/tests/silent_records.rs
+++ b/src/tests/silent_records.rs
@@ -11,9 +11,9 @@
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use tokio::time::{Duration, Instant, advance, sleep, timeout};
 
-use super::entry_fakes::{MemoryStore, ResponseStream, StoreFault};
+use super::entry_fakes::{MemoryStore, ResponseStream, StoreFault, exchange_message};
 use crate::{
-    PeerError, PeerHandler, PeerMessage, PeerStream, PeerTransport,
+    PeerError, PeerMessage, PeerStream, PeerTransport,
     entry::{
         BudgetLedger, ObjectStore,
         batch_index::BatchIndex,
@@ -33,43 +33,15 @@
     },
 };
 
-const RETENTION: Duration = Duration::from_mins(1);
+pub(super) const RETENTION: Duration = Duration::from_mins(1);
 
 /// Steps and seeds of the walk over segments.
 const SEEDS: u64 = 200;
 const STEPS: u64 = 60;
 
-/// Stream on which a host answers one message.
-#[derive(Debug)]
-struct AnswerStream(Arc<Mutex<Option<PeerMessage>>>);
-
-#[async_trait]
-impl PeerStream for AnswerStream {
-    async fn receive(&mut self) -> Result<Option<PeerMessage>, PeerError> {
-        Ok(None)
-    }
-
-    async fn send(&mut self, message: &PeerMessage) -> Result<(), PeerError> {
-        *self.0.lock() = Some(message.clone());
-        Ok(())
-    }
-
-    fn finish(&mut self) {}
-
-    async fn wait_until_received(&mut self) -> Result<(), PeerError> {
-        Ok(())
-    }
-}
-
-async fn answer(mesh: &Arc<PeerMesh>, message: PeerMessage) -> Option<PeerMessage> {
-    let answer = Arc::new(Mutex::new(None));
-    Arc::clone(mesh).handle(message, Box::new(AnswerStream(Arc::clone(&answer)))).await;
-    answer.lock().take()
-}
-
 /// Transport to the hosts that answer.
 #[derive(Debug, Default)]
-struct HostTransport {
+pub(super) struct HostTransport {
     hosts: Mutex<HashMap<SocketAddr, Arc<PeerMesh>>>,
     /// Time that each answer takes.
     delay: Mutex<Duration>,
@@ -97,7 +69,7 @@
         let host = self.hosts.lock().get(&peer).cloned().ok_or(PeerError::Overdue)?;
         let delay = *self.delay.lock();
         sleep(delay).await;
-        Ok(Box::new(ResponseStream { response: answer(&host, first.clone()).await }))
+        Ok(Box::new(ResponseStream { response: exchange_message(&host, first.clone()).await }))
     }
 }
 
@@ -106,16 +78,16 @@
 }
 
 /// A run of a host.
-struct HostRun {
+pub(super) struct HostRun {
     address: SocketAddr,
     mesh: Arc<PeerMesh>,
-    journal: Arc<TurnJournal>,
-    locator: Arc<TurnLocator>,
+    pub(super) journal: Arc<TurnJournal>,
+    pub(super) locator: Arc<TurnLocator>,
     reservations: Arc<WrittenReservations>,
 }
 
 impl HostRun {
-    fn start(
+    pub(super) fn start(
         store: &Arc<MemoryStore>,
         transport: &Arc<HostTransport>,
         writer: &str,
@@ -161,11 +133,11 @@
     }
 
     /// Hears the first update of another run, which has just started.
-    async fn hear(&self, other: &Self, writer: &str) {
+    pub(super) async fn hear(&self, other: &Self, writer: &str) {
         self.hear_at_age(other, writer, 0).await;
     }
 
-    async fn hear_at_age(&self, other: &Self, writer: &str, run_age_ms: u64) {
+    pub(super) async fn hear_at_age(&self, other: &Self, writer: &str, run_age_ms: u64) {
         let update = PeerMessage::SpendsNoted {
             host: host_of(writer).into(),
             address: other.address,
@@ -178,7 +150,7 @@
             streams: Vec::new(),
             lost_services: Arc::default(),
         };
-        assert!(answer(&self.mesh, update).await.is_some());
+        assert!(exchange_message(&self.mesh, update).await.is_some());
     }
 
     /// Reserves 50 of 100 tokens for a turn that has three seconds.
