Each reading of the records goes by its own listing

What callers saw: LOST, suspected only. A turn that a host had recorded in the first segment that it wrote itself, as happens when its recorder is cut off, could be answered 404 while two readings overlapped. Cause: readings for spends and for turns run side by side and shared one map of positions, which each trimmed by its own listing. An older reading that ended between two pages of a newer one took a run out of it that had written its first index since, so that the run's open segment was in nobody's search. Evidence: find_goes_by_its_own_listing_beside_an_older_one fails on ("late" is said not to exist). Change: index_catalog. What an index says is kept by its name; each reading collects the positions from the pages of its own listing. What readings share is only added to, and trimmed entries are merged again.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -19,6 +19,7 @@
 mod follow_gap;
 pub(crate) mod host_reach;
 pub(crate) mod host_registry;
+pub(crate) mod index_catalog;
 pub(crate) mod journal_queue;
 mod kind_follower;
 mod mesh_answers;
--- a/src/entry/batch_index.rs
+++ b/src/entry/batch_index.rs
@@ -1,9 +1,6 @@
 //! Maps recorded turns to their batches in the store.
 
-use std::{
-    collections::{HashMap, HashSet},
-    sync::Arc,
-};
+use std::{collections::HashMap, sync::Arc};
 
 use serde::{Deserialize, Serialize};
 
@@ -23,8 +20,6 @@
     batches: HashMap<Arc<str>, Vec<Arc<str>>>,
     /// Revision at which this host has read each batch.
     revisions: HashMap<Arc<str>, u64>,
-    /// Names of the segment indexes that this host has merged.
-    merged_indexes: HashSet<Arc<str>>,
 }
 
 impl BatchIndex {
@@ -42,16 +37,6 @@
         self.revisions.get(batch) == Some(&revision)
     }
 
-    /// Marks a segment index as merged. Returns whether it was not before.
-    pub(crate) fn mark_merged(&mut self, index: &Arc<str>) -> bool {
-        self.merged_indexes.insert(Arc::clone(index))
-    }
-
-    /// Forgets the merged indexes that are no longer in the store.
-    pub(crate) fn retain_merged(&mut self, listed: &HashSet<Arc<str>>) {
-        self.merged_indexes.retain(|it| listed.contains(it));
-    }
-
     pub(crate) fn mark_read(&mut self, batch: &Arc<str>, revision: u64) {
         self.revisions.insert(Arc::clone(batch), revision);
     }
@@ -64,8 +49,10 @@
         }
     }
 
-    /// Removes a batch that no longer has a turn.
+    /// Removes a batch that no longer has a turn. Its object is read again when it is listed.
     pub(crate) fn remove(&mut self, turn: &str, batch: &str) {
+        self.revisions.remove(batch);
+
         if let Some(batches) = self.batches.get_mut(turn) {
             batches.retain(|it| **it != *batch);
         }
--- a/src/entry/segment_index.rs
+++ b/src/entry/segment_index.rs
@@ -78,11 +78,6 @@
     }
 }
 
-/// Writer of the index with a name.
-pub(crate) fn index_writer(name: &str) -> Option<Arc<str>> {
-    name.rsplit_once('.').map(|(writer, _)| writer.into())
-}
-
 /// Beginning of the names of all batches in the segment at a position.
 pub(crate) fn segment_prefix(writer: &str, position: u32) -> String {
     format!("{writer}.{position:06}.")
--- a/src/entry/silent_records.rs
+++ b/src/entry/silent_records.rs
@@ -5,7 +5,10 @@
 use futures_util::future::join_all;
 use tokio::time::Instant;
 
-use crate::entry::turn_locator::{ReadingScope, SegmentPosition, TurnLocator};
+use crate::entry::{
+    index_catalog::SegmentPosition,
+    turn_locator::{ReadingScope, TurnLocator},
+};
 
 impl TurnLocator {
     /// Reads what was recorded, unless an earlier reading may be reused by a caller that came at `asked_at` and needs all that was
@@ -33,8 +36,8 @@
             drop(guard);
 
             match result {
-                Ok(pages) => {
-                    log::info!(pages, took_ms = started.elapsed().as_millis() as u64; "read the recorded spends");
+                Ok(summary) => {
+                    log::info!(pages = summary.pages, took_ms = started.elapsed().as_millis() as u64; "read the recorded spends");
                     true
                 }
                 Err(error) => {
--- a/src/entry/turn_locator.rs
+++ b/src/entry/turn_locator.rs
@@ -1,9 +1,6 @@
 //! Finds turns that another host, or an earlier run of this one, has finished.
 
-use std::{
-    collections::{HashMap, HashSet},
-    sync::Arc,
-};
+use std::{collections::HashSet, sync::Arc};
 
 use futures_util::{StreamExt, TryStreamExt, stream};
 use parking_lot::Mutex;
@@ -17,10 +14,11 @@
     BudgetLedger, ObjectStore, StoreError, StoredObject,
     batch_index::BatchIndex,
     budget_ledger::SpendRecord,
+    index_catalog::{CatalogEntry, IndexCatalog, IndexListing, SegmentPosition},
     page_reader::PageReader,
     peer_mesh::PeerMesh,
     record_readings::RecordReadings,
-    segment_index::{INDEX_KIND, SegmentIndex, index_writer, segment_prefix},
+    segment_index::{INDEX_KIND, SegmentIndex, segment_prefix},
     turn_history::{HistoryTurn, TurnChain, TurnHistory},
     turn_journal::{JOURNAL_KIND, JournalBatch},
 };
@@ -59,24 +57,20 @@
     id: Arc<str>,
 }
 
-/// Where a writer's open segment is, by its latest index.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct SegmentPosition {
-    pub(super) sequence: u64,
-    position: u32,
-    /// Number of the last batch that an index covers.
-    last_number: u64,
+/// Last complete listing of the recorded turns.
+#[derive(Clone, Copy, Debug)]
+struct TurnListing {
+    started: Instant,
+    /// Number of indexes and batches that could not be decoded, each of which may have any turn.
+    unreadable: usize,
 }
 
-impl SegmentPosition {
-    /// Takes the position from an index if that is the latest one so far.
-    fn advance(&mut self, index: &SegmentIndex) {
-        if index.sequence >= self.sequence {
-            self.sequence = index.sequence;
-            self.position = index.next_position;
-            self.last_number = index.last_number;
-        }
-    }
+/// What one reading of the records has read.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ReadingSummary {
+    pub(super) pages: usize,
+    /// Number of indexes and batches that could not be decoded.
+    pub(super) unreadable: usize,
 }
 
 /// What a reading of the records is for.
@@ -96,15 +90,14 @@
     pub(crate) ledger: Arc<Mutex<BudgetLedger>>,
     pub(crate) mesh: Arc<PeerMesh>,
     index: Arc<Mutex<BatchIndex>>,
-    /// Start of the last complete listing. Locked while one is running, so that concurrent searches share it.
-    last_listing: tokio::sync::Mutex<Option<Instant>>,
+    /// Locked while a listing is running, so that concurrent searches share it.
+    last_listing: tokio::sync::Mutex<Option<TurnListing>>,
     /// Limits the batches that are read concurrently, since they are large.
     read_permits: Semaphore,
     /// Locked while recorded spends are read.
     pub(super) reading: Arc<tokio::sync::Mutex<()>>,
     pub(super) readings: Arc<Mutex<RecordReadings>>,
-    /// Position of each run's open segment, by the indexes that this host has read.
-    positions: Mutex<HashMap<Arc<str>, SegmentPosition>>,
+    catalog: Mutex<IndexCatalog>,
 }
 
 impl TurnLocator {
@@ -126,7 +119,7 @@
             read_permits: Semaphore::new(CONCURRENT_READ_LIMIT),
             reading: Arc::default(),
             readings,
-            positions: Mutex::default(),
+            catalog: Mutex::default(),
         }
     }
 
@@ -154,7 +147,7 @@
             let batch = self.index.lock().batch(&missing);
             let result = match batch {
                 Some(batch) => self.read_batch_or_list(&batch, &missing, retention).await,
-                None => self.list_batches(started).await.map(|()| self.is_indexed(&missing)),
+                None => self.list_for(&missing, started).await,
             };
 
             match result {
@@ -179,6 +172,20 @@
         turns.into_iter().for_each(|turn| history.insert(Arc::new(turn), retention));
     }
 
+    /// Lists what was recorded before `since` at least, and returns whether a batch has the turn. Fails if something that may
+    /// have it could not be decoded.
+    async fn list_for(&self, turn: &Arc<str>, since: Instant) -> Result<bool, StoreError> {
+        let unreadable = self.list_batches(since).await?;
+
+        match self.is_indexed(turn) {
+            false if unreadable > 0 => {
+                let reason = format!("{unreadable} records of turns can't be decoded");
+                Err(StoreError::Unanswered { reason: reason.into() })
+            }
+            is_indexed => Ok(is_indexed),
+        }
+    }
+
     /// Reads a batch for the content of its turns. If it no longer has the turn, that may have been recorded again in
     /// another batch, so the records are listed again. Returns whether the search can go on.
     async fn read_batch_or_list(
@@ -191,8 +198,7 @@
             return Ok(true);
         }
 
-        self.list_batches(Instant::now()).await?;
-        Ok(self.is_indexed(turn))
+        self.list_for(turn, Instant::now()).await
     }
 
     /// Reads a batch for the content of its turns, and keeps them in memory. Returns whether the turn is in it.
@@ -212,12 +218,13 @@
         }
 
         let object = self.store.get(JOURNAL_KIND, name).await?;
-        let batch = object.as_ref().and_then(StoredObject::decode::<JournalBatch>);
-        let turns = batch.map(|batch| batch.turns).unwrap_or_default();
-        let has_turn = turns.iter().any(|it| it.id == *turn);
+        let turns = match &object {
+            Some(object) => decode_batch(object)?.turns,
+            None => Vec::new(),
+        };
 
-        if !has_turn {
-            // The batch's object has been reused since it was listed.
+        if turns.iter().all(|it| it.id != *turn) {
+            // The batch's object has been reused since it was listed, so its present content is merged with the next listing.
             self.index.lock().remove(turn, name);
             return Ok(false);
         }
@@ -227,75 +234,84 @@
     }
 
     /// Reads what is recorded and not read yet into the index and the ledger, unless the last reading was started at
-    /// `since` or later: the indexes of all closed segments, and then the batches of each writer's open segment.
-    pub(crate) async fn list_batches(&self, since: Instant) -> Result<(), StoreError> {
+    /// `since` or later: the indexes of all closed segments, and then the batches of each writer's open segment. Returns the
+    /// number of indexes and batches that could not be decoded.
+    pub(crate) async fn list_batches(&self, since: Instant) -> Result<usize, StoreError> {
         let mut last_listing = self.last_listing.lock().await;
 
-        if last_listing.is_some_and(|started| started >= since) {
-            return Ok(());
+        if let Some(listing) = last_listing.filter(|it| it.started >= since) {
+            return Ok(listing.unreadable);
         }
 
         let started = Instant::now();
-        let pages = self.read_records(ReadingScope::Turns).await?;
+        let ReadingSummary { pages, unreadable } = self.read_records(ReadingScope::Turns).await?;
 
         log::info!(
-            pages, turns = self.index.lock().turn_count(), took_ms = started.elapsed().as_millis() as u64;
+            pages, unreadable, turns = self.index.lock().turn_count(), took_ms = started.elapsed().as_millis() as u64;
             "listed the recorded turns"
         );
-        *last_listing = Some(started);
-        Ok(())
+        *last_listing = Some(TurnListing { started, unreadable });
+        Ok(unreadable)
     }
 
-    /// Reads the indexes and the open segments, as far as they have not been read before. Returns the number of pages read.
-    pub(super) async fn read_records(&self, scope: ReadingScope) -> Result<usize, StoreError> {
+    /// Reads the indexes and the open segments, as far as they have not been read before. Several readings may run at a time,
+    /// each of which goes by its own listing.
+    pub(super) async fn read_records(
+        &self,
+        scope: ReadingScope,
+    ) -> Result<ReadingSummary, StoreError> {
         let started = Instant::now();
         let mut pages = PageReader::new(&*self.store, INDEX_KIND, None);
         let mut page_count = 0;
-        let mut listed = HashSet::new();
+        let mut listing = IndexListing::default();
 
         while let Some(page) = pages.next().await? {
             page_count += 1;
-            page.items.iter().for_each(|object| self.merge_index(object));
-            listed.extend(page.items.iter().map(|object| Arc::clone(&object.name)));
+            page.items.iter().for_each(|object| self.merge_index(object, &mut listing));
         }
 
-        self.index.lock().retain_merged(&listed);
-        let writers: HashSet<Arc<str>> = listed.iter().filter_map(|it| index_writer(it)).collect();
+        self.catalog.lock().retain(&listing.names);
+        let IndexListing { names, positions, unreadable } = listing;
+        let writers: HashSet<Arc<str>> = positions.keys().cloned().collect();
         self.mesh.retain_runs(&writers);
-        let segments: HashMap<Arc<str>, SegmentPosition> = {
-            let mut positions = self.positions.lock();
-            positions.retain(|writer, _| writers.contains(writer));
-            positions.clone()
-        };
 
-        let mut segments = self.uncovered_segments(segments);
+        let mut segments = self.uncovered_segments(positions);
         let uncovered = segments.len();
         if scope == ReadingScope::Spends {
             segments = self.query_open_segments(segments).await;
         }
         log::info!(
-            pages = page_count, indexes = listed.len(), writers = writers.len(), uncovered, segments = segments.len(),
-            took_ms = started.elapsed().as_millis() as u64;
+            pages = page_count, indexes = names.len(), writers = writers.len(), uncovered, segments = segments.len(),
+            unreadable, took_ms = started.elapsed().as_millis() as u64;
             "listed the indexes of recorded turns"
         );
 
-        let segment_pages: Vec<usize> = stream::iter(segments)
+        let segment_summaries: Vec<ReadingSummary> = stream::iter(segments)
             .map(|(writer, position)| async move {
-                let pages = self.list_open_segment(&writer, position).await?;
-                self.readings.lock().record_segment(&writer, started);
-                Ok::<usize, StoreError>(pages)
+                let summary = self.list_open_segment(&writer, position).await?;
+                if summary.unreadable == 0 {
+                    self.readings.lock().record_segment(&writer, started);
+                }
+                Ok::<ReadingSummary, StoreError>(summary)
             })
             .buffer_unordered(CONCURRENT_LISTING_LIMIT)
             .try_collect()
             .await?;
 
         self.readings.lock().record_reading(started, Instant::now(), &writers);
-        Ok(page_count + segment_pages.iter().sum::<usize>())
+        Ok(ReadingSummary {
+            pages: page_count + segment_summaries.iter().map(|it| it.pages).sum::<usize>(),
+            unreadable: unreadable
+                + segment_summaries.iter().map(|it| it.unreadable).sum::<usize>(),
+        })
     }
 
-    /// Merges an index that was not merged before.
-    fn merge_index(&self, object: &StoredObject) {
-        if !self.index.lock().mark_merged(&object.name) {
+    /// Adds an index to a listing, and merges it if that was not done before.
+    fn merge_index(&self, object: &StoredObject, listing: &mut IndexListing) {
+        listing.names.insert(Arc::clone(&object.name));
+
+        if let Some(entry) = self.catalog.lock().entry(&object.name) {
+            listing.add(entry);
             return;
         }
 
@@ -304,55 +320,55 @@
             return;
         };
 
-        self.positions.lock().entry(Arc::clone(&index.writer)).or_default().advance(&index);
+        let entry = CatalogEntry::new(&index);
+        self.catalog.lock().insert(&object.name, entry.clone());
+        listing.add(entry);
         self.ledger.lock().merge_recorded(&index.writer, &index.spends);
         self.index.lock().merge(index.batches);
     }
 
-    /// Reads the batches of a writer's open segment. Returns the number of pages read.
+    /// Reads the batches of a writer's open segment.
     async fn list_open_segment(
         &self,
         writer: &str,
         position: SegmentPosition,
-    ) -> Result<usize, StoreError> {
+    ) -> Result<ReadingSummary, StoreError> {
         let prefix: Arc<str> = segment_prefix(writer, position.position).into();
         let mut pages = PageReader::new(&*self.store, JOURNAL_KIND, Some(Arc::clone(&prefix)));
-        let mut page_count = 0;
+        let mut summary = ReadingSummary { pages: 0, unreadable: 0 };
 
         while let Some(page) = pages.next().await? {
-            page_count += 1;
+            summary.pages += 1;
             let in_segment = |object: &&StoredObject| object.name.starts_with(&*prefix);
-            page.items
-                .iter()
-                .take_while(in_segment)
-                .for_each(|object| self.merge_batch(object, position));
+            let batches = page.items.iter().take_while(in_segment);
+            summary.unreadable += batches.filter(|it| !self.merge_batch(it, position)).count();
 
             if !page.items.last().is_some_and(|object| in_segment(&object)) {
                 break;
             }
         }
 
-        Ok(page_count)
+        Ok(summary)
     }
 
     /// Merges a batch of an open segment into the index and the ledger, unless this revision was merged before. Objects of
-    /// the segment that was at the same position before have lower numbers.
-    fn merge_batch(&self, object: &StoredObject, position: SegmentPosition) {
+    /// the segment that was at the same position before have lower numbers. Returns false if the batch can't be decoded.
+    fn merge_batch(&self, object: &StoredObject, position: SegmentPosition) -> bool {
         let mut index = self.index.lock();
 
         if index.is_read(&object.name, object.revision) {
-            return;
+            return true;
         }
 
         let Some(batch) = object.decode::<BatchSummary>() else {
             log::warn!(batch:% = object.name; "a recorded batch can't be decoded");
-            return;
+            return true;
         };
 
         index.mark_read(&object.name, object.revision);
 
         if batch.number <= position.last_number {
-            return;
+            return true;
         }
 
         for turn in &batch.turns {
@@ -361,5 +377,14 @@
 
         drop(index);
         self.ledger.lock().merge_recorded(&batch.writer, &batch.spends);
+        true
     }
 }
+
+/// Decodes a batch with its content. One that can't be decoded may have any turn.
+fn decode_batch(object: &StoredObject) -> Result<JournalBatch, StoreError> {
+    object.decode().ok_or_else(|| {
+        let reason = format!("the batch {} can't be decoded", object.name);
+        StoreError::Unanswered { reason: reason.into() }
+    })
+}
--- a/src/tests/entry_fakes.rs
+++ b/src/tests/entry_fakes.rs
@@ -48,6 +48,7 @@
     revision: u64,
     fault: StoreFault,
     call_count: u64,
+    page_delays: VecDeque<Duration>,
     watch_responses: VecDeque<Result<WatchBatch, StoreError>>,
 }
 
@@ -81,6 +82,11 @@
         self.state.lock().watch_responses = responses.into();
     }
 
+    /// Delays the next pages that continue a listing, one after the other.
+    pub(super) fn delay_pages(&self, delays: &[Duration]) {
+        self.state.lock().page_delays = delays.iter().copied().collect();
+    }
+
     /// Waits for the latency of a call and counts it. Returns the fault to apply, or an error if calls are refused.
     async fn begin_call(&self) -> Result<StoreFault, StoreError> {
         sleep(CALL_LATENCY).await;
@@ -137,6 +143,8 @@
         _freshness: ReadFreshness,
     ) -> Result<ObjectPage, StoreError> {
         self.begin_call().await?;
+        let delay = after.and_then(|_| self.state.lock().page_delays.pop_front());
+        sleep(delay.unwrap_or_default()).await;
         let state = self.state.lock();
         let remaining: Vec<&StoredObject> = state
             .objects
--- a/src/tests/record_listings.rs
+++ b/src/tests/record_listings.rs
@@ -1,8 +1,8 @@
-//! Listings of recorded turns beside runs whose order is not known.
+//! Listings of recorded turns that overlap, meet what can't be decoded, or runs whose order is not known.
 
 use std::sync::Arc;
 
-use tokio::time::{Duration, advance, timeout};
+use tokio::time::{Duration, Instant, advance, sleep, timeout};
 
 use super::{
     entry_fakes::MemoryStore,
@@ -27,6 +27,30 @@
     matches!(find(run, id).await, TurnSearch::Found(_))
 }
 
+/// Guards against a turn that is answered 404: a reading that had listed the indexes before the run wrote its first one took the
+/// run out of the listing of another reading, which began later.
+#[tokio::test(start_paused = true)]
+async fn find_goes_by_its_own_listing_beside_an_older_one() {
+    let (store, transport) = (Arc::new(MemoryStore::default()), Arc::<HostTransport>::default());
+    let reader = HostRun::start(&store, &transport, "reader.1", 1);
+    let early = HostRun::start(&store, &transport, "writer-b.1", 2);
+    let late = HostRun::start(&store, &transport, "writer-a.1", 3);
+    for number in 0..5 {
+        record(&early, &format!("early-{number}")).await;
+        sleep(Duration::from_millis(1_100)).await;
+    }
+
+    // Each listing takes three pages. The older one goes on while the newer one waits for its second page.
+    let [short, long] = [100, 300].map(Duration::from_millis);
+    store.delay_pages(&[short, long]);
+    let locator = Arc::clone(&reader.locator);
+    let older = tokio::spawn(async move { locator.read_spends(Instant::now(), None).await });
+    sleep(Duration::from_millis(20)).await;
+    record(&late, "late").await;
+    assert!(finds(&reader, "late").await);
+    assert!(older.await.expect("the reading ends"));
+}
+
 /// Guards against a turn that is answered 404: a run that was not heard yet was taken for an earlier one than the run that was.
 #[tokio::test(start_paused = true)]
 async fn find_reads_the_segment_of_a_run_that_is_not_heard_yet() {
