--- a/src/entry/turn_locator.rs
+++ b/src/entry/turn_locator.rs
@@ -317,6 +317,7 @@
 
         let Some(index) = object.decode::<SegmentIndex>() else {
             log::warn!(index:% = object.name; "the index of a segment can't be decoded");
+            listing.unreadable += 1;
             return;
         };
 
@@ -362,7 +363,7 @@
 
         let Some(batch) = object.decode::<BatchSummary>() else {
             log::warn!(batch:% = object.name; "a recorded batch can't be decoded");
-            return true;
+            return false;
         };
 
         index.mark_read(&object.name, object.revision);
