A host uses its part of a budget without a question only while all peers are heard

What callers saw: BUDGET. Cause: a host that was cut off, or had just been, reserved its part of the budget without a question, while the others went by what it had recorded and written down, which had nothing of that. Change: no part is given out while a peer has not acknowledged the last update, or has not sent one since it last failed to. sharing_host_count_without_owners asked for a part beside peers that were never heard; it now asks for none before, and for the same part once they were heard.

--- a/src/entry/peer_mesh.rs
+++ b/src/entry/peer_mesh.rs
@@ -195,7 +195,7 @@
                     log::info!(peer:% = host, writer:% = writer; "a run of a peer is heard for the first time, so it is sent the full state");
                 }
                 peer.is_draining = is_draining;
-                peer.mark_responsive();
+                peer.record_update();
                 self.record_contact(&mut peers);
                 true
             }
@@ -333,9 +333,11 @@
     }
 
     /// Number of hosts among which a program's budget is shared out, so that each of them may reserve its share without
-    /// asking the others. `None` where programs have owners: an owner asks first and then has the whole budget.
+    /// asking the others. `None` where programs have owners: an owner asks first and then has the whole budget. `None` as well
+    /// while a peer may not hear this host: it would go by what is written, and what is reserved without a question isn't.
     pub(crate) fn sharing_host_count(&self) -> Option<u64> {
-        (!self.has_owners()).then(|| self.serving_host_count())
+        let are_in_step = self.peers.lock().values().all(MeshPeer::is_in_step);
+        (are_in_step && !self.has_owners()).then(|| self.serving_host_count())
     }
 
     pub(super) fn region_peer_count(&self, peers: &HashMap<Arc<str>, MeshPeer>) -> usize {
@@ -514,10 +516,7 @@
         }
 
         self.record_membership_change();
-        peer.is_synced = false;
-        peer.unresponsive_since.get_or_insert_with(Instant::now);
-        peer.failures += 1;
-        peer.failed_at = sent_at.or(peer.failed_at);
+        peer.record_failure(sent_at, Instant::now());
         let delay = BACKOFF_BASE.saturating_mul(1 << peer.failures.min(6)).min(MAX_BACKOFF);
         peer.begin_backoff(Instant::now(), delay);
         self.record_silence(&peers);
--- a/src/tests/peer_mesh.rs
+++ b/src/tests/peer_mesh.rs
@@ -107,12 +107,28 @@
     remote_run_update("host-c.1", sequence, is_draining)
 }
 
+/// An update from the other host of the own region.
+fn near_host_update() -> PeerMessage {
+    host_update("host-b", 2, "north", "host-b.1", 1, false)
+}
+
 /// An update from one run of the host of the other region.
 fn remote_run_update(writer: &str, sequence: u64, is_draining: bool) -> PeerMessage {
+    host_update("host-c", 3, "south", writer, sequence, is_draining)
+}
+
+fn host_update(
+    host: &str,
+    port: u16,
+    region: &str,
+    writer: &str,
+    sequence: u64,
+    is_draining: bool,
+) -> PeerMessage {
     PeerMessage::SpendsNoted {
-        host: "host-c".into(),
-        address: address(3),
-        region: "south".into(),
+        host: host.into(),
+        address: address(port),
+        region: region.into(),
         writer: writer.into(),
         sequence,
         run_age_ms: 0,
@@ -214,8 +230,14 @@
 async fn sharing_host_count_without_owners() {
     let transport = Arc::new(RecordingTransport::default());
     let mesh = mesh_of_two_regions(&transport);
-    sleep(STABILIZATION_TIME).await;
     assert!(!mesh.has_owners());
+    assert_eq!(mesh.sharing_host_count(), None, "the peers may not know of this host yet");
+
+    for message in [near_host_update(), remote_host_update(1, false)] {
+        let stream = Box::new(ResponseStream { response: None });
+        Arc::clone(&mesh).handle(message, stream).await;
+    }
+    sleep(STABILIZATION_TIME).await;
     assert_eq!(mesh.sharing_host_count(), Some(2));
 }
 
--- a/src/tests/silent_records.rs
+++ b/src/tests/silent_records.rs
@@ -637,3 +637,38 @@
     let (_transport, [run, ..]) = hosts_after_cut().await;
     assert!(run.reserve(&"program".into()).await.is_ok());
 }
+
+/// Guards against a budget that is given out twice around a cut: a host that others may not hear used its share without a
+/// question, while they went by what it had written.
+#[tokio::test(start_paused = true)]
+async fn turn_budget_is_no_share_of_a_host_that_others_may_not_hear() {
+    let (transport, [run, second, third]) = hosts_after_cut().await;
+    let program: Arc<str> = "program".into();
+    // The others go by records, which have nothing of this host, and reserve all that is left.
+    let outcome = third.locator.ledger.lock().reserve(&program, 400, 390, u64::MAX);
+    assert_eq!(outcome, ReserveOutcome::Unconfirmed);
+
+    // The cut ends, and the first of the others acknowledges an update before it has sent its own.
+    for other in [&second, &third] {
+        transport.hosts.lock().insert(other.address, Arc::clone(&other.mesh));
+    }
+    sleep(Duration::from_secs(2)).await;
+    run.mesh.send_updates();
+    sleep(Duration::from_millis(10)).await;
+    assert!(run.reserve_of(400, &program, false).await.is_err(), "another host has reserved 390");
+}
+
+/// A share may be used again once all others have been heard.
+#[tokio::test(start_paused = true)]
+async fn sharing_host_count_is_none_until_all_peers_are_heard_after_a_cut() {
+    let (transport, [run, second, third]) = hosts_after_cut().await;
+    assert_eq!(run.mesh.sharing_host_count(), None);
+
+    for other in [&second, &third] {
+        transport.hosts.lock().insert(other.address, Arc::clone(&other.mesh));
+    }
+    run.hear(&second, "other-2.1").await;
+    assert_eq!(run.mesh.sharing_host_count(), None);
+    run.hear(&third, "other-3.1").await;
+    assert_eq!(run.mesh.sharing_host_count(), Some(3));
+}
