--- a/src/entry/mesh_peer.rs
+++ b/src/entry/mesh_peer.rs
@@ -33,9 +33,9 @@
     /// Services of which the peer's run reaches no upstream, by its message with the number `reach_sequence`.
     pub(crate) lost_services: LostServices,
     reach_sequence: u64,
-    /// Whether the peer has sent an update since it was last silent. One that missed to send updates meanwhile begins with its
-    /// full state.
-    is_heard: bool,
+    /// When the peer sent its last update; `None` if it has not sent one since it was last silent. One that missed to send
+    /// updates meanwhile begins with its full state.
+    heard_at: Option<Instant>,
     /// Updates in a row that the peer has not acknowledged.
     pub(crate) failures: u32,
     pub(crate) unresponsive_since: Option<Instant>,
@@ -61,7 +61,7 @@
             is_draining: false,
             lost_services: LostServices::default(),
             reach_sequence: 0,
-            is_heard: false,
+            heard_at: None,
             failures: 0,
             unresponsive_since: None,
             failed_at: None,
@@ -92,19 +92,19 @@
 
     /// Whether this host and the peer know each other's totals, but for the changes of the last moments.
     pub(crate) fn is_in_step(&self) -> bool {
-        self.is_heard && self.failures == 0
+        self.heard_at.is_some() && self.failures == 0
     }
 
     /// Records that the peer has sent an update.
     pub(crate) fn record_update(&mut self) {
-        self.is_heard = true;
+        self.heard_at = Some(Instant::now());
         self.mark_responsive();
     }
 
     /// Records that the peer has not acknowledged an update that was sent at `sent_at`.
     pub(crate) fn record_failure(&mut self, sent_at: Option<Instant>, now: Instant) {
         self.is_synced = false;
-        self.is_heard = false;
+        self.heard_at = None;
         self.unresponsive_since.get_or_insert(now);
         self.failures += 1;
         self.failed_at = sent_at.or(self.failed_at);
--- a/src/entry/silent_records.rs
+++ b/src/entry/silent_records.rs
@@ -73,16 +73,13 @@
         segments: HashMap<Arc<str>, SegmentPosition>,
     ) -> HashMap<Arc<str>, SegmentPosition> {
         let queries = segments.into_iter().map(|(writer, position)| async move {
-            match self.mesh.query_recent_spends(&writer, position.sequence).await {
-                Some(spends) => {
-                    self.ledger.lock().merge_recorded(&writer, &spends);
-                    None
-                }
-                None => {
-                    self.mesh.prove_run_end(&writer).await;
-                    (!self.is_covered(&writer)).then_some((writer, position))
-                }
+            if let Some(spends) = self.mesh.query_recent_spends(&writer, position.sequence).await {
+                self.ledger.lock().merge_recorded(&writer, &spends);
+                return None;
             }
+
+            self.mesh.prove_run_end(&writer).await;
+            (!self.is_covered(&writer)).then_some((writer, position))
         });
         join_all(queries).await.into_iter().flatten().collect()
     }
