A host that is cut off refuses turns that it could record nowhere

Cause: the host knew that probes of the store failed and that no peer answered, and used neither when it took a turn. Evidence: turn_is_refused_at_once_by_a_host_that_is_cut_off fails without the check ("the turn second was broken off"). Change: such a turn is refused as not run, with a short time to retry, as others may serve it. While others are heard, or on a host without others, turns wait for their records as before. A silent store is probed every 400 ms, so that its return is noticed in less than half a second (turn_is_taken_soon_after_the_store_is_reached_again; it passed with the old interval as well).

--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -51,6 +51,9 @@
 /// Time after which a client is asked to retry while the buffers of the host are full.
 const BUFFERS_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Time after which a client is asked to retry while this host is cut off. Other hosts may serve it at once.
+const CUT_OFF_RETRY_AFTER: Duration = Duration::from_millis(50);
+
 /// Backoff between attempts to read the recorded turns and budgets.
 const RESTORE_BACKOFF: BackoffPolicy =
     BackoffPolicy { first: Duration::from_millis(50), limit: Duration::from_millis(500) };
@@ -504,6 +507,12 @@
             return EntryResponse::refused(EntryRefusal::TooLarge, reason);
         }
 
+        if route.history_retention.is_some() && self.is_cut_off() {
+            let reason =
+                "this host reaches neither the store nor a host that could record the turn";
+            return EntryResponse::not_run(CUT_OFF_RETRY_AFTER, reason);
+        }
+
         let chain = match self.find_chain(&request, &route, deadline).await {
             Ok(chain) => chain,
             Err(response) => return response,
@@ -549,6 +558,12 @@
         Ok(Some(lease))
     }
 
+    /// Whether this host reaches neither the store nor another host, so that no turn can be recorded. While others are heard, the
+    /// store is away for all of them, or one of them records.
+    fn is_cut_off(&self) -> bool {
+        self.monitor.answered_since().is_none() && self.budgets.mesh.hears_nobody()
+    }
+
     /// Waits until the turns and budgets of earlier runs are loaded, for at most half of the request's remaining time.
     /// Returns whether they are.
     async fn wait_until_restored(&self, deadline: Instant) -> bool {
--- a/src/entry/peer_contact.rs
+++ b/src/entry/peer_contact.rs
@@ -66,6 +66,11 @@
         }
     }
 
+    /// Whether there are other hosts, and none of them answers.
+    pub(crate) fn hears_nobody(&self) -> bool {
+        !self.peers.lock().is_empty() && self.contact.lock().since.is_none()
+    }
+
     /// Since when other hosts could have been heard; `None` while no peer answers. The silence of a sole peer can't be told from
     /// a cut of this host.
     fn contact_since(&self, peers: &HashMap<Arc<str>, MeshPeer>) -> Option<Instant> {
--- a/src/entry/store_monitor.rs
+++ b/src/entry/store_monitor.rs
@@ -28,6 +28,9 @@
 /// slow.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Time between two probes, and for the store to answer one, while it answers nothing. A return is noticed within it.
+const SILENT_PROBE_INTERVAL: Duration = Duration::from_millis(400);
+
 /// Delay of a probe by which the process counts as having stood still. Its watches may have been lost meanwhile, and a connection
 /// that is silent does not show that soon.
 const STANDSTILL_LIMIT: Duration = Duration::from_secs(1);
@@ -101,6 +104,7 @@
         let mut last_contact = Instant::now();
         let mut last_failure = None;
         let mut due_at = Instant::now();
+        let mut is_silent = false;
 
         loop {
             let probed_at = Instant::now();
@@ -111,7 +115,8 @@
                 last_failure = Some(probed_at);
                 *self.answered_since.lock() = None;
             }
-            let result = self.probe().await;
+            let limit = if is_silent { SILENT_PROBE_INTERVAL } else { PROBE_TIMEOUT };
+            let result = self.probe(limit).await;
             self.is_failing.store(result.is_err(), Ordering::Relaxed);
 
             match &result {
@@ -133,7 +138,12 @@
             }
 
             let is_refused = matches!(result, Err(StoreError::Refused { .. }));
-            let interval = if is_refused { REFUSED_PROBE_INTERVAL } else { PROBE_INTERVAL };
+            is_silent = result.is_err() && !is_refused;
+            let interval = match &result {
+                Ok(()) => PROBE_INTERVAL,
+                Err(_) if is_refused => REFUSED_PROBE_INTERVAL,
+                Err(_) => SILENT_PROBE_INTERVAL,
+            };
             due_at = probed_at + interval;
             tokio::select! {
                 () = sleep_until(due_at) => (),
@@ -142,9 +152,9 @@
         }
     }
 
-    async fn probe(&self) -> Result<(), StoreError> {
+    async fn probe(&self, limit: Duration) -> Result<(), StoreError> {
         let probe = self.store.list(REGISTRY_KIND, Some(LAST_NAME), ReadFreshness::MayBeStale);
         let timed_out = || StoreError::Unanswered { reason: "the probe timed out".into() };
-        timeout(PROBE_TIMEOUT, probe).await.unwrap_or_else(|_| Err(timed_out())).map(|_| ())
+        timeout(limit, probe).await.unwrap_or_else(|_| Err(timed_out())).map(|_| ())
     }
 }
--- a/src/tests/entry_fakes.rs
+++ b/src/tests/entry_fakes.rs
@@ -38,6 +38,8 @@
     None,
     /// Every call is refused.
     Refusing,
+    /// No call is answered until the fault ends.
+    Silent,
     /// Writes are applied, but their responses are lost.
     LosingResponses,
 }
@@ -90,6 +92,9 @@
     /// Waits for the latency of a call and counts it. Returns the fault to apply, or an error if calls are refused.
     async fn begin_call(&self) -> Result<StoreFault, StoreError> {
         sleep(CALL_LATENCY).await;
+        while self.state.lock().fault == StoreFault::Silent {
+            sleep(CALL_LATENCY).await;
+        }
         let mut state = self.state.lock();
         state.call_count += 1;
 
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -8,6 +8,7 @@
 mod cluster_view;
 mod config_model;
 mod crash_counts;
+mod cut_off_hosts;
 mod entry_budget;
 mod entry_fakes;
 mod entry_journal;
--- a/src/tests/retained_records.rs
+++ b/src/tests/retained_records.rs
@@ -67,7 +67,7 @@
 }
 
 /// Starts a run of the host `one`, over a store that may have records of earlier runs.
-async fn start_run(store: &Arc<MemoryStore>) -> Arc<EntryHost> {
+pub(super) async fn start_run(store: &Arc<MemoryStore>) -> Arc<EntryHost> {
     let settings = EntrySettings {
         host: "one".into(),
         data_centre: "north".into(),
@@ -93,7 +93,11 @@
 }
 
 /// Runs a turn. Returns the refusal if there is one.
-async fn run_turn(host: &EntryHost, id: &str, previous: Option<&str>) -> Option<EntryRefusal> {
+pub(super) async fn run_turn(
+    host: &EntryHost,
+    id: &str,
+    previous: Option<&str>,
+) -> Option<EntryRefusal> {
     let mut request = EntryRequest {
         id: id.into(),
         body: Bytes::from(id.to_owned()),
