A 402 rests on what is certain: no headroom of a host that is only silent

A 402 ends a program. Cause: a record has a third of the rest of the budget as headroom. While its host is silent the whole record counts, and with three silent hosts nothing is left. Change: the ledger keeps what a writer has said itself apart from what counts while it is silent. Where only headroom leaves no room the turn is refused as not run. The headroom of a run that is over counts as before, so that programs which loop end.

--- a/src/entry/budget_ledger.rs
+++ b/src/entry/budget_ledger.rs
@@ -85,8 +85,10 @@
 /// Total of another writer for one program.
 #[derive(Clone, Copy, Debug, Default)]
 struct WriterTotal {
-    /// Total that the writer itself has reported, with the reservations of its running turns.
+    /// Total that the writer itself has reported, with the reservations of its running turns, or what counts while it is silent.
     reported: Option<u64>,
+    /// The last total that it has reported itself.
+    stated: u64,
     /// The writer's total in the store.
     recorded: u64,
     /// The same without headroom.
@@ -112,6 +114,11 @@
         self.reported.unwrap_or(self.recorded)
     }
 
+    /// The part of the total that the writer has spent or reserved, as far as is known. The rest is the headroom of a record.
+    fn certain_tokens(self) -> u64 {
+        self.stated.max(self.recorded_spent).max(self.written).min(self.tokens())
+    }
+
     /// Tokens that the writer's record in the store does not cover.
     fn unrecorded_tokens(self) -> u64 {
         self.tokens().saturating_sub(self.recorded)
@@ -269,6 +276,24 @@
         self.total(program) <= budget
     }
 
+    /// Whether a budget leaves no room for `tokens` more by what is certain: the headroom in the record of a run that is only
+    /// silent may turn out to be unused. That of a run which is over never will.
+    pub(crate) fn is_exhausted(
+        &self,
+        program: &Arc<str>,
+        budget: u64,
+        tokens: u64,
+        is_over: impl Fn(&str) -> bool,
+    ) -> bool {
+        self.accounts.get(program).is_some_and(|account| {
+            let certain = |(writer, total): (&Arc<str>, &WriterTotal)| {
+                if is_over(writer) { total.tokens() } else { total.certain_tokens() }
+            };
+            let others = account.other_writers.iter().map(certain).sum::<u64>();
+            account.local_total() + others + tokens > budget
+        })
+    }
+
     /// The same if silent hosts have spent what they have written down as reserved.
     pub(crate) fn is_within_written(
         &self,
@@ -518,6 +543,7 @@
             let account = self.account(&note.program);
             let total = account.other_writers.entry(Arc::clone(writer)).or_default();
             total.reported = Some(note.tokens);
+            total.stated = note.tokens;
             total.recorded = total.recorded.max(note.recorded);
         }
     }
--- a/src/entry/turn_budget.rs
+++ b/src/entry/turn_budget.rs
@@ -276,7 +276,8 @@
             return Err(BudgetRefusal::Unknown);
         }
 
-        if context.ledger.lock().total(program) + tokens <= budget {
+        let is_over = |writer: &str| context.mesh.run_end(writer).is_some();
+        if !context.ledger.lock().is_exhausted(program, budget, tokens, is_over) {
             return Err(BudgetRefusal::Unknown);
         }
 
--- a/src/tests/silent_records.rs
+++ b/src/tests/silent_records.rs
@@ -672,3 +672,51 @@
     run.hear(&third, "other-3.1").await;
     assert_eq!(run.mesh.sharing_host_count(), Some(3));
 }
+
+/// Guards against a program that is ended by a 402 though it has spent little: the record of a silent host has headroom, which
+/// that host may never use.
+#[tokio::test(start_paused = true)]
+async fn turn_budget_is_not_spent_by_the_headroom_of_a_silent_host() {
+    let (store, transport) = (Arc::new(MemoryStore::default()), Arc::<HostTransport>::default());
+    let program: Arc<str> = "program".into();
+    let recorder = HostRun::start(&store, &transport, "recorder.1", 1);
+    let run = HostRun::start(&store, &transport, "run.1", 2);
+    let silent = HostRun::start(&store, &transport, "silent.1", 3);
+    run.hear(&recorder, "recorder.1").await;
+    run.hear(&silent, "silent.1").await;
+    let headroom = |spent| SpendRecord {
+        writer: Some("silent.1".into()),
+        program: Arc::clone(&program),
+        tokens: 90,
+        spent,
+    };
+    recorder.journal.append_forwarded(Vec::new(), vec![headroom(10)]).await.expect("recorded");
+    transport.hosts.lock().remove(&silent.address);
+    assert_eq!(run.reserve(&program).await.err(), Some(BudgetRefusal::Unknown));
+
+    // What it has spent is certain.
+    recorder.journal.append_forwarded(Vec::new(), vec![headroom(60)]).await.expect("recorded");
+    sleep(Duration::from_secs(3)).await;
+    assert_eq!(run.reserve(&program).await.err(), Some(BudgetRefusal::Spent));
+}
+
+/// The headroom of a run that is over stays unused, so that a program which loops ends with a 402 as before.
+#[tokio::test(start_paused = true)]
+async fn turn_budget_is_spent_by_the_headroom_of_a_run_that_is_over() {
+    let (store, transport) = (Arc::new(MemoryStore::default()), Arc::<HostTransport>::default());
+    let program: Arc<str> = "program".into();
+    let recorder = HostRun::start(&store, &transport, "recorder.1", 1);
+    let run = HostRun::start(&store, &transport, "run.1", 2);
+    run.hear(&recorder, "recorder.1").await;
+    let record = SpendRecord {
+        writer: Some("ended.1".into()),
+        program: Arc::clone(&program),
+        tokens: 90,
+        spent: 10,
+    };
+    recorder.journal.append_forwarded(Vec::new(), vec![record]).await.expect("recorded");
+    run.locator.list_batches(Instant::now()).await.expect("the store answers");
+    let next = HostRun::start(&store, &transport, "ended.2", 3);
+    run.hear(&next, "ended.2").await;
+    assert_eq!(run.reserve(&program).await.err(), Some(BudgetRefusal::Spent));
+}
