Programs whose turns are recorded as they end get no headroom from their first turn on

Cause: a host learned that a program's turns are recorded when its first one had ended. A record that was written before had a third of the budget as headroom, and records are merged by their maximum, so that the exact ones that followed didn't take it back. Evidence: take_unrecorded_has_no_headroom_from_the_first_turn_of_a_program_with_history has (323, 23) without the mark. Change: the route says so before the first turn is reserved. Result: the test passes.

--- a/src/entry/budget_ledger.rs
+++ b/src/entry/budget_ledger.rs
@@ -432,6 +432,11 @@
         }
     }
 
+    /// Marks a program whose turns are recorded as they end, before its first one runs.
+    pub(crate) fn mark_history(&mut self, program: &Arc<str>) {
+        self.account(program).has_history = true;
+    }
+
     /// Marks a program's spend for the next batch, which also records the turn that has just ended.
     pub(crate) fn finish_turn(&mut self, program: &Arc<str>) {
         self.account(program).has_history = true;
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -518,7 +518,7 @@
             Err(response) => return response,
         };
 
-        let budget = match self.reserve_budget(&request, &service, deadline).await {
+        let budget = match self.reserve_budget(&request, &route, &service, deadline).await {
             Ok(budget) => budget,
             Err(response) => return response,
         };
@@ -605,6 +605,7 @@
     async fn reserve_budget(
         &self,
         request: &EntryRequest,
+        route: &ServiceRoute,
         service: &ServiceConfig,
         deadline: Instant,
     ) -> Result<Option<TurnBudget>, EntryResponse> {
@@ -615,6 +616,10 @@
             return Ok(None);
         };
 
+        if route.history_retention.is_some() {
+            self.budgets.ledger.lock().mark_history(&program.id);
+        }
+
         let now = Instant::now();
         // The turn needs the rest of its time to run.
         let confirmation_time =
--- a/src/tests/entry_budget.rs
+++ b/src/tests/entry_budget.rs
@@ -375,3 +375,16 @@
     ledger.merge_recorded(&"host-a.0".into(), &[earlier]);
     assert_eq!(ledger.total(&program), 150);
 }
+
+/// Guards against headroom that outlasts a program's first turn: records are merged by their maximum, so the exact record of that turn
+/// doesn't take it back.
+#[tokio::test(start_paused = true)]
+async fn take_unrecorded_has_no_headroom_from_the_first_turn_of_a_program_with_history() {
+    let program: Arc<str> = "program".into();
+    let mut ledger = BudgetLedger::default();
+    ledger.mark_history(&program);
+    assert_eq!(ledger.reserve(&program, 1_000, 100, 1), ReserveOutcome::Confirmed);
+    ledger.spend(&program, 23);
+    let records = ledger.take_unrecorded();
+    assert_eq!(records.iter().map(|it| (it.tokens, it.spent)).collect::<Vec<_>>(), [(23, 23)]);
+}
