A host that is cut off is not ready

Cause: readiness looked at the start and at the drain only. Change: a host that reaches neither the store nor another host is not ready. The tests of cut_off_hosts pass, with lost_links.

--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -365,9 +365,10 @@
         &self.context.pool
     }
 
-    /// Whether new clients should be sent here.
+    /// Whether new clients should be sent here. A host that is cut off refuses most of what they ask for, while others serve it.
     pub fn is_ready(&self) -> bool {
-        self.routes.load().version > 0 && *self.is_restored.borrow() && !self.is_draining()
+        let is_started = self.routes.load().version > 0 && *self.is_restored.borrow();
+        is_started && !self.is_draining() && !self.is_cut_off()
     }
 
     /// Whether the host has been asked to drain.
--- a/src/tests/cut_off_hosts.rs
+++ b/src/tests/cut_off_hosts.rs
@@ -68,3 +68,17 @@
     store.set_fault(StoreFault::None);
     assert_eq!(turn.await.expect("no panic"), None);
 }
+
+/// Guards against clients that are sent to a host which refuses them, while another one of their zone would serve them.
+#[tokio::test(start_paused = true)]
+async fn host_is_not_ready_while_it_is_cut_off() {
+    let store = Arc::new(MemoryStore::default());
+    let host = start_beside_silent_peer(&store).await;
+    assert!(host.is_ready());
+    store.set_fault(StoreFault::Silent);
+    sleep(NOTICE_TIME).await;
+    assert!(!host.is_ready());
+    store.set_fault(StoreFault::None);
+    sleep(RETURN_TIME).await;
+    assert!(host.is_ready());
+}
