Each open segment is read once for all hosts that start, and small hosts serve as gateways at once

What callers saw: after the loss of all hosts, programs were refused for 3 to 4 s ("the turns and budgets of earlier runs are not known yet", "no scheduler takes the request"), though the hosts were back after 0.5 s. Cause: 29 schedulers each read 21 to 29 open segments with the content of all turns, over 500 MB through the store's link; hosts that wait for larger ones to become schedulers looked for none meanwhile. Change: SegmentQuery and Segment, appended to the messages; the host that reads a segment follows from rendezvous hashing, and an older build or a silent host is replaced by an own reading. A waiting host follows the schedulers at once, and a new scheduler forwards until it has read the records. The test of owners with an older configuration waits until its nodes are schedulers, as a waiting host is ready now as a gateway. With segment_host changed to name no other host, the first test of shared_segments fails: 42 readings of 6 segments.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -52,6 +52,8 @@
 pub(crate) mod run_lives;
 pub(crate) mod run_record;
 pub(crate) mod segment_index;
+pub(crate) mod segment_queries;
+pub(crate) mod segment_reader;
 pub(crate) mod silent_records;
 mod store_monitor;
 mod stream_relay;
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use parking_lot::Mutex;
 use tokio::{
-    sync::watch,
+    sync::{oneshot, watch},
     time::{Duration, Instant, sleep, timeout},
 };
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
@@ -231,11 +231,25 @@
         let mesh = &self.budgets.mesh;
         self.peers.list_all(None).await?;
 
-        if !mesh.load_records_from_peers().await {
-            self.budgets.locator.list_batches(Instant::now()).await?;
-            let notes = self.crash_records.read().await?;
-            let mut crashes = self.context.crashes.lock();
-            notes.iter().for_each(|note| crashes.merge(note));
+        // After the loss of all hosts no peer has the records, and a host that is gone answers nothing.
+        let (report, needs_reading) = oneshot::channel();
+        let peers = mesh.load_records_from_peers(|| {
+            let _ = report.send(());
+        });
+        let store = async {
+            let _ = needs_reading.await;
+            self.read_stored_records().await
+        };
+        tokio::pin!(peers, store);
+
+        tokio::select! {
+            biased;
+            has_records = &mut peers => if !has_records { store.await? },
+            result = &mut store => {
+                // The rest of the answers tells of upstreams that leave.
+                let _ = peers.await;
+                result?;
+            }
         }
 
         mesh.mark_records_loaded();
@@ -248,6 +262,17 @@
         Ok(())
     }
 
+    /// Reads what earlier runs have recorded from the store.
+    async fn read_stored_records(&self) -> Result<(), StoreError> {
+        let listing = self.budgets.locator.list_batches(Instant::now());
+        let (listing, notes) = tokio::join!(listing, self.crash_records.read());
+        listing?;
+        let notes = notes?;
+        let mut crashes = self.context.crashes.lock();
+        notes.iter().for_each(|note| crashes.merge(note));
+        Ok(())
+    }
+
     /// Handles at a fixed interval what changes with time alone: expired upstreams, connections and programs, and the
     /// registry entries of this host and of dead peers.
     async fn run_maintenance(self: Arc<Self>) {
--- a/src/entry/mesh_answers.rs
+++ b/src/entry/mesh_answers.rs
@@ -135,6 +135,7 @@
     async fn handle(self: Arc<Self>, first: PeerMessage, mut stream: Box<dyn PeerStream>) {
         let response = match first {
             PeerMessage::Record { turns, spends } => self.record_for(turns, spends).await,
+            PeerMessage::SegmentQuery { prefix } => self.read_segment_for(&prefix).await,
             message => self.respond(message),
         };
 
--- a/src/entry/mesh_queries.rs
+++ b/src/entry/mesh_queries.rs
@@ -11,7 +11,7 @@
     future::{BoxFuture, join_all},
     stream::FuturesUnordered,
 };
-use tokio::time::{Duration, Instant, timeout};
+use tokio::time::{Duration, Instant, timeout, timeout_at};
 
 use crate::{
     PeerMessage,
@@ -27,6 +27,9 @@
 /// Time for a peer to respond to the query for a stream that a client takes up.
 const STREAM_QUERY_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Time within which peers that have loaded the records answer a host that starts. A round trip between regions takes 16 ms.
+const RECORDS_PATIENCE: Duration = Duration::from_millis(100);
+
 /// Number beyond that of any segment of a run.
 const NO_SEGMENT: u64 = u64::MAX >> 1;
 
@@ -97,8 +100,10 @@
 impl PeerMesh {
     /// Loads recorded spends and the index of recorded turns from a peer that has them, which avoids reading every
     /// record in the store. Adds the upstreams that leave from each peer that responds, since a host that starts must not
-    /// send them requests until the next updates arrive. Returns whether a peer had the records.
-    pub(crate) async fn load_records_from_peers(&self) -> bool {
+    /// send them requests until the next updates arrive. Calls `report` once it is unlikely that a peer has the records,
+    /// since those that have them answer soon; peers that are gone are waited for until they are overdue. Returns whether a
+    /// peer had the records.
+    pub(crate) async fn load_records_from_peers(&self, report: impl FnOnce()) -> bool {
         let peers: Vec<(Arc<str>, SocketAddr)> = {
             let peers = self.peers.lock();
             peers.iter().map(|(host, peer)| (Arc::clone(host), peer.address)).collect()
@@ -110,9 +115,27 @@
             (host, timeout(PEER_TIMEOUT, self.connector.exchange(address, &query)).await)
         });
 
+        let mut answers: FuturesUnordered<_> = queries.collect();
+        let mut report = Some(report);
         let mut has_records = false;
 
-        for (host, response) in join_all(queries).await {
+        loop {
+            let answer = match &report {
+                Some(_) if !has_records => {
+                    timeout_at(asked + RECORDS_PATIENCE, answers.next()).await
+                }
+                _ => Ok(answers.next().await),
+            };
+
+            let (host, response) = match answer {
+                Ok(Some(answer)) => answer,
+                Ok(None) => break,
+                Err(_) => {
+                    report.take().into_iter().for_each(|it| it());
+                    continue;
+                }
+            };
+
             let Ok(Ok(PeerMessage::Knowledge { spends, batches, readings, departures })) = response
             else {
                 continue;
--- a/src/entry/peer_mesh.rs
+++ b/src/entry/peer_mesh.rs
@@ -22,6 +22,7 @@
         mesh_state::MeshState,
         peer_contact::{DroppedPeer, PeerContact},
         run_lives::RunLives,
+        segment_reader::SegmentReader,
         stream_versions::BegunStream,
         turn_journal::TurnJournal,
         upstream_departures::UpstreamDeparture,
@@ -88,6 +89,7 @@
     /// Start of this run.
     pub(super) started_at: Instant,
     pub(super) journal: OnceLock<Arc<TurnJournal>>,
+    pub(super) segments: OnceLock<Arc<SegmentReader>>,
     pub(super) connector: MeshConnector,
     pub(super) state: MeshState,
     /// Whether this host has loaded the recorded spends and turns, so that it may respond to other hosts' queries for
@@ -130,6 +132,7 @@
             identity,
             started_at: Instant::now(),
             journal: OnceLock::new(),
+            segments: OnceLock::new(),
             connector: MeshConnector::new(transport),
             state,
             has_loaded_records: AtomicBool::new(false),
@@ -154,6 +157,11 @@
         let _ = self.journal.set(journal);
     }
 
+    /// Sets the reader with which this host reads open segments for other hosts.
+    pub(crate) fn set_segment_reader(&self, segments: Arc<SegmentReader>) {
+        let _ = self.segments.set(segments);
+    }
+
     /// Adds a peer, or replaces it if its address has changed.
     pub(crate) fn add_peer(&self, host: Arc<str>, address: SocketAddr, region: Arc<str>) {
         if host == self.identity.host || self.has_peer(&host, address) {
--- a/src/entry/turn_locator.rs
+++ b/src/entry/turn_locator.rs
@@ -4,7 +4,6 @@
 
 use futures_util::{StreamExt, TryStreamExt, stream};
 use parking_lot::Mutex;
-use serde::Deserialize;
 use tokio::{
     sync::Semaphore,
     time::{Duration, Instant},
@@ -13,12 +12,12 @@
 use crate::entry::{
     BudgetLedger, ObjectStore, StoreError, StoredObject,
     batch_index::BatchIndex,
-    budget_ledger::SpendRecord,
     index_catalog::{CatalogEntry, IndexCatalog, IndexListing, SegmentPosition},
     page_reader::PageReader,
     peer_mesh::PeerMesh,
     record_readings::RecordReadings,
     segment_index::{INDEX_KIND, SegmentIndex, segment_prefix},
+    segment_reader::{BatchSummary, SegmentReader},
     turn_history::{HistoryTurn, TurnChain, TurnHistory},
     turn_journal::{JOURNAL_KIND, JournalBatch},
 };
@@ -29,9 +28,8 @@
 /// Batches that are read concurrently. Each takes up to three times its size in memory while it is decoded.
 const CONCURRENT_READ_LIMIT: usize = 3;
 
-/// Open segments that are listed concurrently. A page of up to 1 MB takes three times its size in memory while it is
-/// decoded.
-const CONCURRENT_LISTING_LIMIT: usize = 4;
+/// Open segments for which peers are asked, or which are read, concurrently.
+const CONCURRENT_SEGMENT_LIMIT: usize = 64;
 
 /// Result of a search for a chain of turns.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -43,20 +41,6 @@
     Unknown,
 }
 
-/// The part of a batch that the index and the ledger need. The turns' content is read again on demand.
-#[derive(Deserialize)]
-struct BatchSummary {
-    number: u64,
-    writer: Arc<str>,
-    turns: Vec<TurnSummary>,
-    spends: Vec<SpendRecord>,
-}
-
-#[derive(Deserialize)]
-struct TurnSummary {
-    id: Arc<str>,
-}
-
 /// Last complete listing of the recorded turns.
 #[derive(Clone, Copy, Debug)]
 struct TurnListing {
@@ -98,6 +82,7 @@
     pub(super) reading: Arc<tokio::sync::Mutex<()>>,
     pub(super) readings: Arc<Mutex<RecordReadings>>,
     catalog: Mutex<IndexCatalog>,
+    segments: Arc<SegmentReader>,
 }
 
 impl TurnLocator {
@@ -109,6 +94,9 @@
         index: Arc<Mutex<BatchIndex>>,
         readings: Arc<Mutex<RecordReadings>>,
     ) -> Self {
+        let segments = Arc::new(SegmentReader::new(Arc::clone(&store)));
+        mesh.set_segment_reader(Arc::clone(&segments));
+
         Self {
             store,
             history,
@@ -120,6 +108,7 @@
             reading: Arc::default(),
             readings,
             catalog: Mutex::default(),
+            segments,
         }
     }
 
@@ -275,6 +264,8 @@
         let writers: HashSet<Arc<str>> = positions.keys().cloned().collect();
         self.mesh.retain_runs(&writers);
 
+        let prefixes = positions.iter().map(|(writer, it)| segment_prefix(writer, it.position));
+        self.segments.retain(&prefixes.map(Arc::from).collect());
         let mut segments = self.uncovered_segments(positions);
         let uncovered = segments.len();
         if scope == ReadingScope::Spends {
@@ -294,7 +285,7 @@
                 }
                 Ok::<ReadingSummary, StoreError>(summary)
             })
-            .buffer_unordered(CONCURRENT_LISTING_LIMIT)
+            .buffer_unordered(CONCURRENT_SEGMENT_LIMIT)
             .try_collect()
             .await?;
 
@@ -328,57 +319,46 @@
         self.index.lock().merge(index.batches);
     }
 
-    /// Reads the batches of a writer's open segment.
+    /// Reads the batches of a writer's open segment, at the host that reads it for all, or here if that one does not answer.
     async fn list_open_segment(
         &self,
-        writer: &str,
+        writer: &Arc<str>,
         position: SegmentPosition,
     ) -> Result<ReadingSummary, StoreError> {
         let prefix: Arc<str> = segment_prefix(writer, position.position).into();
-        let mut pages = PageReader::new(&*self.store, JOURNAL_KIND, Some(Arc::clone(&prefix)));
-        let mut summary = ReadingSummary { pages: 0, unreadable: 0 };
-
-        while let Some(page) = pages.next().await? {
-            summary.pages += 1;
-            let in_segment = |object: &&StoredObject| object.name.starts_with(&*prefix);
-            let batches = page.items.iter().take_while(in_segment);
-            summary.unreadable += batches.filter(|it| !self.merge_batch(it, position)).count();
-
-            if !page.items.last().is_some_and(|object| in_segment(&object)) {
-                break;
-            }
-        }
+        let summary = match self.mesh.query_segment(writer, &prefix).await {
+            Some(summary) => summary,
+            None => self.segments.read(&prefix).await?,
+        };
 
-        Ok(summary)
+        summary.batches.iter().for_each(|it| self.merge_batch(it, position));
+        Ok(ReadingSummary {
+            pages: summary.pages as usize,
+            unreadable: summary.unreadable as usize,
+        })
     }
 
     /// Merges a batch of an open segment into the index and the ledger, unless this revision was merged before. Objects of
-    /// the segment that was at the same position before have lower numbers. Returns false if the batch can't be decoded.
-    fn merge_batch(&self, object: &StoredObject, position: SegmentPosition) -> bool {
+    /// the segment that was at the same position before have lower numbers.
+    fn merge_batch(&self, batch: &BatchSummary, position: SegmentPosition) {
         let mut index = self.index.lock();
 
-        if index.is_read(&object.name, object.revision) {
-            return true;
+        if index.is_read(&batch.name, batch.revision) {
+            return;
         }
 
-        let Some(batch) = object.decode::<BatchSummary>() else {
-            log::warn!(batch:% = object.name; "a recorded batch can't be decoded");
-            return false;
-        };
-
-        index.mark_read(&object.name, object.revision);
+        index.mark_read(&batch.name, batch.revision);
 
         if batch.number <= position.last_number {
-            return true;
+            return;
         }
 
         for turn in &batch.turns {
-            index.insert(&object.name, Arc::clone(&turn.id));
+            index.insert(&batch.name, Arc::clone(turn));
         }
 
         drop(index);
         self.ledger.lock().merge_recorded(&batch.writer, &batch.spends);
-        true
     }
 }
 
--- a/src/gateway/entry_node.rs
+++ b/src/gateway/entry_node.rs
@@ -30,6 +30,9 @@
 /// Time between two questions of a gateway to a scheduler for the list of schedulers.
 const FOLLOW_INTERVAL: Duration = Duration::from_millis(700);
 
+/// The same while no scheduler has answered yet, or none has for long.
+const FIRST_FOLLOW_INTERVAL: Duration = Duration::from_millis(150);
+
 /// Time for a scheduler to respond to such a question.
 const FOLLOW_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -110,16 +113,19 @@
         };
         let region = self.settings.region();
         // A restarted scheduler takes its role again at once. An old list will do, as it was registered long ago.
-        let mut is_listed = self.read_registry(ReadFreshness::MayBeStale).await.iter().any(is_this);
+        let mut schedulers = self.read_registry(ReadFreshness::MayBeStale).await;
+        let mut is_listed = schedulers.iter().any(is_this);
+        // Larger hosts become schedulers while this one waits, and its clients need them at once.
+        self.forwarder.directory.set_schedulers(schedulers.clone());
 
         loop {
             if !is_listed {
-                sleep(candidate_delay(self.settings.processor_share, rand::random())).await;
+                let delay = candidate_delay(self.settings.processor_share, rand::random());
+                let _ = timeout(delay, self.follow_schedulers_forever()).await;
+                // A list that is old but complete enough saves a call that costs ten times as much.
+                schedulers = self.read_registry(ReadFreshness::MayBeStale).await;
             }
 
-            // A list that is old but complete enough saves a call that costs ten times as much.
-            let mut schedulers = self.read_registry(ReadFreshness::MayBeStale).await;
-
             if should_schedule(&self.settings.host, &region, &schedulers) {
                 schedulers = self.read_registry(ReadFreshness::Linearizable).await;
             }
@@ -130,7 +136,7 @@
             }
 
             log::info!(schedulers = schedulers.len(); "serving as a gateway");
-            self.forwarder.directory.set_schedulers(schedulers);
+            self.forwarder.directory.set_schedulers(schedulers.clone());
             self.follow_schedulers(&region).await;
             is_listed = false;
         }
@@ -167,12 +173,26 @@
         let _ = self.host.set(host);
     }
 
+    /// Keeps the list of schedulers up to date while this host waits for larger ones to become schedulers.
+    async fn follow_schedulers_forever(&self) {
+        let region = self.settings.region();
+
+        loop {
+            self.follow_schedulers(&region).await;
+            let schedulers = self.read_registry(ReadFreshness::MayBeStale).await;
+            self.forwarder.directory.set_schedulers(schedulers);
+        }
+    }
+
     /// Asks schedulers for the list of schedulers, until there is reason to read the registry.
     async fn follow_schedulers(&self, region: &str) {
         let mut failures = 0;
 
         while failures < MAX_FAILED_QUESTIONS {
             let directory = &self.forwarder.directory;
+            // A host that starts has no time to lose: its clients are refused until a scheduler has answered.
+            let interval =
+                if directory.is_in_contact() { FOLLOW_INTERVAL } else { FIRST_FOLLOW_INTERVAL };
             // A random key spreads the questions over the schedulers of the region.
             let key = rand::random::<u64>().to_string();
             let candidate = directory.candidates(&key, None).into_iter().next();
@@ -202,7 +222,7 @@
             let suspect_count = directory.suspects().len();
             let responsive_count = directory.scheduler_count().saturating_sub(suspect_count);
             self.metrics.record_schedulers(responsive_count, suspect_count);
-            sleep(FOLLOW_INTERVAL).await;
+            sleep(interval).await;
         }
     }
 
@@ -258,6 +278,11 @@
         is_serving && !self.is_draining()
     }
 
+    /// Whether this host has become a scheduler.
+    pub fn is_scheduler(&self) -> bool {
+        self.host.get().is_some()
+    }
+
     /// Whether the host has been asked to drain.
     pub fn is_draining(&self) -> bool {
         self.is_draining.load(Ordering::Relaxed)
--- a/src/gateway/request_handler.rs
+++ b/src/gateway/request_handler.rs
@@ -24,14 +24,20 @@
         };
 
         let Some(host) = self.host.get() else {
-            let candidates = self.forwarder.directory.candidates(routing_key(&request), None);
-            let response = self.forwarder.forward(&request, &candidates).await;
-            return response.unwrap_or_else(|| {
-                log::info!(request:% = request.id, schedulers = candidates.len(); "refused: no scheduler takes the request");
+            return self.forward_to_schedulers(&request).await.unwrap_or_else(|| {
+                log::info!(request:% = request.id; "refused: no scheduler takes the request");
                 EntryResponse::not_run(NO_SCHEDULER_RETRY_AFTER, "no scheduler takes the request")
             });
         };
 
+        // A gateway that becomes a scheduler goes on as a gateway until it has read the records.
+        if !host.is_ready()
+            && self.forwarder.directory.is_in_contact()
+            && let Some(response) = self.forward_to_schedulers(&request).await
+        {
+            return response;
+        }
+
         let owners = self.owners_before_this_host(host, &request);
 
         if let Some(response) = self.forwarder.forward(&request, &owners).await {
@@ -52,6 +58,12 @@
         self.handle_elsewhere(host, request, &service).await
     }
 
+    /// Forwards a request to a scheduler of this region; `None` if none takes it.
+    async fn forward_to_schedulers(&self, request: &EntryRequest) -> Option<EntryResponse> {
+        let candidates = self.forwarder.directory.candidates(routing_key(request), None);
+        self.forwarder.forward(request, &candidates).await
+    }
+
     /// Limits a request to the time until this host stops; `None` if it could not end before.
     fn limit_to_stop(&self, request: EntryRequest) -> Option<EntryRequest> {
         let Some(stops_at) = self.stops_at.get() else {
--- a/src/gateway/scheduler_directory.rs
+++ b/src/gateway/scheduler_directory.rs
@@ -11,7 +11,7 @@
 use tokio::time::{Duration, Instant};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::{entry::RouteLimits, gateway::SchedulerEntry};
+use crate::{entry::RouteLimits, gateway::SchedulerEntry, membership::rendezvous::weighted_score};
 
 /// Time for which a scheduler that has declined a request, since it does not reach a service, comes after others, unless the
 /// list of schedulers says so as well. Lists are received at shorter intervals.
@@ -51,17 +51,6 @@
     score: u64,
 }
 
-/// Score of a scheduler for a key; the lowest is the first. Each scheduler is the first for a part of all keys that is in
-/// proportion to its processor time, and a change of one scheduler moves only keys of its own.
-fn weighted_score(seed: u64, scheduler: &SchedulerEntry) -> u64 {
-    let hash = xxh3_64_with_seed(scheduler.host.as_bytes(), seed);
-    // A number from 0 to 1, neither of them included.
-    let uniform = ((hash >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
-    let score = -uniform.ln() / f64::from(scheduler.processor_millis.max(1));
-    // The bits of positive numbers have the same order as the numbers.
-    score.to_bits()
-}
-
 /// The known schedulers, and which of them respond. Lock order: the state is the only lock.
 #[derive(Debug)]
 pub(crate) struct SchedulerDirectory {
@@ -125,7 +114,7 @@
                 let rank = CandidateRank {
                     state: candidate_state,
                     is_remote: prefers_local && it.region != self.region,
-                    score: weighted_score(seed, it),
+                    score: weighted_score(seed, &it.host, it.processor_millis),
                 };
                 (rank, it)
             })
--- a/src/membership/peer_message.rs
+++ b/src/membership/peer_message.rs
@@ -14,6 +14,7 @@
         budget_ledger::{SpendNote, SpendRecord, WriterSpends},
         host_reach::LostServices,
         record_readings::ReadingAges,
+        segment_reader::SegmentSummary,
         stream_versions::{BegunStream, StreamOrigin},
         turn_history::HistoryTurn,
         upstream_departures::UpstreamDeparture,
@@ -275,6 +276,15 @@
     Features {
         features: Vec<(Arc<str>, u64)>,
     },
+    /// Entry: request to read the batches whose names begin with `prefix`, after the request has arrived. The response is
+    /// [`PeerMessage::Segment`], or `NoAck` if the store can't be read.
+    SegmentQuery {
+        prefix: Arc<str>,
+    },
+    /// Entry: what the sender has read of a segment.
+    Segment {
+        summary: SegmentSummary,
+    },
 }
 
 impl PeerMessage {
@@ -298,6 +308,8 @@
                 | Self::Turns { .. }
                 | Self::RecentSpendsQuery { .. }
                 | Self::RecentSpends { .. }
+                | Self::SegmentQuery { .. }
+                | Self::Segment { .. }
                 | Self::UpstreamsLimited { .. }
                 | Self::FeaturesQuery
                 | Self::Features { .. }
--- a/src/tests/entry_node.rs
+++ b/src/tests/entry_node.rs
@@ -75,13 +75,22 @@
     store: &Arc<MemoryStore>,
     host: &str,
     table: RouteTable,
+) -> Arc<EntryNode> {
+    start_node_of_size(store, host, table, 1.0).await
+}
+
+async fn start_node_of_size(
+    store: &Arc<MemoryStore>,
+    host: &str,
+    table: RouteTable,
+    processor_share: f64,
 ) -> Arc<EntryNode> {
     let settings = EntrySettings {
         host: host.into(),
         data_centre: "north".into(),
         regions: BTreeMap::new(),
         peers_address: ([127, 0, 0, 1], 0).into(),
-        processor_share: 1.0,
+        processor_share,
         memory_bytes: None,
         store_value_bytes: None,
         expiry: ExpiryBounds::default(),
@@ -103,6 +112,16 @@
     timeout(READY_TIMEOUT, ready).await.expect("the node becomes ready");
 }
 
+/// Waits until a node is ready as a scheduler. While it waits for larger hosts, it is ready as a gateway.
+pub(super) async fn wait_until_scheduling(node: &EntryNode) {
+    let scheduling = async {
+        while !node.is_scheduler() || !node.is_ready() {
+            sleep(POLL_INTERVAL).await;
+        }
+    };
+    timeout(READY_TIMEOUT, scheduling).await.expect("the node becomes a scheduler");
+}
+
 pub(super) fn turn(program: &str) -> EntryRequest {
     let now = Instant::now();
 
@@ -141,11 +160,11 @@
         owners.push(start_node(&store, host, route_table(1, "/old/")).await);
     }
     for owner in &owners {
-        wait_until_ready(owner).await;
+        wait_until_scheduling(owner).await;
     }
     // The store reports no changes, so only the last node knows all others.
     let node = start_node(&store, "four", route_table(2, "/new/")).await;
-    wait_until_ready(&node).await;
+    wait_until_scheduling(&node).await;
     let mut missing_count = 0;
 
     for number in 0..PROGRAM_COUNT {
@@ -159,6 +178,29 @@
     assert_eq!(missing_count, 0, "turns of {PROGRAM_COUNT} for which the route is missing");
 }
 
+/// Guards against a small host that refuses its clients while it waits for larger ones to become schedulers.
+#[tokio::test]
+async fn small_host_forwards_requests_while_it_waits_for_larger_hosts() {
+    let store = Arc::new(MemoryStore::default());
+    let scheduler = start_node(&store, "large", route_table(1, "/new/")).await;
+    wait_until_ready(&scheduler).await;
+    let node = start_node_of_size(&store, "small", route_table(1, "/new/"), 0.1).await;
+    let is_ready = async {
+        while !node.is_ready() {
+            sleep(POLL_INTERVAL).await;
+        }
+    };
+
+    // A host of this size waits for 1.5 s at least.
+    timeout(Duration::from_secs(1), is_ready).await.expect("ready as a gateway");
+    assert!(!node.is_scheduler());
+    let response = node.handle(turn("p")).await;
+    let EntryResponse::Refused { reason, .. } = response else {
+        panic!("expected a refusal, received {response:?}");
+    };
+    assert_eq!(&*reason, "the route has no service", "the scheduler's answer");
+}
+
 /// Connects to the hosts with the keys that they share.
 pub(super) async fn peer_transport(store: &Arc<MemoryStore>) -> QuicTransport {
     let registry = HostRegistry {
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -49,6 +49,7 @@
 mod shard_state;
 mod shared_connections;
 mod shared_departures;
+mod shared_segments;
 mod silent_records;
 mod small_parts;
 mod stop_policy;
--- a/src/tests/retained_records.rs
+++ b/src/tests/retained_records.rs
@@ -9,7 +9,7 @@
 use super::{
     entry_fakes::{MemoryStore, ScriptedChannel, ScriptedResponse, upstream},
     entry_journal::{HostRun, turn as finished_turn},
-    entry_node::{turn, wait_until_ready},
+    entry_node::{turn, wait_until_scheduling},
 };
 use crate::{
     entry::{
@@ -88,7 +88,7 @@
     let node = EntryNode::start(settings, backends, Arc::clone(&starter) as Arc<_>)
         .await
         .expect("the node starts");
-    wait_until_ready(&node).await;
+    wait_until_scheduling(&node).await;
     Arc::clone(starter.host.get().expect("a host"))
 }
 
--- a/src/tests/shared_departures.rs
+++ b/src/tests/shared_departures.rs
@@ -318,14 +318,14 @@
     for port in [1, 2] {
         let (pool, mesh) = host(&links, 3);
         add_peer(&mesh, port);
-        assert!(mesh.load_records_from_peers().await);
+        assert!(mesh.load_records_from_peers(|| ()).await);
         assert!(!is_open(&pool), "the host would take requests for the upstream that leaves");
     }
 
     let (pool, mesh) = host(&links, 3);
     add_peer(&mesh, 1);
     add_peer(&mesh, 2);
-    assert!(mesh.load_records_from_peers().await);
+    assert!(mesh.load_records_from_peers(|| ()).await);
     let departures = pool.departures().lock().all();
     let [departure] = departures.as_slice() else {
         panic!("expected one departure, found {departures:?}");
--- a/src/tests/silent_records.rs
+++ b/src/tests/silent_records.rs
@@ -73,6 +73,13 @@
     }
 }
 
+impl HostTransport {
+    /// Makes no host answer any more.
+    pub(super) fn remove_all(&self) {
+        self.hosts.lock().clear();
+    }
+}
+
 fn host_of(writer: &str) -> &str {
     writer.split_once('.').map_or(writer, |(host, _)| host)
 }
@@ -177,7 +184,7 @@
     }
 
     /// Records 70 tokens that the silent host has spent.
-    async fn record_for_silent_host(&self, program: &Arc<str>) {
+    pub(super) async fn record_for_silent_host(&self, program: &Arc<str>) {
         let spend = SpendRecord {
             writer: Some("silent.1".into()),
             program: Arc::clone(program),
