Types, decoding and refusals for teams

What callers saw: the entry hosts know no teams, keys or priorities of teams. Cause: the configuration's `tenants` and the routes' `public` were ignored. Change: types of src/entry/teams/, decoding of both fields, the variants Unauthorized (401) and QuotaExceeded (429) of EntryRefusal, the digest of a key as an entry of a forwarded request's headers, and removal of Api-Key and X-Tenant before each attempt. The check of keys and the scopes of ids follow; nothing calls them yet. Measured: the workspace compiles with all targets; no test was run.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -57,6 +57,7 @@
 mod stream_relay;
 mod stream_resume;
 pub(crate) mod stream_versions;
+pub(crate) mod teams;
 pub(crate) mod turn_budget;
 pub(crate) mod turn_history;
 pub(crate) mod turn_journal;
@@ -70,7 +71,6 @@
 pub(crate) mod written_batches;
 pub(crate) mod written_reservations;
 
-pub(crate) use self::host_registry::HostRegistry;
 pub use self::{
     budget_ledger::BudgetLedger,
     buffer_budget::{BufferBudget, BuffersFull, LeasedBuffer},
@@ -90,9 +90,14 @@
     route_table::{RequestKind, RouteLimits, RouteTable, RouteTarget, ServiceConfig, ServiceRoute},
     run_record::PossibleRuns,
     store_monitor::StoreMonitor,
+    teams::{ClientKey, KeyDigest, Team, TeamDirectory, TeamError, TeamQuota, TeamTerms},
     upstream_channel::{
         ChannelError, ReportedLoad, SendGuard, UpstreamBody, UpstreamChannel, UpstreamRequest,
         UpstreamResponse,
     },
     upstream_record::{UpstreamPhase, UpstreamRecord},
 };
+pub(crate) use self::{
+    host_registry::HostRegistry,
+    teams::{AccessInputs, AccessRefusal, KeyChecker, TeamScope},
+};
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -535,6 +535,7 @@
             chain,
             software_version,
             request,
+            team: None,
             route,
             service,
             fingerprint,
--- a/src/entry/entry_request.rs
+++ b/src/entry/entry_request.rs
@@ -6,7 +6,7 @@
 use hyper::{HeaderMap, Method};
 use tokio::time::Instant;
 
-use crate::entry::PossibleRuns;
+use crate::entry::{ClientKey, PossibleRuns};
 
 /// A part of a prompt. Two parts with the same id have the same content if all parts before them are equal as well.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -45,7 +45,9 @@
     pub path: Arc<str>,
     /// Path and query as sent by the client.
     pub target: Arc<str>,
-    /// Headers to forward.
+    /// Key of the client.
+    pub key: ClientKey,
+    /// Headers to forward. They contain no key.
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
--- a/src/entry/entry_response.rs
+++ b/src/entry/entry_response.rs
@@ -88,6 +88,15 @@
         /// Time after which the client should retry if no other host takes the request.
         retry_after: Duration,
     },
+    /// The route needs the key of a team, and the request has none that is known. Not sent to a build that knows no teams.
+    #[display("unauthorized")]
+    Unauthorized,
+    /// The request would exceed its team's quota; it has not run and will not run. Not sent to a build that knows no teams.
+    #[display("quota_exceeded")]
+    QuotaExceeded {
+        /// Time after which the request would be accepted.
+        retry_after: Duration,
+    },
 }
 
 impl EntryRefusal {
@@ -99,7 +108,9 @@
             | Self::NoRoute
             | Self::UnknownTurn
             | Self::TooLarge
-            | Self::NotRun { .. } => true,
+            | Self::NotRun { .. }
+            | Self::Unauthorized
+            | Self::QuotaExceeded { .. } => true,
             Self::OutOfReach { may_have_run, .. } => !may_have_run,
             Self::ResponseLost | Self::DeadlineExceeded => false,
         }
--- a/src/entry/placement_request.rs
+++ b/src/entry/placement_request.rs
@@ -10,7 +10,9 @@
 #[derive(Clone, Debug)]
 pub(crate) struct PlacementRequest {
     pub(crate) service: Arc<str>,
-    /// Priority of the route; 0 is the most urgent.
+    /// Name of the request's team.
+    pub(crate) team: Option<Arc<str>>,
+    /// Priority of the team or the route; 0 is the most urgent.
     pub(crate) priority: u32,
     /// Whether the request continues earlier turns; their work is lost if the request is refused.
     pub(crate) is_continuation: bool,
--- a/src/entry/route_table.rs
+++ b/src/entry/route_table.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::entry::{KeyDigest, Team, TeamDirectory};
+
 /// Time limit of requests whose route states none.
 const DEFAULT_REQUEST_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -57,6 +59,8 @@
     pub latency_objective: Duration,
     /// Longest gap between two events with which a stream still counts as on time.
     pub event_gap_objective: Option<Duration>,
+    /// Whether requests need no key, if the configuration has teams.
+    pub is_public: bool,
     /// Priority; 0 is the most urgent.
     pub priority: u32,
     /// Largest number of upstreams on which one request of a client may run.
@@ -141,6 +145,7 @@
     pub limits: RouteLimits,
     routes: HashMap<Arc<str>, Vec<Arc<ServiceRoute>>>,
     services: HashMap<Arc<str>, Arc<ServiceConfig>>,
+    teams: TeamDirectory,
 }
 
 impl RouteTable {
@@ -163,7 +168,29 @@
 
         let services =
             services.into_iter().map(|it| (Arc::clone(&it.name), Arc::new(it))).collect();
-        Self { version, limits, routes: routes_by_host, services }
+        let teams = TeamDirectory::default();
+        Self { version, limits, routes: routes_by_host, services, teams }
+    }
+
+    /// Adds the teams of the configuration.
+    #[must_use]
+    pub fn with_teams(self, teams: TeamDirectory) -> Self {
+        Self { teams, ..self }
+    }
+
+    /// Whether the configuration has teams, so that routes which are not public need a key.
+    pub fn has_teams(&self) -> bool {
+        self.teams.team_count() > 0
+    }
+
+    /// Number of teams.
+    pub(crate) fn team_count(&self) -> usize {
+        self.teams.team_count()
+    }
+
+    /// Team of a key.
+    pub fn team(&self, digest: &KeyDigest) -> Option<&Arc<Team>> {
+        self.teams.team(digest)
     }
 
     /// Returns the route of a host with the longest prefix of `path`.
--- a/src/entry/routed_request.rs
+++ b/src/entry/routed_request.rs
@@ -6,8 +6,8 @@
 use tokio::time::Instant;
 
 use crate::entry::{
-    EntryRequest, ServiceConfig, ServiceRoute, UpstreamRequest, buffer_budget::BufferLease,
-    placement_request::PlacementRequest, turn_history::HistoryTurn,
+    EntryRequest, ServiceConfig, ServiceRoute, Team, TeamScope, UpstreamRequest,
+    buffer_budget::BufferLease, placement_request::PlacementRequest, turn_history::HistoryTurn,
 };
 
 /// A request with its route, its service and its deadline.
@@ -15,6 +15,8 @@
 pub(crate) struct RoutedRequest {
     pub(crate) request: EntryRequest,
     pub(crate) route: Arc<ServiceRoute>,
+    /// Team of the client's key.
+    pub(crate) team: Option<Arc<Team>>,
     pub(crate) service: Arc<ServiceConfig>,
     /// Body to send: that of the request, preceded by the inputs and outputs of the turns that it continues.
     pub(crate) body: Bytes,
@@ -36,13 +38,23 @@
         self.request.program.as_ref().map_or("", |program| &program.id)
     }
 
+    /// Scope of the request's ids.
+    pub(crate) fn scope(&self) -> TeamScope<'_> {
+        TeamScope::new(self.team.as_ref())
+    }
+
+    fn team_name(&self) -> Option<Arc<str>> {
+        self.team.as_ref().map(|it| Arc::clone(&it.name))
+    }
+
     /// The request as the placement pool sees it. `excluded` lists upstreams that must not get it.
     pub(crate) fn placement_request(&self, excluded: &[Arc<str>]) -> PlacementRequest {
         let finish_by = self.request.program.as_ref().and_then(|program| program.finish_by);
 
         PlacementRequest {
             service: Arc::clone(&self.service.name),
-            priority: self.route.priority,
+            team: self.team_name(),
+            priority: self.team.as_ref().and_then(|it| it.priority).unwrap_or(self.route.priority),
             is_continuation: !self.chain.is_empty(),
             finish_by: finish_by.unwrap_or(self.deadline),
             deadline: self.deadline,
@@ -62,6 +74,7 @@
             method: self.request.method.clone(),
             target: Arc::clone(&self.request.target),
             host: Arc::clone(&self.request.host),
+            team: self.team_name(),
             headers: self.request.headers.clone(),
             body: self.body.clone(),
             time_left: Some(self.deadline.saturating_duration_since(now)),
--- /dev/null
+++ b/src/entry/teams/team_directory.rs
@@ -0,0 +1,70 @@
+//! The teams of a configuration by the digests of their keys.
+
+use std::{
+    collections::{HashMap, HashSet, hash_map::Entry},
+    sync::Arc,
+};
+
+use crate::entry::{KeyDigest, Team, TeamError, TeamTerms};
+
+/// All teams of one version of the configuration.
+#[derive(Clone, Debug, Default)]
+pub struct TeamDirectory {
+    teams_by_key: HashMap<KeyDigest, Arc<Team>>,
+    team_count: usize,
+}
+
+impl TeamDirectory {
+    /// Collects teams in the order of the configuration.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first field that is not valid; the version of the configuration must then not be put in force.
+    pub fn new(terms: Vec<TeamTerms>) -> Result<Self, TeamError> {
+        let team_count = terms.len();
+        let key_count = terms.iter().map(|it| it.keys.len()).sum();
+        let mut teams_by_key: HashMap<KeyDigest, Arc<Team>> = HashMap::with_capacity(key_count);
+        let mut names = HashSet::with_capacity(team_count);
+
+        for (index, TeamTerms { team, keys }) in terms.into_iter().enumerate() {
+            let name = &team.name;
+
+            // Upstreams get the name in a header, which can't contain control characters and loses spaces at its ends.
+            if name.is_empty() || name.trim() != &**name || name.chars().any(char::is_control) {
+                return Err(TeamError::Name { index });
+            }
+            if team.quota.is_some_and(|it| !it.rate_per_s.is_finite() || it.rate_per_s < 0.0) {
+                return Err(TeamError::Rate { index });
+            }
+            if !names.insert(Arc::clone(name)) {
+                return Err(TeamError::RepeatedName { index, name: Arc::clone(name) });
+            }
+
+            let team = Arc::new(team);
+
+            for (key_index, digest) in keys.into_iter().enumerate() {
+                match teams_by_key.entry(digest) {
+                    Entry::Vacant(entry) => drop(entry.insert(Arc::clone(&team))),
+                    // A key that a team states twice is still the key of one team.
+                    Entry::Occupied(entry) if Arc::ptr_eq(entry.get(), &team) => (),
+                    Entry::Occupied(entry) => {
+                        let (name, other) = (Arc::clone(&team.name), Arc::clone(&entry.get().name));
+                        return Err(TeamError::SharedKey { index, key_index, name, other });
+                    }
+                }
+            }
+        }
+
+        Ok(Self { teams_by_key, team_count })
+    }
+
+    /// Team of a key.
+    pub(crate) fn team(&self, digest: &KeyDigest) -> Option<&Arc<Team>> {
+        self.teams_by_key.get(digest)
+    }
+
+    /// Number of teams, with those that have no keys.
+    pub(crate) fn team_count(&self) -> usize {
+        self.team_count
+    }
+}
--- a/src/entry/upstream_channel.rs
+++ b/src/entry/upstream_channel.rs
@@ -20,6 +20,8 @@
     pub target: Arc<str>,
     /// Host name for the Host header, as named by the client.
     pub host: Arc<str>,
+    /// Name of the team for which the request runs; it replaces what the headers state of a team.
+    pub team: Option<Arc<str>>,
     /// Headers to forward.
     pub headers: HeaderMap,
     /// Body.
--- a/src/gateway/forwarded_request.rs
+++ b/src/gateway/forwarded_request.rs
@@ -7,11 +7,18 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
-use crate::entry::{EntryRequest, PossibleRuns, ProgramContext, PromptPart};
+use crate::entry::{ClientKey, EntryRequest, KeyDigest, PossibleRuns, ProgramContext, PromptPart};
 
 /// Names and values of headers.
 pub(crate) type HeaderList = Vec<(Arc<str>, Bytes)>;
 
+/// Entry of the header list with the digest of the client's key; its value is empty if the client has sent no key. An entry is
+/// used, as a field would change the frame, which older builds could not decode.
+const KEY_DIGEST: &str = "ragwortknot-key-digest";
+
+/// Headers of clients that state a key or a team. Builds that know no teams forward them.
+const CLIENT_HEADERS: [&str; 2] = ["api-key", "x-tenant"];
+
 /// Time by which the deadline that a scheduler gets precedes the client's, for the way back through the gateway.
 const FORWARD_MARGIN: Duration = Duration::from_millis(6);
 
@@ -59,7 +66,7 @@
             method: request.method.as_str().into(),
             host: Arc::clone(&request.host),
             target: Arc::clone(&request.target),
-            headers: encode_headers(&request.headers),
+            headers: encode_client_headers(request),
             body: request.body.clone(),
             age: now.saturating_duration_since(request.received),
             time_left: request.deadline.map(|it| until(it).saturating_sub(FORWARD_MARGIN)),
@@ -82,13 +89,15 @@
     /// Decodes a request that arrived at the time `now`. Returns `None` if its method or a header is not valid in HTTP.
     pub(crate) fn decode(self, now: Instant) -> Option<EntryRequest> {
         let path = self.target.split('?').next().unwrap_or_default();
+        let (key, headers) = decode_client_headers(&self.headers)?;
 
         Some(EntryRequest {
             id: self.id,
             method: Method::from_bytes(self.method.as_bytes()).ok()?,
             host: self.host,
             path: path.into(),
-            headers: decode_headers(&self.headers)?,
+            key,
+            headers,
             body: self.body,
             received: now.checked_sub(self.age).unwrap_or(now),
             deadline: self.time_left.and_then(|it| now.checked_add(it)),
@@ -115,6 +124,36 @@
     }
 }
 
+/// Encodes the headers of a request, with the digest of its key.
+fn encode_client_headers(request: &EntryRequest) -> HeaderList {
+    let mut headers = encode_headers(&request.headers);
+    headers.retain(|(name, _)| **name != *KEY_DIGEST);
+    let value = match request.key {
+        ClientKey::Missing => Some(String::new()),
+        ClientKey::Digest(digest) => Some(digest.to_hex()),
+        ClientKey::Unstated => None,
+    };
+    headers.extend(value.map(|it| (KEY_DIGEST.into(), it.into())));
+    headers
+}
+
+/// Decodes the headers of a request, and takes the digest of its key out of them; returns `None` if a header is not valid in
+/// HTTP.
+fn decode_client_headers(headers: &HeaderList) -> Option<(ClientKey, HeaderMap)> {
+    let mut decoded = decode_headers(headers)?;
+    let mut digests = decoded.get_all(KEY_DIGEST).iter();
+    let key = match (digests.next(), digests.next()) {
+        (None, _) => ClientKey::Unstated,
+        // An empty value and one that is no digest both mean that no team can have the key.
+        (Some(digest), None) => {
+            KeyDigest::from_hex(digest.as_bytes()).map_or(ClientKey::Missing, ClientKey::Digest)
+        }
+        (Some(_), Some(_)) => ClientKey::Missing,
+    };
+    [KEY_DIGEST].iter().chain(&CLIENT_HEADERS).for_each(|name| drop(decoded.remove(*name)));
+    Some((key, decoded))
+}
+
 pub(crate) fn encode_headers(headers: &HeaderMap) -> HeaderList {
     headers
         .iter()
--- a/src/tests/entry_node.rs
+++ b/src/tests/entry_node.rs
@@ -56,6 +56,7 @@
 /// A configuration with one route, which has no service.
 pub(super) fn route_table(version: u64, path_prefix: &str) -> RouteTable {
     let route = ServiceRoute {
+        is_public: false,
         name: "chat".into(),
         host: "a.example".into(),
         path_prefix: path_prefix.into(),
@@ -107,6 +108,7 @@
     let now = Instant::now();
 
     EntryRequest {
+        key: crate::entry::ClientKey::Missing,
         id: format!("turn-of-{program}").into(),
         method: Method::POST,
         host: "a.example".into(),
--- a/src/tests/entry_placement.rs
+++ b/src/tests/entry_placement.rs
@@ -31,6 +31,7 @@
     let now = Instant::now();
 
     PlacementRequest {
+        team: None,
         service: "model".into(),
         priority,
         is_continuation,
--- a/src/tests/entry_routes.rs
+++ b/src/tests/entry_routes.rs
@@ -13,6 +13,7 @@
 
 fn route(name: &str, host: &str, path_prefix: &str, targets: &[(&str, f64)]) -> ServiceRoute {
     ServiceRoute {
+        is_public: false,
         name: name.into(),
         host: host.into(),
         path_prefix: path_prefix.into(),
--- a/src/tests/entry_runner.rs
+++ b/src/tests/entry_runner.rs
@@ -142,6 +142,7 @@
 
     let now = Instant::now();
     let request = EntryRequest {
+        key: crate::entry::ClientKey::Missing,
         id: "r1".into(),
         method: Method::POST,
         host: "a.example".into(),
@@ -161,6 +162,7 @@
         is_forwarded: false,
     };
     let route = ServiceRoute {
+        is_public: false,
         name: "route".into(),
         host: "a.example".into(),
         path_prefix: "/x/".into(),
@@ -180,6 +182,7 @@
         cache_tokens: 0,
     };
     let routed = RoutedRequest {
+        team: None,
         body: request.body.clone(),
         request,
         route: Arc::new(route),
@@ -342,6 +345,7 @@
     let deadline = Instant::now() + Duration::from_secs(2);
 
     PlacementRequest {
+        team: None,
         service: "service".into(),
         priority: 0,
         is_continuation: false,
--- a/src/tests/gateway_forwarding.rs
+++ b/src/tests/gateway_forwarding.rs
@@ -122,6 +122,7 @@
     headers.append("x-custom", "two".parse().expect("a header value"));
 
     EntryRequest {
+        key: crate::entry::ClientKey::Missing,
         id: "r1".into(),
         method: Method::POST,
         host: "a.example".into(),
--- a/src/tests/lost_links.rs
+++ b/src/tests/lost_links.rs
@@ -117,6 +117,7 @@
 impl SchedulerStarter for ServiceStarter {
     fn start(&self, host: &Arc<EntryHost>) {
         let route = ServiceRoute {
+            is_public: false,
             name: "look".into(),
             host: "a.example".into(),
             path_prefix: "/new/".into(),
--- a/src/tests/retained_records.rs
+++ b/src/tests/retained_records.rs
@@ -45,6 +45,7 @@
 fn history_routes() -> RouteTable {
     let target = RouteTarget { service: "model".into(), weight: 1.0 };
     let route = ServiceRoute {
+        is_public: false,
         name: "chat".into(),
         host: "a.example".into(),
         path_prefix: "/new/".into(),
--- a/src/tests/shared_connections.rs
+++ b/src/tests/shared_connections.rs
@@ -148,6 +148,7 @@
     let now = Instant::now();
 
     EntryRequest {
+        key: crate::entry::ClientKey::Missing,
         id: "r1".into(),
         method: Method::POST,
         host: "a.example".into(),
--- a/src/tests/shared_departures.rs
+++ b/src/tests/shared_departures.rs
@@ -155,6 +155,7 @@
 fn is_open(pool: &Arc<PlacementPool>) -> bool {
     let deadline = Instant::now() + Duration::from_secs(1);
     let request = PlacementRequest {
+        team: None,
         service: "model".into(),
         priority: 0,
         is_continuation: false,
--- a/src/tests/upstream_departures.rs
+++ b/src/tests/upstream_departures.rs
@@ -179,6 +179,7 @@
 fn request() -> PlacementRequest {
     let deadline = Instant::now() + Duration::from_secs(1);
     PlacementRequest {
+        team: None,
         service: "model".into(),
         priority: 0,
         is_continuation: false,
--- a/src/tests/upstream_limits.rs
+++ b/src/tests/upstream_limits.rs
@@ -26,6 +26,7 @@
 fn request(service: &str) -> PlacementRequest {
     let deadline = Instant::now() + Duration::from_secs(3);
     PlacementRequest {
+        team: None,
         service: service.into(),
         priority: 0,
         is_continuation: false,
