Check keys and scope ids by team

What callers saw: requests with unknown or removed keys ran, and any client could continue any turn. Cause: keys were not checked, and ids of turns, programs and streams were those of clients. Change: a scheduler checks the key after it has found the route, and the runner and the resumption of streams check it again before and after they wait for a slot. Ids of turns, programs and streams, and fingerprints, are scoped by team. A refusal that an older build can't decode goes to it as not run.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -51,6 +51,7 @@
 pub(crate) mod routed_request;
 pub(crate) mod run_lives;
 pub(crate) mod run_record;
+mod run_refusal;
 pub(crate) mod segment_index;
 pub(crate) mod silent_records;
 mod store_monitor;
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -15,8 +15,9 @@
     BackoffPolicy, PeerTransport,
     entry::{
         BudgetLedger, BufferBudget, BuffersFull, EntryBackends, EntryRefusal, EntryRequest,
-        EntryResponse, EntrySettings, KindFollower, ObjectListener, PlacementPool, RelayedBody,
-        RouteTable, ServiceConfig, ServiceRoute, StoreError, StoreMonitor,
+        EntryResponse, EntrySettings, KeyChecker, KindFollower, ObjectListener, PlacementPool,
+        RelayedBody, RouteTable, ServiceConfig, ServiceRoute, StoreError, StoreMonitor, Team,
+        TeamScope,
         buffer_budget::BufferLease,
         chain_recorder::ChainRecorder,
         crash_guard::CRASH_LIMIT,
@@ -71,7 +72,7 @@
 #[derive(Debug)]
 pub struct EntryHost {
     settings: EntrySettings,
-    routes: ArcSwap<RouteTable>,
+    routes: Arc<ArcSwap<RouteTable>>,
     /// Follows the registry entries of the other entry hosts in the store.
     peers: KindFollower,
     monitor: StoreMonitor,
@@ -161,7 +162,17 @@
             pool: Arc::clone(&pool),
         };
 
+        let monitor = StoreMonitor::new(Arc::clone(&backends.store));
+        tokio::spawn(monitor.clone().run());
+        let routes: Arc<ArcSwap<RouteTable>> = Arc::default();
+        let keys = KeyChecker {
+            routes: Arc::clone(&routes),
+            monitor: monitor.clone(),
+            metrics: Arc::clone(&metrics),
+        };
+
         let runner_context = Arc::new(RunnerContext {
+            keys,
             pool,
             channel: Arc::clone(&backends.channel),
             buffers,
@@ -172,9 +183,6 @@
             metrics,
         });
 
-        let monitor = StoreMonitor::new(Arc::clone(&backends.store));
-        tokio::spawn(monitor.clone().run());
-
         let peers = KindFollower {
             store: Arc::clone(&backends.store),
             kind: REGISTRY_KIND,
@@ -185,7 +193,7 @@
         let host = Arc::new(Self {
             peers,
             monitor,
-            routes: ArcSwap::default(),
+            routes,
             budgets,
             versions,
             registry: network.registry.clone(),
@@ -325,7 +333,8 @@
             table.services().map(|it| (Arc::clone(&it.name), it.cache_tokens)).collect();
         self.context.pool.set_cache_capacities(capacities);
         self.context.metrics.record_config_version(table.version);
-        log::info!(version = table.version; "configuration in force");
+        self.context.metrics.record_teams(table.team_count());
+        log::info!(version = table.version, teams = table.team_count(); "configuration in force");
         self.routes.store(Arc::new(table));
     }
 
@@ -438,6 +447,11 @@
             return EntryResponse::refused(EntryRefusal::NoRoute, reason);
         };
 
+        let team = match self.context.keys.check(&table, &route, &request) {
+            Ok(team) => team,
+            Err(refusal) => return refusal.response(),
+        };
+
         let service = route
             .target(split_key(&request))
             .and_then(|target| table.service(&target.service))
@@ -447,7 +461,7 @@
             return EntryResponse::not_run(UNAVAILABLE_RETRY_AFTER, "the route has no service");
         };
 
-        let fingerprint = fingerprint(&request);
+        let fingerprint = fingerprint(&request, team.as_ref());
 
         if let Err(refusal) = self.context.check_crashes(fingerprint) {
             return EntryResponse::not_run(refusal.retry_after, refusal.reason);
@@ -460,7 +474,7 @@
                 .map_or(route_deadline, |latest| latest.min(route_deadline))
         };
         let deadline = request.deadline.map_or(route_deadline, with_margin);
-        self.run(request, route, service, fingerprint, deadline).await
+        self.run(request, route, team, service, fingerprint, deadline).await
     }
 
     /// Service that a request needs, if the configuration in force names one.
@@ -475,6 +489,7 @@
         &self,
         request: EntryRequest,
         route: Arc<ServiceRoute>,
+        team: Option<Arc<Team>>,
         service: Arc<ServiceConfig>,
         fingerprint: u64,
         deadline: Instant,
@@ -492,7 +507,9 @@
             return EntryResponse::out_of_reach(request.possible_runs.count() > 0);
         }
 
-        let software_version = match self.versions.find(&request, &route, &service.name).await {
+        let scope = TeamScope::new(team.as_ref());
+        let found = self.versions.find(&request, scope, &route, &service.name).await;
+        let software_version = match found {
             RequiredVersion::Any => None,
             RequiredVersion::Only(version) => Some(version),
             RequiredVersion::Unknown => {
@@ -514,12 +531,13 @@
             return EntryResponse::not_run(CUT_OFF_RETRY_AFTER, reason);
         }
 
-        let chain = match self.find_chain(&request, &route, deadline).await {
+        let chain = match self.find_chain(&request, scope, &route, deadline).await {
             Ok(chain) => chain,
             Err(response) => return response,
         };
 
-        let budget = match self.reserve_budget(&request, &route, &service, deadline).await {
+        let reserving = self.reserve_budget(&request, scope, &route, &service, deadline);
+        let budget = match reserving.await {
             Ok(budget) => budget,
             Err(response) => return response,
         };
@@ -535,7 +553,7 @@
             chain,
             software_version,
             request,
-            team: None,
+            team,
             route,
             service,
             fingerprint,
@@ -579,6 +597,7 @@
     async fn find_chain(
         &self,
         request: &EntryRequest,
+        scope: TeamScope<'_>,
         route: &ServiceRoute,
         deadline: Instant,
     ) -> Result<Vec<Arc<HistoryTurn>>, EntryResponse> {
@@ -588,7 +607,8 @@
         };
 
         let search_timeout = SEARCH_TIMEOUT.min(deadline.saturating_duration_since(Instant::now()));
-        let search = timeout(search_timeout, self.budgets.locator.find(previous, retention)).await;
+        let last = scope.id(previous);
+        let search = timeout(search_timeout, self.budgets.locator.find(&last, retention)).await;
 
         match search.unwrap_or(TurnSearch::Unknown) {
             TurnSearch::Found(chain) => Ok(chain),
@@ -607,6 +627,7 @@
     async fn reserve_budget(
         &self,
         request: &EntryRequest,
+        scope: TeamScope<'_>,
         route: &ServiceRoute,
         service: &ServiceConfig,
         deadline: Instant,
@@ -618,8 +639,10 @@
             return Ok(None);
         };
 
+        let account = scope.id(&program.id);
+
         if route.history_retention.is_some() {
-            self.budgets.ledger.lock().mark_history(&program.id);
+            self.budgets.ledger.lock().mark_history(&account);
         }
 
         let now = Instant::now();
@@ -629,7 +652,7 @@
         let tokens = request.max_completion_tokens;
         let reservation = TurnBudget::reserve(
             &self.budgets,
-            &program.id,
+            &account,
             budget,
             tokens,
             request.is_forwarded,
@@ -638,7 +661,7 @@
         .await;
 
         reservation.map(Some).map_err(|refusal| {
-            let spent = self.budgets.ledger.lock().total(&program.id);
+            let spent = self.budgets.ledger.lock().total(&account);
             let reason = format!(
                 "program {} has spent or reserved {spent} of {budget} tokens and asks for {}",
                 program.id, request.max_completion_tokens
@@ -658,10 +681,11 @@
     xxh3_64(key.as_bytes())
 }
 
-/// Hash by which requests that crash upstreams are recognised.
-fn fingerprint(request: &EntryRequest) -> u64 {
+/// Hash by which requests that crash upstreams are recognised. A team does not share it with others, so that one team's crashes
+/// refuse nothing to another.
+fn fingerprint(request: &EntryRequest, team: Option<&Arc<Team>>) -> u64 {
     let mut hasher = Xxh3::new();
-    hasher.update(request.host.as_bytes());
+    hasher.update(TeamScope::new(team).id(&request.host).as_bytes());
     hasher.update(request.target.as_bytes());
     hasher.update(&request.body);
     // Requests with an empty body would all share one fingerprint, so the program is included.
--- a/src/entry/entry_metrics.rs
+++ b/src/entry/entry_metrics.rs
@@ -35,6 +35,8 @@
     is_scheduler: Gauge<u64>,
     schedulers: Gauge<u64>,
     lost_services: Gauge<u64>,
+    key_checks: Counter<u64>,
+    teams: Gauge<u64>,
 }
 
 impl EntryMetrics {
@@ -121,10 +123,26 @@
                 .u64_gauge("ragwortknot.entry.reach.lost")
                 .with_description("Services of which this host reaches no upstream.")
                 .build(),
+            key_checks: counter(
+                "ragwortknot.entry.key.checks",
+                "Requests whose key was checked, by outcome.",
+            ),
+            teams: meter
+                .u64_gauge("ragwortknot.entry.teams")
+                .with_description("Teams of the configuration in force.")
+                .build(),
             registry,
         })
     }
 
+    pub(crate) fn count_key_check(&self, outcome: &'static str) {
+        self.key_checks.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    pub(crate) fn record_teams(&self, count: usize) {
+        self.teams.record(count as u64, &[]);
+    }
+
     pub(crate) fn count_request(&self, kind: &'static str, outcome: String) {
         let attributes = [KeyValue::new("kind", kind), KeyValue::new("outcome", outcome)];
         self.requests.add(1, &attributes);
--- a/src/entry/entry_response.rs
+++ b/src/entry/entry_response.rs
@@ -17,6 +17,9 @@
 /// Time after which a client is asked to retry when no host reaches the service. Hosts try to reach it at shorter intervals.
 const OUT_OF_REACH_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Time after which a client of a host that can't decode a refusal is asked to retry. Another host may decode it.
+const OLDER_BUILD_RETRY_AFTER: Duration = Duration::from_millis(300);
+
 /// Body of a relayed response.
 #[derive(Debug)]
 pub enum RelayedBody {
@@ -100,6 +103,15 @@
 }
 
 impl EntryRefusal {
+    /// The refusal as a build understands it that knows no teams.
+    pub(crate) fn for_older_build(self) -> Self {
+        match self {
+            Self::Unauthorized => Self::NotRun { retry_after: OLDER_BUILD_RETRY_AFTER },
+            Self::QuotaExceeded { retry_after } => Self::NotRun { retry_after },
+            refusal => refusal,
+        }
+    }
+
     /// Whether a client may conclude from the refusal that the request has not run and will not run.
     pub(crate) fn states_not_run(self) -> bool {
         match self {
--- a/src/entry/placement_request.rs
+++ b/src/entry/placement_request.rs
@@ -11,6 +11,7 @@
 pub(crate) struct PlacementRequest {
     pub(crate) service: Arc<str>,
     /// Name of the request's team.
+    #[allow(dead_code, reason = "fair sharing by team reads it, see docs/HARD-LOAD.md, Part 4")]
     pub(crate) team: Option<Arc<str>>,
     /// Priority of the team or the route; 0 is the most urgent.
     pub(crate) priority: u32,
--- a/src/entry/request_runner.rs
+++ b/src/entry/request_runner.rs
@@ -13,8 +13,9 @@
 use crate::{
     CrashTracker,
     entry::{
-        BufferBudget, ChannelError, EntryRefusal, EntryResponse, PlacementPool, RelayedBody,
-        RelayedResponse, RequestKind, UpstreamChannel, UpstreamResponse,
+        AccessRefusal, BufferBudget, ChannelError, EntryRefusal, EntryResponse, KeyChecker,
+        PlacementPool, RelayedBody, RelayedResponse, RequestKind, UpstreamChannel,
+        UpstreamResponse,
         chain_recorder::ChainRecorder,
         crash_guard::AttemptWatch,
         entry_metrics::EntryMetrics,
@@ -26,6 +27,7 @@
         route_table::STREAM_LIFETIME_FACTOR,
         routed_request::RoutedRequest,
         run_record::RunRecord,
+        run_refusal::RunRefusal,
         stream_relay::{StreamRelay, StreamSource},
         stream_versions::{BegunStream, StreamVersions},
         turn_budget::TurnBudget,
@@ -60,6 +62,14 @@
     pub(crate) presumed_crashes: Mutex<PresumedCrashes>,
     pub(crate) streams: Arc<Mutex<StreamVersions>>,
     pub(crate) metrics: Arc<EntryMetrics>,
+    pub(crate) keys: KeyChecker,
+}
+
+impl RunnerContext {
+    /// Checks again whether a request may run, since its key may have been removed while it waited.
+    pub(super) fn check_key(&self, routed: &RoutedRequest) -> Result<(), AccessRefusal> {
+        self.keys.recheck(&routed.route, &routed.request, routed.team.as_ref())
+    }
 }
 
 /// Result of sending the request to one upstream.
@@ -177,7 +187,7 @@
     }
 
     /// Waits for a slot; `None` once this host reaches no upstream of the service.
-    async fn acquire_in_reach(&self) -> Option<Result<UpstreamLease, PlacementRefusal>> {
+    async fn acquire_in_reach(&self) -> Option<Result<UpstreamLease, RunRefusal>> {
         let reach = self.context.pool.reach();
         tokio::select! {
             biased;
@@ -186,16 +196,18 @@
         }
     }
 
-    async fn acquire(&self) -> Result<UpstreamLease, PlacementRefusal> {
+    async fn acquire(&self) -> Result<UpstreamLease, RunRefusal> {
         let queued_at = Instant::now();
+        self.context.check_key(&self.routed)?;
         self.context.check_crashes(self.routed.fingerprint)?;
         let lease =
             self.context.pool.acquire(self.routed.placement_request(&self.excluded)).await?;
+        self.context.check_key(&self.routed)?;
         self.context.check_crashes(self.routed.fingerprint)?;
         self.context.metrics.record_queue_time(queued_at.elapsed());
 
         log::info!(
-            request:% = self.routed.request.id, program:% = self.routed.program_id(),
+            request:% = self.routed.request.id, program:% = self.routed.program_id(), team = self.routed.team.as_ref().map_or("", |it| &it.name),
             route:% = self.routed.route.name, upstream:% = lease.record.id, entry_revision = lease.record.revision,
             data_centre:% = lease.record.data_centre, software_version:% = lease.record.software_version, waited_ms = queued_at.elapsed().as_millis() as u64,
             cached_tokens = lease.cached_tokens, prompt_tokens = self.routed.request.prompt_tokens,
@@ -206,9 +218,8 @@
     }
 
     /// Refuses the request, and states that it has not run only if no upstream may have run it.
-    fn refuse(&self, refusal: PlacementRefusal) -> EntryResponse {
-        let response = EntryResponse::not_run(refusal.retry_after, refusal.reason);
-        self.record.final_response(response)
+    fn refuse(&self, refusal: impl Into<RunRefusal>) -> EntryResponse {
+        self.record.final_response(refusal.into().response())
     }
 
     /// When to stop waiting for the upstream: at the request's deadline, or earlier if another upstream may be tried.
@@ -464,7 +475,7 @@
         let request = &routed.request;
         let time_limit = routed.deadline.saturating_duration_since(request.received);
         let stream = BegunStream {
-            request: Arc::clone(request.resumed_request.as_ref().unwrap_or(&request.id)),
+            request: routed.scope().id(request.resumed_request.as_ref().unwrap_or(&request.id)),
             software_version: Arc::clone(software_version),
             lifetime: time_limit * STREAM_LIFETIME_FACTOR,
         };
--- a/src/entry/stream_relay.rs
+++ b/src/entry/stream_relay.rs
@@ -370,9 +370,11 @@
         let spent_tokens = self.budget.as_ref().map_or(0, TurnBudget::spent);
 
         if let Some(retention) = self.routed.route.history_retention {
+            let scope = self.routed.scope();
+            let previous = request.program.as_ref().and_then(|it| it.previous_turn.as_ref());
             let turn = Arc::new(HistoryTurn {
-                id: Arc::clone(&request.id),
-                previous: request.program.as_ref().and_then(|it| it.previous_turn.clone()),
+                id: scope.id(&request.id),
+                previous: previous.map(|it| scope.id(it)),
                 input: uncounted(&request.body),
                 output: progress.output.into_uncounted(),
             });
--- a/src/entry/stream_resume.rs
+++ b/src/entry/stream_resume.rs
@@ -11,6 +11,7 @@
     event_framer::EventFramer,
     pooled_upstream::LeaseOutcome,
     request_runner::RETRY_TIMEOUT_FACTOR,
+    run_refusal::RunRefusal,
     stream_relay::{StreamProgress, StreamRelay, StreamSource},
     upstream_lease::UpstreamLease,
 };
@@ -32,6 +33,7 @@
     /// Takes a free slot on another upstream than the one whose stream is silent. Returns `None` if there is none now.
     pub(super) fn try_successor(&self, silent_upstream: &Arc<str>) -> Option<UpstreamLease> {
         self.context.check_crashes(self.routed.fingerprint).ok()?;
+        self.context.check_key(&self.routed).ok()?;
         let mut excluded = self.excluded.clone();
         excluded.push(Arc::clone(silent_upstream));
         self.context.pool.try_acquire(&self.routed.placement_request(&excluded))
@@ -76,15 +78,18 @@
         let fingerprint = self.routed.fingerprint;
 
         let slot = async {
+            self.context.check_key(&self.routed)?;
             self.context.check_crashes(fingerprint)?;
             let lease = self.context.pool.acquire(request).await?;
-            self.context.check_crashes(fingerprint).map(|()| lease)
+            self.context.check_key(&self.routed)?;
+            self.context.check_crashes(fingerprint)?;
+            Ok::<_, RunRefusal>(lease)
         };
 
         match slot.await {
             Ok(lease) => Some(lease),
             Err(refusal) => {
-                log::warn!(request:% = self.routed.request.id; "a stream can't be resumed: {}", refusal.reason);
+                log::warn!(request:% = self.routed.request.id; "a stream can't be resumed: {refusal}");
                 None
             }
         }
--- a/src/entry/teams/key_checker.rs
+++ b/src/entry/teams/key_checker.rs
@@ -6,15 +6,16 @@
 
 use crate::entry::{
     AccessInputs, AccessRefusal, ClientKey, EntryRequest, RouteTable, ServiceRoute, StoreMonitor,
-    Team,
+    Team, entry_metrics::EntryMetrics,
 };
 
 /// Checks keys when requests arrive, and again before each attempt, as a key may be removed while a request waits.
 #[derive(Clone, Debug)]
 pub(crate) struct KeyChecker {
     pub(crate) routes: Arc<ArcSwap<RouteTable>>,
-    /// Tells whether the configuration can be current; `None` if it always is.
-    pub(crate) monitor: Option<StoreMonitor>,
+    /// Tells whether the configuration can be known to be current.
+    pub(crate) monitor: StoreMonitor,
+    pub(crate) metrics: Arc<EntryMetrics>,
 }
 
 impl KeyChecker {
@@ -90,8 +91,9 @@
         route: &ServiceRoute,
         request: &EntryRequest,
         team: &str,
-        outcome: &str,
+        outcome: &'static str,
     ) {
+        self.metrics.count_key_check(outcome);
         log::info!(
             request:% = request.id, route:% = route.name, is_public = route.is_public,
             has_key = matches!(request.key, ClientKey::Digest(_)), team, version = table.version,
@@ -102,6 +104,6 @@
 
     /// Whether the configuration can be known to be current.
     fn is_current(&self) -> bool {
-        self.monitor.as_ref().is_none_or(|it| it.answered_since().is_some())
+        self.monitor.answered_since().is_some()
     }
 }
--- a/src/entry/version_finder.rs
+++ b/src/entry/version_finder.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 use crate::entry::{
-    EntryRequest, PlacementPool, RequestKind, ServiceRoute,
+    EntryRequest, PlacementPool, RequestKind, ServiceRoute, TeamScope,
     mesh_queries::OriginSearch,
     peer_mesh::PeerMesh,
     stream_versions::{StreamOrigin, StreamVersions},
@@ -39,6 +39,7 @@
     pub(crate) async fn find(
         &self,
         request: &EntryRequest,
+        scope: TeamScope<'_>,
         route: &ServiceRoute,
         service: &str,
     ) -> RequiredVersion {
@@ -48,7 +49,7 @@
             return RequiredVersion::Any;
         }
 
-        let (version, source) = match self.find_origin(request, route, service).await {
+        let (version, source) = match self.find_origin(request, scope, route, service).await {
             Some((version, source)) => (RequiredVersion::Only(version), source),
             None => (RequiredVersion::Unknown, "nowhere"),
         };
@@ -65,14 +66,15 @@
     async fn find_origin(
         &self,
         request: &EntryRequest,
+        scope: TeamScope<'_>,
         route: &ServiceRoute,
         service: &str,
     ) -> Option<(Arc<str>, &'static str)> {
-        if let Some(origin) = &request.resumed_request {
-            let known = self.streams.lock().get(origin);
+        if let Some(origin) = request.resumed_request.as_ref().map(|it| scope.id(it)) {
+            let known = self.streams.lock().get(&origin);
             let (found, source) = match known {
                 Some(known) => (OriginSearch::Found(known), "here"),
-                None => (self.mesh.find_stream_origin(origin).await, "peer"),
+                None => (self.mesh.find_stream_origin(&origin).await, "peer"),
             };
 
             match found {
--- a/src/gateway/forward_server.rs
+++ b/src/gateway/forward_server.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     PeerError, PeerMessage, PeerStream,
-    entry::{EntryHost, EntryRequest, EntryResponse, RelayedBody, StreamItem},
+    entry::{ClientKey, EntryHost, EntryRequest, EntryResponse, RelayedBody, StreamItem},
     gateway::{DeclineReason, ForwardedHead, ForwardedRequest, forwarded_request::encode_headers},
 };
 
@@ -46,6 +46,8 @@
     }
 
     let id = Arc::clone(&request.id);
+    // Builds that know teams state the key, or that there is none.
+    let is_older_build = request.key == ClientKey::Unstated;
     let mut possible_runs = request.possible_runs.subscribe();
     let mut handling = Box::pin(host.handle(request));
 
@@ -70,6 +72,13 @@
         stream.send(&PeerMessage::ForwardRunsReported { possible_runs }).await?;
     }
 
+    let response = match response {
+        EntryResponse::Refused { refusal, reason } if is_older_build => {
+            EntryResponse::refused(refusal.for_older_build(), reason)
+        }
+        response => response,
+    };
+
     send_response(response, stream).await?;
     stream.finish();
     // A host that stops ends its process once no guard is held.
--- a/src/tests/entry_runner.rs
+++ b/src/tests/entry_runner.rs
@@ -11,9 +11,9 @@
 use crate::{
     CrashTracker,
     entry::{
-        BudgetLedger, BufferBudget, EntryRefusal, EntryRequest, EntryResponse, PlacementPool,
-        PossibleRuns, RelayedBody, RequestKind, RouteTarget, ServiceConfig, ServiceRoute,
-        StreamItem, UpstreamRecord,
+        BudgetLedger, BufferBudget, EntryRefusal, EntryRequest, EntryResponse, KeyChecker,
+        PlacementPool, PossibleRuns, RelayedBody, RequestKind, RouteTarget, ServiceConfig,
+        ServiceRoute, StoreMonitor, StreamItem, UpstreamRecord,
         chain_recorder::ChainRecorder,
         entry_metrics::EntryMetrics,
         placement_request::PlacementRequest,
@@ -127,6 +127,7 @@
     let metrics = Arc::new(EntryMetrics::new().expect("metrics"));
     let ledger = Arc::new(Mutex::new(BudgetLedger::default()));
 
+    let monitor = StoreMonitor::new(Arc::clone(&store) as Arc<_>);
     let journal =
         Arc::new(TurnJournal::new(store, ledger, Arc::clone(&metrics), "host-a.1".into()));
     let context = Arc::new(RunnerContext {
@@ -137,6 +138,7 @@
         streams: Arc::default(),
         crashes: Arc::clone(crashes),
         presumed_crashes: Mutex::default(),
+        keys: KeyChecker { routes: Arc::default(), monitor, metrics: Arc::clone(&metrics) },
         metrics,
     });
 
--- a/src/tests/stream_queries.rs
+++ b/src/tests/stream_queries.rs
@@ -12,7 +12,7 @@
 use crate::{
     PeerTransport,
     entry::{
-        EntryRequest, PlacementPool, RequestKind,
+        EntryRequest, PlacementPool, RequestKind, TeamScope,
         mesh_peer::MeshIdentity,
         mesh_state::MeshState,
         peer_mesh::PeerMesh,
@@ -80,7 +80,7 @@
         ..routed.request
     };
     let finder = VersionFinder { streams: state.streams, mesh, pool: Arc::clone(pool) };
-    finder.find(&request, &routed.route, "service").await
+    finder.find(&request, TeamScope::new(None), &routed.route, "service").await
 }
 
 #[tokio::test(start_paused = true)]
