Answer 503 until the configuration is listed again after the store was away; tests of teams

What callers saw: nothing yet; between the store's return and the next listing, a key that a newer version knows would have got 401. Cause: the monitor's probe is answered before the configuration is listed again. Change: the listener of the configuration records listings and losses, and the check of keys uses them.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -100,5 +100,5 @@
 };
 pub(crate) use self::{
     host_registry::HostRegistry,
-    teams::{AccessInputs, AccessRefusal, KeyChecker, TeamScope},
+    teams::{AccessInputs, AccessRefusal, ConfigCurrency, KeyChecker, TeamScope},
 };
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -14,10 +14,10 @@
 use crate::{
     BackoffPolicy, PeerTransport,
     entry::{
-        BudgetLedger, BufferBudget, BuffersFull, EntryBackends, EntryRefusal, EntryRequest,
-        EntryResponse, EntrySettings, KeyChecker, KindFollower, ObjectListener, PlacementPool,
-        RelayedBody, RouteTable, ServiceConfig, ServiceRoute, StoreError, StoreMonitor, Team,
-        TeamScope,
+        BudgetLedger, BufferBudget, BuffersFull, ConfigCurrency, EntryBackends, EntryRefusal,
+        EntryRequest, EntryResponse, EntrySettings, KeyChecker, KindFollower, ObjectListener,
+        PlacementPool, RelayedBody, RouteTable, ServiceConfig, ServiceRoute, StoreError,
+        StoreMonitor, Team, TeamScope,
         buffer_budget::BufferLease,
         chain_recorder::ChainRecorder,
         crash_guard::CRASH_LIMIT,
@@ -167,7 +167,7 @@
         let routes: Arc<ArcSwap<RouteTable>> = Arc::default();
         let keys = KeyChecker {
             routes: Arc::clone(&routes),
-            monitor: monitor.clone(),
+            currency: Arc::new(ConfigCurrency::new(monitor.clone())),
             metrics: Arc::clone(&metrics),
         };
 
@@ -338,6 +338,16 @@
         self.routes.store(Arc::new(table));
     }
 
+    /// Records that the follower of the configuration has listed it, so that no version up to now is missed.
+    pub fn record_config_listing(&self) {
+        self.context.keys.currency.record_listing();
+    }
+
+    /// Records that the follower of the configuration has lost the store, so that versions may be missed until the next listing.
+    pub fn record_config_loss(&self) {
+        self.context.keys.currency.record_loss();
+    }
+
     /// The other schedulers.
     pub(crate) fn mesh(&self) -> &Arc<PeerMesh> {
         &self.budgets.mesh
--- a/src/entry/teams.rs
+++ b/src/entry/teams.rs
@@ -2,6 +2,7 @@
 
 mod access_decision;
 mod client_key;
+mod config_currency;
 mod key_checker;
 mod key_digest;
 mod team;
@@ -12,6 +13,7 @@
 
 pub(crate) use self::{
     access_decision::{AccessInputs, AccessRefusal},
+    config_currency::ConfigCurrency,
     key_checker::KeyChecker,
     team_scope::TeamScope,
 };
--- a/src/entry/teams/key_checker.rs
+++ b/src/entry/teams/key_checker.rs
@@ -5,7 +5,7 @@
 use arc_swap::ArcSwap;
 
 use crate::entry::{
-    AccessInputs, AccessRefusal, ClientKey, EntryRequest, RouteTable, ServiceRoute, StoreMonitor,
+    AccessInputs, AccessRefusal, ClientKey, ConfigCurrency, EntryRequest, RouteTable, ServiceRoute,
     Team, entry_metrics::EntryMetrics,
 };
 
@@ -13,8 +13,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct KeyChecker {
     pub(crate) routes: Arc<ArcSwap<RouteTable>>,
-    /// Tells whether the configuration can be known to be current.
-    pub(crate) monitor: StoreMonitor,
+    pub(crate) currency: Arc<ConfigCurrency>,
     pub(crate) metrics: Arc<EntryMetrics>,
 }
 
@@ -80,7 +79,7 @@
             is_public: route.is_public,
             key: request.key,
             team,
-            is_current: self.is_current(),
+            is_current: self.currency.is_current(),
         };
         inputs.decide()
     }
@@ -97,13 +96,8 @@
         log::info!(
             request:% = request.id, route:% = route.name, is_public = route.is_public,
             has_key = matches!(request.key, ClientKey::Digest(_)), team, version = table.version,
-            is_current = self.is_current(), age_ms = request.received.elapsed().as_millis() as u64, outcome;
+            is_current = self.currency.is_current(), age_ms = request.received.elapsed().as_millis() as u64, outcome;
             "key checked"
         );
     }
-
-    /// Whether the configuration can be known to be current.
-    fn is_current(&self) -> bool {
-        self.monitor.answered_since().is_some()
-    }
 }
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -55,6 +55,7 @@
 mod store_monitor;
 mod stream_queries;
 mod stream_versions;
+mod teams;
 mod test_link;
 mod transport;
 mod turn_search_model;
--- a/src/tests/retained_records.rs
+++ b/src/tests/retained_records.rs
@@ -36,16 +36,16 @@
 
 impl SchedulerStarter for HistoryStarter {
     fn start(&self, host: &Arc<EntryHost>) {
-        host.apply_routes(history_routes());
+        host.apply_routes(history_routes(false));
         host.pool().upsert(upstream("u1", "model", 4));
         self.host.set(Arc::clone(host)).expect("started once");
     }
 }
 
-fn history_routes() -> RouteTable {
+pub(super) fn history_routes(is_public: bool) -> RouteTable {
     let target = RouteTarget { service: "model".into(), weight: 1.0 };
     let route = ServiceRoute {
-        is_public: false,
+        is_public,
         name: "chat".into(),
         host: "a.example".into(),
         path_prefix: "/new/".into(),
@@ -67,9 +67,8 @@
     RouteTable::new(1, RouteLimits::default(), vec![route], vec![service])
 }
 
-/// Starts a run of the host `one`, over a store that may have records of earlier runs.
-pub(super) async fn start_run(store: &Arc<MemoryStore>) -> Arc<EntryHost> {
-    let settings = EntrySettings {
+pub(super) fn settings() -> EntrySettings {
+    EntrySettings {
         host: "one".into(),
         data_centre: "north".into(),
         regions: std::collections::BTreeMap::new(),
@@ -78,7 +77,12 @@
         memory_bytes: None,
         store_value_bytes: None,
         expiry: ExpiryBounds::default(),
-    };
+    }
+}
+
+/// Starts a run of the host `one`, over a store that may have records of earlier runs.
+pub(super) async fn start_run(store: &Arc<MemoryStore>) -> Arc<EntryHost> {
+    let settings = settings();
     let stream = ScriptedResponse::Stream { chunks: vec!["data: out\n\n"], is_complete: true };
     let channel = ScriptedChannel::new(vec![stream; MAX_TURNS]);
     let backends = EntryBackends {
