--- a/src/tests/retained_records.rs
+++ b/src/tests/retained_records.rs
@@ -36,13 +36,13 @@
 
 impl SchedulerStarter for HistoryStarter {
     fn start(&self, host: &Arc<EntryHost>) {
-        host.apply_routes(history_routes(false));
+        host.apply_routes(history_routes(false, 0));
         host.pool().upsert(upstream("u1", "model", 4));
         self.host.set(Arc::clone(host)).expect("started once");
     }
 }
 
-pub(super) fn history_routes(is_public: bool) -> RouteTable {
+pub(super) fn history_routes(is_public: bool, tokens_per_event: u64) -> RouteTable {
     let target = RouteTarget { service: "model".into(), weight: 1.0 };
     let route = ServiceRoute {
         is_public,
@@ -61,7 +61,7 @@
     let service = ServiceConfig {
         name: "model".into(),
         connection_limit: 8,
-        tokens_per_event: 0,
+        tokens_per_event,
         cache_tokens: 0,
     };
     RouteTable::new(1, RouteLimits::default(), vec![route], vec![service])
