--- a/src/entry.rs
+++ b/src/entry.rs
@@ -9,7 +9,7 @@
 pub(crate) mod chain_recorder;
 pub(crate) mod crash_guard;
 pub(crate) mod crash_records;
-mod entry_host;
+pub(crate) mod entry_host;
 pub(crate) mod entry_metrics;
 mod entry_request;
 pub(crate) mod entry_response;
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -693,7 +693,7 @@
 
 /// Hash by which requests that crash upstreams are recognised. A team does not share it with others, so that one team's crashes
 /// refuse nothing to another.
-fn fingerprint(request: &EntryRequest, team: Option<&Arc<Team>>) -> u64 {
+pub(crate) fn fingerprint(request: &EntryRequest, team: Option<&Arc<Team>>) -> u64 {
     let mut hasher = Xxh3::new();
     hasher.update(TeamScope::new(team).id(&request.host).as_bytes());
     hasher.update(request.target.as_bytes());
--- a/src/process/subcommand/trace.rs
+++ b/src/process/subcommand/trace.rs
@@ -69,7 +69,8 @@
         .iter()
         .filter(|(name, _)| !SEPARATE_FIELDS.contains(&name.as_str()))
         .map(|(name, value)| match value {
-            Value::String(value) => format!("{name}={value}"),
+            // Ids of teams contain a line feed, which must not end the line.
+            Value::String(value) => format!("{name}={}", value.replace('\n', "\\n")),
             value => format!("{name}={value}"),
         })
         .collect();
--- a/src/tests/teams.rs
+++ b/src/tests/teams.rs
@@ -8,13 +8,15 @@
 use super::{
     entry_fakes::{MemoryStore, ScriptedChannel, ScriptedResponse, StoreFault, upstream},
     entry_node::{turn, wait_until_ready},
+    entry_runner::{pool, runner},
     retained_records::{history_routes, settings},
 };
 use crate::{
     entry::{
         AccessInputs, AccessRefusal, ClientKey, EntryBackends, EntryHost, EntryRefusal,
-        EntryRequest, EntryResponse, KeyDigest, ObjectStore, RelayedBody, RouteTable, StreamItem,
-        Team, TeamDirectory, TeamError, TeamQuota, TeamTerms, UpstreamChannel,
+        EntryRequest, EntryResponse, KeyDigest, ObjectStore, RelayedBody, RequestKind, RouteTable,
+        StreamItem, Team, TeamDirectory, TeamError, TeamQuota, TeamTerms, UpstreamChannel,
+        entry_host::fingerprint,
     },
     gateway::{EntryNode, ForwardedRequest, SchedulerStarter},
 };
@@ -310,3 +312,40 @@
     assert!(matches!(unauthorized, EntryRefusal::NotRun { .. }), "{unauthorized:?}");
     assert_eq!(EntryRefusal::NoRoute.for_older_build(), EntryRefusal::NoRoute);
 }
+
+/// Guards against a team whose requests are refused because another team's have crashed upstreams.
+#[test]
+fn fingerprint_differs_between_teams() {
+    let (red, blue) = (Arc::new(terms("red", &[]).team), Arc::new(terms("blue", &[]).team));
+    let request = request(ClientKey::Missing, "1", None);
+    let fingerprints = [None, Some(&red), Some(&blue)].map(|team| fingerprint(&request, team));
+    assert_ne!(fingerprints[0], fingerprints[1]);
+    assert_ne!(fingerprints[1], fingerprints[2]);
+}
+
+#[tokio::test]
+async fn priority_of_the_team_replaces_that_of_the_route() {
+    let channel = Arc::new(ScriptedChannel::default());
+    let kind = RequestKind::Stream { can_resume: true };
+    let mut routed = runner(&pool(), &channel, kind).routed;
+    assert_eq!(routed.placement_request(&[]).priority, 0);
+
+    for (priority, expected) in [(None, 0), (Some(4), 4)] {
+        let team = Team { priority, ..terms("red", &[]).team };
+        routed.team = Some(Arc::new(team));
+        let placement = routed.placement_request(&[]);
+        assert_eq!((placement.priority, placement.team.as_deref()), (expected, Some("red")));
+    }
+}
+
+/// Guards against variants in another order, which an older build would take for other refusals.
+#[test]
+fn refusals_of_older_builds_keep_their_numbers() {
+    let number = |refusal: EntryRefusal| postcard::to_stdvec(&refusal).expect("a frame")[0];
+    let out_of_reach =
+        EntryRefusal::OutOfReach { may_have_run: false, retry_after: Duration::ZERO };
+    assert_eq!(number(EntryRefusal::Malformed), 0);
+    assert_eq!(number(out_of_reach), 8);
+    assert_eq!(number(EntryRefusal::Unauthorized), 9);
+    assert_eq!(number(EntryRefusal::QuotaExceeded { retry_after: Duration::ZERO }), 10);
+}
