--- a/src/tests/teams.rs
+++ b/src/tests/teams.rs
@@ -13,10 +13,10 @@
 };
 use crate::{
     entry::{
-        AccessInputs, AccessRefusal, ClientKey, EntryBackends, EntryHost, EntryRefusal,
-        EntryRequest, EntryResponse, KeyDigest, ObjectStore, RelayedBody, RequestKind, RouteTable,
-        StreamItem, Team, TeamDirectory, TeamError, TeamQuota, TeamTerms, UpstreamChannel,
-        entry_host::fingerprint,
+        AccessInputs, AccessRefusal, ClientKey, ConfigCurrency, EntryBackends, EntryHost,
+        EntryRefusal, EntryRequest, EntryResponse, KeyDigest, ObjectStore, RelayedBody,
+        RequestKind, RouteTable, StoreMonitor, StreamItem, Team, TeamDirectory, TeamError,
+        TeamQuota, TeamTerms, UpstreamChannel, entry_host::fingerprint,
     },
     gateway::{EntryNode, ForwardedRequest, SchedulerStarter},
 };
@@ -349,3 +349,28 @@
     assert_eq!(number(EntryRefusal::Unauthorized), 9);
     assert_eq!(number(EntryRefusal::QuotaExceeded { retry_after: Duration::ZERO }), 10);
 }
+
+/// Guards against 401 for a key that was added while the store was away: its version is seen with the listing, which comes after
+/// the first answered probe.
+#[tokio::test(start_paused = true)]
+async fn configuration_is_current_once_it_is_listed_again() {
+    let store = Arc::new(MemoryStore::default());
+    let monitor = StoreMonitor::new(Arc::clone(&store) as Arc<dyn ObjectStore>);
+    let currency = ConfigCurrency::new(monitor.clone());
+    assert!(!currency.is_current(), "the store has not answered yet");
+    tokio::spawn(monitor.run());
+    sleep(NOTICE_TIME).await;
+    assert!(currency.is_current());
+
+    currency.record_listing();
+    store.set_fault(StoreFault::Refusing);
+    sleep(NOTICE_TIME).await;
+    assert!(!currency.is_current());
+    store.set_fault(StoreFault::None);
+    sleep(NOTICE_TIME).await;
+    assert!(!currency.is_current(), "a newer version may not have been seen yet");
+    currency.record_listing();
+    assert!(currency.is_current());
+    currency.record_loss();
+    assert!(!currency.is_current());
+}
