--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -14,10 +14,10 @@
 use crate::{
     BackoffPolicy, PeerTransport,
     entry::{
-        BudgetLedger, BufferBudget, BuffersFull, ConfigCurrency, EntryBackends, EntryRefusal,
-        EntryRequest, EntryResponse, EntrySettings, KeyChecker, KindFollower, ObjectListener,
-        PlacementPool, RelayedBody, RouteTable, ServiceConfig, ServiceRoute, StoreError,
-        StoreMonitor, Team, TeamScope,
+        BudgetLedger, BufferBudget, BuffersFull, EntryBackends, EntryRefusal, EntryRequest,
+        EntryResponse, EntrySettings, KeyChecker, KindFollower, ObjectListener, PlacementPool,
+        RelayedBody, RouteTable, ServiceConfig, ServiceRoute, StoreError, StoreMonitor, Team,
+        TeamScope,
         buffer_budget::BufferLease,
         chain_recorder::ChainRecorder,
         crash_guard::CRASH_LIMIT,
@@ -72,7 +72,6 @@
 #[derive(Debug)]
 pub struct EntryHost {
     settings: EntrySettings,
-    routes: Arc<ArcSwap<RouteTable>>,
     /// Follows the registry entries of the other entry hosts in the store.
     peers: KindFollower,
     monitor: StoreMonitor,
@@ -164,15 +163,9 @@
 
         let monitor = StoreMonitor::new(Arc::clone(&backends.store));
         tokio::spawn(monitor.clone().run());
-        let routes: Arc<ArcSwap<RouteTable>> = Arc::default();
-        let keys = KeyChecker {
-            routes: Arc::clone(&routes),
-            currency: Arc::new(ConfigCurrency::new(monitor.clone())),
-            metrics: Arc::clone(&metrics),
-        };
 
         let runner_context = Arc::new(RunnerContext {
-            keys,
+            keys: KeyChecker::new(&monitor, &metrics),
             pool,
             channel: Arc::clone(&backends.channel),
             buffers,
@@ -193,7 +186,6 @@
         let host = Arc::new(Self {
             peers,
             monitor,
-            routes,
             budgets,
             versions,
             registry: network.registry.clone(),
@@ -321,7 +313,7 @@
 
     /// Puts a configuration in force, unless the current one is at least as new.
     pub fn apply_routes(&self, table: RouteTable) {
-        let current = self.routes.load().version;
+        let current = self.table().load().version;
 
         if table.version <= current {
             log::info!(version = table.version, current; "a configuration that is not newer is ignored");
@@ -335,7 +327,7 @@
         self.context.metrics.record_config_version(table.version);
         self.context.metrics.record_teams(table.team_count());
         log::info!(version = table.version, teams = table.team_count(); "configuration in force");
-        self.routes.store(Arc::new(table));
+        self.table().store(Arc::new(table));
     }
 
     /// Records that the follower of the configuration has listed it, so that no version up to now is missed.
@@ -365,13 +357,18 @@
 
     /// Whether a request may run again elsewhere if this host is lost while it runs.
     pub(crate) fn is_retryable(&self, request: &EntryRequest) -> bool {
-        let route = self.routes.load().find(&request.host, &request.path).cloned();
+        let route = self.table().load().find(&request.host, &request.path).cloned();
         route.is_some_and(|it| it.kind.is_retryable())
     }
 
+    /// The configuration in force, which the check of keys reads as well.
+    fn table(&self) -> &ArcSwap<RouteTable> {
+        &self.context.keys.routes
+    }
+
     /// The configuration in force.
     pub fn routes(&self) -> Arc<RouteTable> {
-        self.routes.load_full()
+        self.table().load_full()
     }
 
     /// Tells the followers of this host's store when they may have lost a watch.
@@ -386,7 +383,7 @@
 
     /// Whether new clients should be sent here. A host that is cut off refuses most of what they ask for, while others serve it.
     pub fn is_ready(&self) -> bool {
-        let is_started = self.routes.load().version > 0 && *self.is_restored.borrow();
+        let is_started = self.table().load().version > 0 && *self.is_restored.borrow();
         is_started && !self.is_draining() && !self.is_cut_off()
     }
 
@@ -443,7 +440,7 @@
 
     /// Finds the route and the service of a request, and runs it.
     async fn route_request(&self, request: EntryRequest) -> EntryResponse {
-        let table = self.routes.load_full();
+        let table = self.table().load_full();
 
         if table.version == 0 {
             return EntryResponse::not_run(
@@ -489,7 +486,7 @@
 
     /// Service that a request needs, if the configuration in force names one.
     pub(crate) fn service_of(&self, request: &EntryRequest) -> Option<Arc<str>> {
-        let table = self.routes.load();
+        let table = self.table().load();
         let route = table.find(&request.host, &request.path)?;
         route.target(split_key(request)).map(|it| Arc::clone(&it.service))
     }
--- a/src/entry/teams/key_checker.rs
+++ b/src/entry/teams/key_checker.rs
@@ -6,7 +6,7 @@
 
 use crate::entry::{
     AccessInputs, AccessRefusal, ClientKey, ConfigCurrency, EntryRequest, RouteTable, ServiceRoute,
-    Team, entry_metrics::EntryMetrics,
+    StoreMonitor, Team, entry_metrics::EntryMetrics,
 };
 
 /// Checks keys when requests arrive, and again before each attempt, as a key may be removed while a request waits.
@@ -18,6 +18,15 @@
 }
 
 impl KeyChecker {
+    /// Creates a checker for a host that has no configuration yet.
+    pub(crate) fn new(monitor: &StoreMonitor, metrics: &Arc<EntryMetrics>) -> Self {
+        Self {
+            routes: Arc::default(),
+            currency: Arc::new(ConfigCurrency::new(monitor.clone())),
+            metrics: Arc::clone(metrics),
+        }
+    }
+
     /// Returns the team for which a request may run on a route of `table`.
     pub(crate) fn check(
         &self,
--- a/src/tests/entry_runner.rs
+++ b/src/tests/entry_runner.rs
@@ -11,9 +11,9 @@
 use crate::{
     CrashTracker,
     entry::{
-        BudgetLedger, BufferBudget, ConfigCurrency, EntryRefusal, EntryRequest, EntryResponse,
-        KeyChecker, PlacementPool, PossibleRuns, RelayedBody, RequestKind, RouteTarget,
-        ServiceConfig, ServiceRoute, StoreMonitor, StreamItem, UpstreamRecord,
+        BudgetLedger, BufferBudget, EntryRefusal, EntryRequest, EntryResponse, KeyChecker,
+        PlacementPool, PossibleRuns, RelayedBody, RequestKind, RouteTarget, ServiceConfig,
+        ServiceRoute, StoreMonitor, StreamItem, UpstreamRecord,
         chain_recorder::ChainRecorder,
         entry_metrics::EntryMetrics,
         placement_request::PlacementRequest,
@@ -128,7 +128,6 @@
     let ledger = Arc::new(Mutex::new(BudgetLedger::default()));
 
     let monitor = StoreMonitor::new(Arc::clone(&store) as Arc<_>);
-    let currency = Arc::new(ConfigCurrency::new(monitor));
     let journal =
         Arc::new(TurnJournal::new(store, ledger, Arc::clone(&metrics), "host-a.1".into()));
     let context = Arc::new(RunnerContext {
@@ -139,7 +138,7 @@
         streams: Arc::default(),
         crashes: Arc::clone(crashes),
         presumed_crashes: Mutex::default(),
-        keys: KeyChecker { routes: Arc::default(), currency, metrics: Arc::clone(&metrics) },
+        keys: KeyChecker::new(&monitor, &metrics),
         metrics,
     });
 
--- a/src/tests/teams.rs
+++ b/src/tests/teams.rs
@@ -139,11 +139,12 @@
 }
 
 fn routes(version: u64, teams: &[(&str, &[&str])], is_public: bool) -> RouteTable {
-    let mut terms: Vec<TeamTerms> = teams.iter().map(|(name, keys)| terms(name, keys)).collect();
-    terms.iter_mut().for_each(|it| it.team.priority = (&*it.team.name == "red").then_some(0));
+    let mut all_terms: Vec<TeamTerms> =
+        teams.iter().map(|(name, keys)| terms(name, keys)).collect();
+    all_terms.iter_mut().for_each(|it| it.team.priority = (&*it.team.name == "red").then_some(0));
     let mut table = history_routes(is_public, 23);
     table.version = version;
-    table.with_teams(TeamDirectory::new(terms).expect("valid teams"))
+    table.with_teams(TeamDirectory::new(all_terms).expect("valid teams"))
 }
 
 struct TeamHost {
