--- a/src/entry.rs
+++ b/src/entry.rs
@@ -9,7 +9,7 @@
 pub(crate) mod chain_recorder;
 pub(crate) mod crash_guard;
 pub(crate) mod crash_records;
-mod entry_host;
+pub(crate) mod entry_host;
 pub(crate) mod entry_metrics;
 mod entry_request;
 pub(crate) mod entry_response;
@@ -51,6 +51,7 @@
 pub(crate) mod routed_request;
 pub(crate) mod run_lives;
 pub(crate) mod run_record;
+mod run_refusal;
 pub(crate) mod segment_index;
 pub(crate) mod segment_queries;
 pub(crate) mod segment_reader;
@@ -59,6 +60,7 @@
 mod stream_relay;
 mod stream_resume;
 pub(crate) mod stream_versions;
+pub(crate) mod teams;
 pub(crate) mod turn_budget;
 pub(crate) mod turn_history;
 pub(crate) mod turn_journal;
@@ -72,7 +74,6 @@
 pub(crate) mod written_batches;
 pub(crate) mod written_reservations;
 
-pub(crate) use self::host_registry::HostRegistry;
 pub use self::{
     budget_ledger::BudgetLedger,
     buffer_budget::{BufferBudget, BuffersFull, LeasedBuffer},
@@ -92,9 +93,14 @@
     route_table::{RequestKind, RouteLimits, RouteTable, RouteTarget, ServiceConfig, ServiceRoute},
     run_record::PossibleRuns,
     store_monitor::StoreMonitor,
+    teams::{ClientKey, KeyDigest, Team, TeamDirectory, TeamError, TeamQuota, TeamTerms},
     upstream_channel::{
         ChannelError, ReportedLoad, SendGuard, UpstreamBody, UpstreamChannel, UpstreamRequest,
         UpstreamResponse,
     },
     upstream_record::{UpstreamPhase, UpstreamRecord},
 };
+pub(crate) use self::{
+    host_registry::HostRegistry,
+    teams::{AccessInputs, AccessRefusal, ConfigCurrency, KeyChecker, TeamScope},
+};
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -15,8 +15,9 @@
     BackoffPolicy, PeerTransport,
     entry::{
         BudgetLedger, BufferBudget, BuffersFull, EntryBackends, EntryRefusal, EntryRequest,
-        EntryResponse, EntrySettings, KindFollower, ObjectListener, PlacementPool, RelayedBody,
-        RouteTable, ServiceConfig, ServiceRoute, StoreError, StoreMonitor,
+        EntryResponse, EntrySettings, KeyChecker, KindFollower, ObjectListener, PlacementPool,
+        RelayedBody, RouteTable, ServiceConfig, ServiceRoute, StoreError, StoreMonitor, Team,
+        TeamScope,
         buffer_budget::BufferLease,
         chain_recorder::ChainRecorder,
         crash_guard::CRASH_LIMIT,
@@ -71,7 +72,6 @@
 #[derive(Debug)]
 pub struct EntryHost {
     settings: EntrySettings,
-    routes: ArcSwap<RouteTable>,
     /// Follows the registry entries of the other entry hosts in the store.
     peers: KindFollower,
     monitor: StoreMonitor,
@@ -161,7 +161,11 @@
             pool: Arc::clone(&pool),
         };
 
+        let monitor = StoreMonitor::new(Arc::clone(&backends.store));
+        tokio::spawn(monitor.clone().run());
+
         let runner_context = Arc::new(RunnerContext {
+            keys: KeyChecker::new(&monitor, &metrics),
             pool,
             channel: Arc::clone(&backends.channel),
             buffers,
@@ -172,9 +176,6 @@
             metrics,
         });
 
-        let monitor = StoreMonitor::new(Arc::clone(&backends.store));
-        tokio::spawn(monitor.clone().run());
-
         let peers = KindFollower {
             store: Arc::clone(&backends.store),
             kind: REGISTRY_KIND,
@@ -185,7 +186,6 @@
         let host = Arc::new(Self {
             peers,
             monitor,
-            routes: ArcSwap::default(),
             budgets,
             versions,
             registry: network.registry.clone(),
@@ -338,7 +338,7 @@
 
     /// Puts a configuration in force, unless the current one is at least as new.
     pub fn apply_routes(&self, table: RouteTable) {
-        let current = self.routes.load().version;
+        let current = self.table().load().version;
 
         if table.version <= current {
             log::info!(version = table.version, current; "a configuration that is not newer is ignored");
@@ -350,8 +350,19 @@
             table.services().map(|it| (Arc::clone(&it.name), it.cache_tokens)).collect();
         self.context.pool.set_cache_capacities(capacities);
         self.context.metrics.record_config_version(table.version);
-        log::info!(version = table.version; "configuration in force");
-        self.routes.store(Arc::new(table));
+        self.context.metrics.record_teams(table.team_count());
+        log::info!(version = table.version, teams = table.team_count(); "configuration in force");
+        self.table().store(Arc::new(table));
+    }
+
+    /// Records that the follower of the configuration has listed it, so that no version up to now is missed.
+    pub fn record_config_listing(&self) {
+        self.context.keys.currency.record_listing();
+    }
+
+    /// Records that the follower of the configuration has lost the store, so that versions may be missed until the next listing.
+    pub fn record_config_loss(&self) {
+        self.context.keys.currency.record_loss();
     }
 
     /// The other schedulers.
@@ -371,13 +382,18 @@
 
     /// Whether a request may run again elsewhere if this host is lost while it runs.
     pub(crate) fn is_retryable(&self, request: &EntryRequest) -> bool {
-        let route = self.routes.load().find(&request.host, &request.path).cloned();
+        let route = self.table().load().find(&request.host, &request.path).cloned();
         route.is_some_and(|it| it.kind.is_retryable())
     }
 
+    /// The configuration in force, which the check of keys reads as well.
+    fn table(&self) -> &ArcSwap<RouteTable> {
+        &self.context.keys.routes
+    }
+
     /// The configuration in force.
     pub fn routes(&self) -> Arc<RouteTable> {
-        self.routes.load_full()
+        self.table().load_full()
     }
 
     /// Tells the followers of this host's store when they may have lost a watch.
@@ -392,7 +408,7 @@
 
     /// Whether new clients should be sent here. A host that is cut off refuses most of what they ask for, while others serve it.
     pub fn is_ready(&self) -> bool {
-        let is_started = self.routes.load().version > 0 && *self.is_restored.borrow();
+        let is_started = self.table().load().version > 0 && *self.is_restored.borrow();
         is_started && !self.is_draining() && !self.is_cut_off()
     }
 
@@ -449,7 +465,7 @@
 
     /// Finds the route and the service of a request, and runs it.
     async fn route_request(&self, request: EntryRequest) -> EntryResponse {
-        let table = self.routes.load_full();
+        let table = self.table().load_full();
 
         if table.version == 0 {
             return EntryResponse::not_run(
@@ -463,6 +479,11 @@
             return EntryResponse::refused(EntryRefusal::NoRoute, reason);
         };
 
+        let team = match self.context.keys.check(&table, &route, &request) {
+            Ok(team) => team,
+            Err(refusal) => return refusal.response(),
+        };
+
         let service = route
             .target(split_key(&request))
             .and_then(|target| table.service(&target.service))
@@ -472,7 +493,7 @@
             return EntryResponse::not_run(UNAVAILABLE_RETRY_AFTER, "the route has no service");
         };
 
-        let fingerprint = fingerprint(&request);
+        let fingerprint = fingerprint(&request, team.as_ref());
 
         if let Err(refusal) = self.context.check_crashes(fingerprint) {
             return EntryResponse::not_run(refusal.retry_after, refusal.reason);
@@ -485,12 +506,12 @@
                 .map_or(route_deadline, |latest| latest.min(route_deadline))
         };
         let deadline = request.deadline.map_or(route_deadline, with_margin);
-        self.run(request, route, service, fingerprint, deadline).await
+        self.run(request, route, team, service, fingerprint, deadline).await
     }
 
     /// Service that a request needs, if the configuration in force names one.
     pub(crate) fn service_of(&self, request: &EntryRequest) -> Option<Arc<str>> {
-        let table = self.routes.load();
+        let table = self.table().load();
         let route = table.find(&request.host, &request.path)?;
         route.target(split_key(request)).map(|it| Arc::clone(&it.service))
     }
@@ -500,6 +521,7 @@
         &self,
         request: EntryRequest,
         route: Arc<ServiceRoute>,
+        team: Option<Arc<Team>>,
         service: Arc<ServiceConfig>,
         fingerprint: u64,
         deadline: Instant,
@@ -517,7 +539,9 @@
             return EntryResponse::out_of_reach(request.possible_runs.count() > 0);
         }
 
-        let software_version = match self.versions.find(&request, &route, &service.name).await {
+        let scope = TeamScope::new(team.as_ref());
+        let found = self.versions.find(&request, scope, &route, &service.name).await;
+        let software_version = match found {
             RequiredVersion::Any => None,
             RequiredVersion::Only(version) => Some(version),
             RequiredVersion::Unknown => {
@@ -539,12 +563,13 @@
             return EntryResponse::not_run(CUT_OFF_RETRY_AFTER, reason);
         }
 
-        let chain = match self.find_chain(&request, &route, deadline).await {
+        let chain = match self.find_chain(&request, scope, &route, deadline).await {
             Ok(chain) => chain,
             Err(response) => return response,
         };
 
-        let budget = match self.reserve_budget(&request, &route, &service, deadline).await {
+        let reserving = self.reserve_budget(&request, scope, &route, &service, deadline);
+        let budget = match reserving.await {
             Ok(budget) => budget,
             Err(response) => return response,
         };
@@ -560,6 +585,7 @@
             chain,
             software_version,
             request,
+            team,
             route,
             service,
             fingerprint,
@@ -603,6 +629,7 @@
     async fn find_chain(
         &self,
         request: &EntryRequest,
+        scope: TeamScope<'_>,
         route: &ServiceRoute,
         deadline: Instant,
     ) -> Result<Vec<Arc<HistoryTurn>>, EntryResponse> {
@@ -612,7 +639,8 @@
         };
 
         let search_timeout = SEARCH_TIMEOUT.min(deadline.saturating_duration_since(Instant::now()));
-        let search = timeout(search_timeout, self.budgets.locator.find(previous, retention)).await;
+        let last = scope.id(previous);
+        let search = timeout(search_timeout, self.budgets.locator.find(&last, retention)).await;
 
         match search.unwrap_or(TurnSearch::Unknown) {
             TurnSearch::Found(chain) => Ok(chain),
@@ -631,6 +659,7 @@
     async fn reserve_budget(
         &self,
         request: &EntryRequest,
+        scope: TeamScope<'_>,
         route: &ServiceRoute,
         service: &ServiceConfig,
         deadline: Instant,
@@ -642,8 +671,10 @@
             return Ok(None);
         };
 
+        let account = scope.id(&program.id);
+
         if route.history_retention.is_some() {
-            self.budgets.ledger.lock().mark_history(&program.id);
+            self.budgets.ledger.lock().mark_history(&account);
         }
 
         let now = Instant::now();
@@ -653,7 +684,7 @@
         let tokens = request.max_completion_tokens;
         let reservation = TurnBudget::reserve(
             &self.budgets,
-            &program.id,
+            &account,
             budget,
             tokens,
             request.is_forwarded,
@@ -662,7 +693,7 @@
         .await;
 
         reservation.map(Some).map_err(|refusal| {
-            let spent = self.budgets.ledger.lock().total(&program.id);
+            let spent = self.budgets.ledger.lock().total(&account);
             let reason = format!(
                 "program {} has spent or reserved {spent} of {budget} tokens and asks for {}",
                 program.id, request.max_completion_tokens
@@ -682,10 +713,11 @@
     xxh3_64(key.as_bytes())
 }
 
-/// Hash by which requests that crash upstreams are recognised.
-fn fingerprint(request: &EntryRequest) -> u64 {
+/// Hash by which requests that crash upstreams are recognised. A team does not share it with others, so that one team's crashes
+/// refuse nothing to another.
+pub(crate) fn fingerprint(request: &EntryRequest, team: Option<&Arc<Team>>) -> u64 {
     let mut hasher = Xxh3::new();
-    hasher.update(request.host.as_bytes());
+    hasher.update(TeamScope::new(team).id(&request.host).as_bytes());
     hasher.update(request.target.as_bytes());
     hasher.update(&request.body);
     // Requests with an empty body would all share one fingerprint, so the program is included.
--- a/src/tests/entry_runner.rs
+++ b/src/tests/entry_runner.rs
@@ -11,9 +11,9 @@
 use crate::{
     CrashTracker,
     entry::{
-        BudgetLedger, BufferBudget, EntryRefusal, EntryRequest, EntryResponse, PlacementPool,
-        PossibleRuns, RelayedBody, RequestKind, RouteTarget, ServiceConfig, ServiceRoute,
-        StreamItem, UpstreamRecord,
+        BudgetLedger, BufferBudget, EntryRefusal, EntryRequest, EntryResponse, KeyChecker,
+        PlacementPool, PossibleRuns, RelayedBody, RequestKind, RouteTarget, ServiceConfig,
+        ServiceRoute, StoreMonitor, StreamItem, UpstreamRecord,
         chain_recorder::ChainRecorder,
         entry_metrics::EntryMetrics,
         placement_request::PlacementRequest,
@@ -127,6 +127,7 @@
     let metrics = Arc::new(EntryMetrics::new().expect("metrics"));
     let ledger = Arc::new(Mutex::new(BudgetLedger::default()));
 
+    let monitor = StoreMonitor::new(Arc::clone(&store) as Arc<_>);
     let journal =
         Arc::new(TurnJournal::new(store, ledger, Arc::clone(&metrics), "host-a.1".into()));
     let context = Arc::new(RunnerContext {
@@ -137,11 +138,13 @@
         streams: Arc::default(),
         crashes: Arc::clone(crashes),
         presumed_crashes: Mutex::default(),
+        keys: KeyChecker::new(&monitor, &metrics),
         metrics,
     });
 
     let now = Instant::now();
     let request = EntryRequest {
+        key: crate::entry::ClientKey::Missing,
         id: "r1".into(),
         method: Method::POST,
         host: "a.example".into(),
@@ -161,6 +164,7 @@
         is_forwarded: false,
     };
     let route = ServiceRoute {
+        is_public: false,
         name: "route".into(),
         host: "a.example".into(),
         path_prefix: "/x/".into(),
@@ -180,6 +184,7 @@
         cache_tokens: 0,
     };
     let routed = RoutedRequest {
+        team: None,
         body: request.body.clone(),
         request,
         route: Arc::new(route),
@@ -342,6 +347,7 @@
     let deadline = Instant::now() + Duration::from_secs(2);
 
     PlacementRequest {
+        team: None,
         service: "service".into(),
         priority: 0,
         is_continuation: false,
