--- a/src/entry/teams/team_directory.rs
+++ b/src/entry/teams/team_directory.rs
@@ -42,14 +42,14 @@
 
             let team = Arc::new(team);
 
-            for (key_index, digest) in keys.into_iter().enumerate() {
+            for digest in keys {
                 match teams_by_key.entry(digest) {
                     Entry::Vacant(entry) => drop(entry.insert(Arc::clone(&team))),
                     // A key that a team states twice is still the key of one team.
                     Entry::Occupied(entry) if Arc::ptr_eq(entry.get(), &team) => (),
                     Entry::Occupied(entry) => {
                         let (name, other) = (Arc::clone(&team.name), Arc::clone(&entry.get().name));
-                        return Err(TeamError::SharedKey { index, key_index, name, other });
+                        return Err(TeamError::SharedKey { index, name, other });
                     }
                 }
             }
--- a/src/entry/teams/team_error.rs
+++ b/src/entry/teams/team_error.rs
@@ -24,14 +24,10 @@
         name: Arc<str>,
     },
     /// A key belongs to two teams.
-    #[display(
-        "`tenants[{index}].api_keys[{key_index}]` of team `{name}` is a key of team `{other}` as well"
-    )]
+    #[display("`tenants[{index}].api_keys` of team `{name}` has a key of team `{other}`")]
     SharedKey {
         /// Position in the list of teams.
         index: usize,
-        /// Position among the keys of the team that can be used.
-        key_index: usize,
         /// Name of the team.
         name: Arc<str>,
         /// Name of the other team.
