Place the requests of a region through one dispatcher of the service

Callers saw late programs under load, as six schedulers of a region chose among the same upstreams, each by what it alone had sent and by load reports that were up to a second old.

Requests for a service with a prompt cache are placed by the region's dispatcher, the first scheduler in weighted rendezvous order of the service's name that is heard, does not drain and reaches the service. The exchange is one stream that stays open as long as the lease. A dispatcher that is silent for 200 ms, not ready or lost is not asked for 1 s; after two failures a host places the request itself. RAGWORTKNOT_REGION_DISPATCH=off switches it off.

Measured: six requesters never exceed the slots of one dispatcher's upstreams (360 requests, 12 slots, in virtual time).

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -9,6 +9,7 @@
 pub(crate) mod chain_recorder;
 pub(crate) mod crash_guard;
 pub(crate) mod crash_records;
+pub(crate) mod dispatching;
 mod entry_host;
 pub(crate) mod entry_metrics;
 mod entry_request;
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -21,6 +21,7 @@
         chain_recorder::ChainRecorder,
         crash_guard::CRASH_LIMIT,
         crash_records::CrashRecords,
+        dispatching::{placement_server::PlacementServer, region_dispatch::RegionDispatch},
         entry_metrics::EntryMetrics,
         host_registry::{HostRegistry, REGISTRY_KIND},
         mesh_peer::MeshIdentity,
@@ -98,7 +99,6 @@
         let settings = settings.clone();
         let run = hex_text(&rand::random::<[u8; 6]>());
         let writer: Arc<str> = format!("{}.{run}", settings.host).into();
-        let region = settings.region();
         let transport = Arc::clone(&network.transport) as Arc<dyn PeerTransport>;
         let mut ledger = BudgetLedger::default();
         ledger.set_local_writer(Arc::clone(&writer));
@@ -117,12 +117,7 @@
             ..MeshState::default()
         };
         state.history.lock().set_limit(buffers.capacity());
-        let identity = MeshIdentity {
-            host: Arc::clone(&settings.host),
-            address: settings.peers_address,
-            region,
-            writer: Arc::clone(&writer),
-        };
+        let identity = mesh_identity(&settings, &writer);
         let mesh = Arc::new(PeerMesh::new(identity, transport, state.clone()));
         let journal = Arc::new(TurnJournal::new(
             Arc::clone(&backends.store),
@@ -161,7 +156,10 @@
             pool: Arc::clone(&pool),
         };
 
+        let is_dispatching = settings.region_dispatch;
         let runner_context = Arc::new(RunnerContext {
+            dispatch: is_dispatching.then(|| RegionDispatch::new(&mesh, &pool, &metrics)),
+            placements: PlacementServer::new(&pool, &metrics, is_dispatching),
             pool,
             channel: Arc::clone(&backends.channel),
             buffers,
@@ -339,6 +337,11 @@
         &self.forwarded_requests
     }
 
+    /// Serves the other schedulers' queries for slots.
+    pub(crate) fn placements(&self) -> &PlacementServer {
+        &self.context.placements
+    }
+
     /// All known schedulers with this one.
     pub(crate) fn schedulers(&self) -> Vec<SchedulerEntry> {
         self.budgets.mesh.schedulers()
@@ -651,6 +654,16 @@
     }
 }
 
+/// Identity of a host's run, as its peers receive it.
+fn mesh_identity(settings: &EntrySettings, writer: &Arc<str>) -> MeshIdentity {
+    MeshIdentity {
+        host: Arc::clone(&settings.host),
+        address: settings.peers_address,
+        region: settings.region(),
+        writer: Arc::clone(writer),
+    }
+}
+
 /// Key by which a request is assigned to one of its route's targets.
 fn split_key(request: &EntryRequest) -> u64 {
     let key = request.program.as_ref().map_or(&request.id, |it| &it.id);
--- a/src/entry/entry_metrics.rs
+++ b/src/entry/entry_metrics.rs
@@ -35,6 +35,9 @@
     is_scheduler: Gauge<u64>,
     schedulers: Gauge<u64>,
     lost_services: Gauge<u64>,
+    dispatches: Counter<u64>,
+    dispatch_time: Histogram<f64>,
+    served_placements: Counter<u64>,
 }
 
 impl EntryMetrics {
@@ -121,6 +124,18 @@
                 .u64_gauge("ragwortknot.entry.reach.lost")
                 .with_description("Services of which this host reaches no upstream.")
                 .build(),
+            dispatches: counter(
+                "ragwortknot.entry.dispatches",
+                "Queries to the region's dispatchers, by result.",
+            ),
+            dispatch_time: latency(
+                "ragwortknot.entry.dispatch",
+                "Time from a query to a dispatcher to its grant, with the wait in its queue.",
+            ),
+            served_placements: counter(
+                "ragwortknot.entry.placements.served",
+                "Queries of other schedulers that this host has served as a dispatcher, by result.",
+            ),
             registry,
         })
     }
@@ -160,6 +175,20 @@
         self.broken_streams.add(1, &[KeyValue::new("cause", cause)]);
     }
 
+    /// Counts a query to a dispatcher, or the reason for which none was sent.
+    pub(crate) fn count_dispatch(&self, result: &'static str) {
+        self.dispatches.add(1, &[KeyValue::new("result", result)]);
+    }
+
+    pub(crate) fn record_dispatch_time(&self, time: Duration) {
+        self.dispatch_time.record(time.as_secs_f64(), &[]);
+    }
+
+    /// Counts a query of another scheduler.
+    pub(crate) fn count_served_placement(&self, result: &'static str) {
+        self.served_placements.add(1, &[KeyValue::new("result", result)]);
+    }
+
     pub(crate) fn record_role(&self, is_scheduler: bool) {
         self.is_scheduler.record(u64::from(is_scheduler), &[]);
     }
--- a/src/entry/entry_settings.rs
+++ b/src/entry/entry_settings.rs
@@ -23,6 +23,8 @@
     pub memory_bytes: Option<u64>,
     /// What the platform states of its upstreams' entries.
     pub expiry: ExpiryBounds,
+    /// Whether one host of a region places the requests of all its schedulers. See docs/design/dispatching.md.
+    pub region_dispatch: bool,
 }
 
 impl EntrySettings {
--- a/src/entry/placement_pool.rs
+++ b/src/entry/placement_pool.rs
@@ -55,14 +55,14 @@
 /// The upstreams of all services, with their load and queues as seen by one entry host.
 #[derive(Debug)]
 pub struct PlacementPool {
-    data_centre: Arc<str>,
+    pub(super) data_centre: Arc<str>,
     regions: BTreeMap<Arc<str>, Arc<str>>,
     pub(super) expiry: ExpiryBounds,
     pub(super) state: Mutex<PoolState>,
     /// Upstreams that leave, shared with the mesh. Lock order: after `state`.
     pub(super) departures: Arc<Mutex<UpstreamDepartures>>,
     /// Limits that upstreams have stated, shared with the mesh. Lock order: after `departures`.
-    limits: Arc<Mutex<UpstreamLimits>>,
+    pub(super) limits: Arc<Mutex<UpstreamLimits>>,
     /// Which services this host reaches, shared with the mesh. It is not used while another lock is held.
     pub(super) reach: Arc<HostReach>,
 }
@@ -114,7 +114,7 @@
     }
 
     /// Region of an upstream; empty if its data centre is not known.
-    fn region_of(&self, record: &UpstreamRecord) -> &str {
+    pub(super) fn region_of(&self, record: &UpstreamRecord) -> &str {
         self.regions.get(&record.data_centre).map_or("", |it| it)
     }
 
@@ -251,6 +251,7 @@
             cached_tokens: slot.cached_tokens,
             granted_at: now,
             outcome: LeaseOutcome::Cancelled,
+            remote: None,
         }
     }
 
--- a/src/entry/pooled_upstream.rs
+++ b/src/entry/pooled_upstream.rs
@@ -132,6 +132,11 @@
         self.cache.cached_tokens(prompt_parts)
     }
 
+    /// When the latest load report was made that counts.
+    pub(crate) fn load_reported_at(&self) -> Option<Instant> {
+        self.other_load.map(|it| it.reported_at)
+    }
+
     pub(crate) fn record_load(&mut self, now: Instant, load: ReportedLoad) {
         let other_requests =
             load.running.saturating_add(load.waiting).saturating_sub(self.in_flight);
--- a/src/entry/request_runner.rs
+++ b/src/entry/request_runner.rs
@@ -17,6 +17,10 @@
         RelayedResponse, RequestKind, UpstreamChannel, UpstreamResponse,
         chain_recorder::ChainRecorder,
         crash_guard::AttemptWatch,
+        dispatching::{
+            dispatch_request::DispatchRequest, placement_server::PlacementServer,
+            region_dispatch::RegionDispatch,
+        },
         entry_metrics::EntryMetrics,
         entry_response::MAX_BUFFERED_ITEMS,
         event_framer::EventFramer,
@@ -60,6 +64,43 @@
     pub(crate) presumed_crashes: Mutex<PresumedCrashes>,
     pub(crate) streams: Arc<Mutex<StreamVersions>>,
     pub(crate) metrics: Arc<EntryMetrics>,
+    /// Asks the region's dispatchers for slots; `None` if each host places its own requests.
+    pub(crate) dispatch: Option<RegionDispatch>,
+    /// Serves the other schedulers' queries for slots.
+    pub(crate) placements: PlacementServer,
+}
+
+impl RunnerContext {
+    /// Waits for a slot on an upstream that is not in `excluded`. Requests for services with a prompt cache go through the
+    /// region's dispatcher: prompt parts that are cached somewhere are of use only to who knows where.
+    pub(super) async fn acquire(
+        &self,
+        routed: &RoutedRequest,
+        excluded: &[Arc<str>],
+    ) -> Result<UpstreamLease, PlacementRefusal> {
+        match self.dispatch_of(routed) {
+            Some(dispatch) => dispatch.acquire(DispatchRequest::new(routed, excluded, true)).await,
+            None => self.pool.acquire(routed.placement_request(excluded)).await,
+        }
+    }
+
+    /// Takes a slot that is free now.
+    pub(super) async fn acquire_free(
+        &self,
+        routed: &RoutedRequest,
+        excluded: &[Arc<str>],
+    ) -> Option<UpstreamLease> {
+        match self.dispatch_of(routed) {
+            Some(dispatch) => {
+                dispatch.acquire(DispatchRequest::new(routed, excluded, false)).await.ok()
+            }
+            None => self.pool.try_acquire(&routed.placement_request(excluded)),
+        }
+    }
+
+    fn dispatch_of(&self, routed: &RoutedRequest) -> Option<&RegionDispatch> {
+        self.dispatch.as_ref().filter(|_| routed.service.cache_tokens > 0)
+    }
 }
 
 /// Result of sending the request to one upstream.
@@ -189,8 +230,7 @@
     async fn acquire(&self) -> Result<UpstreamLease, PlacementRefusal> {
         let queued_at = Instant::now();
         self.context.check_crashes(self.routed.fingerprint)?;
-        let lease =
-            self.context.pool.acquire(self.routed.placement_request(&self.excluded)).await?;
+        let lease = self.context.acquire(&self.routed, &self.excluded).await?;
         self.context.check_crashes(self.routed.fingerprint)?;
         self.context.metrics.record_queue_time(queued_at.elapsed());
 
@@ -199,7 +239,7 @@
             route:% = self.routed.route.name, upstream:% = lease.record.id, entry_revision = lease.record.revision,
             data_centre:% = lease.record.data_centre, software_version:% = lease.record.software_version, waited_ms = queued_at.elapsed().as_millis() as u64,
             cached_tokens = lease.cached_tokens, prompt_tokens = self.routed.request.prompt_tokens,
-            attempts = self.record.possible_runs(), resumed_request:? = self.routed.request.resumed_request;
+            dispatcher:% = lease.dispatcher(), attempts = self.record.possible_runs(), resumed_request:? = self.routed.request.resumed_request;
             "placed"
         );
         Ok(lease)
--- a/src/entry/stream_relay.rs
+++ b/src/entry/stream_relay.rs
@@ -288,7 +288,7 @@
                 }
                 Err(_) if read_deadline < self.routed.deadline => {
                     // The upstream may still go on, so it is given up only for one that can take the stream up.
-                    if let Some(slot) = self.try_successor(&lease.record.id) {
+                    if let Some(slot) = self.try_successor(&lease.record.id).await {
                         let mut opening = Box::pin(self.open_response(slot, progress));
 
                         match timeout(OVERLAP_LIMIT, &mut opening).await {
--- a/src/entry/stream_resume.rs
+++ b/src/entry/stream_resume.rs
@@ -30,11 +30,11 @@
     }
 
     /// Takes a free slot on another upstream than the one whose stream is silent. Returns `None` if there is none now.
-    pub(super) fn try_successor(&self, silent_upstream: &Arc<str>) -> Option<UpstreamLease> {
+    pub(super) async fn try_successor(&self, silent_upstream: &Arc<str>) -> Option<UpstreamLease> {
         self.context.check_crashes(self.routed.fingerprint).ok()?;
         let mut excluded = self.excluded.clone();
         excluded.push(Arc::clone(silent_upstream));
-        self.context.pool.try_acquire(&self.routed.placement_request(&excluded))
+        self.context.acquire_free(&self.routed, &excluded).await
     }
 
     /// Resumes the stream on another upstream after the last event that was sent to the client. `successor` is the
@@ -72,12 +72,11 @@
     }
 
     async fn acquire(&self) -> Option<UpstreamLease> {
-        let request = self.routed.placement_request(&self.excluded);
         let fingerprint = self.routed.fingerprint;
 
         let slot = async {
             self.context.check_crashes(fingerprint)?;
-            let lease = self.context.pool.acquire(request).await?;
+            let lease = self.context.acquire(&self.routed, &self.excluded).await?;
             self.context.check_crashes(fingerprint).map(|()| lease)
         };
 
--- a/src/entry/upstream_lease.rs
+++ b/src/entry/upstream_lease.rs
@@ -8,9 +8,9 @@
 use crate::{
     CrashedRun,
     entry::{
-        PlacementPool, SendGuard, UpstreamRecord, host_reach::ReachEvidence,
-        pool_state::UpstreamKey, pooled_upstream::LeaseOutcome, upstream_channel::UpstreamResponse,
-        upstream_departures::UpstreamDeparture,
+        PlacementPool, SendGuard, UpstreamRecord, dispatching::remote_lease::RemoteLease,
+        host_reach::ReachEvidence, pool_state::UpstreamKey, pooled_upstream::LeaseOutcome,
+        upstream_channel::UpstreamResponse, upstream_departures::UpstreamDeparture,
     },
 };
 
@@ -24,6 +24,8 @@
     pub(crate) cached_tokens: u64,
     pub(super) granted_at: Instant,
     pub(super) outcome: LeaseOutcome,
+    /// The slot as the region's dispatcher holds it, if another host has granted it.
+    pub(super) remote: Option<Box<RemoteLease>>,
 }
 
 impl UpstreamLease {
@@ -37,10 +39,26 @@
         CrashedRun { upstream: Arc::clone(&self.record.id), run: self.record.started_at_ms }
     }
 
+    /// Name of the host that has granted the slot, or an empty string if this one has.
+    pub(crate) fn dispatcher(&self) -> &str {
+        self.remote.as_ref().map_or("", |it| it.dispatcher())
+    }
+
+    /// The outcome as it is reported to a dispatcher. A failure that this host's own links explain says nothing about the
+    /// upstream, and must not keep the region from it.
+    fn reported_outcome(&self) -> LeaseOutcome {
+        let is_failure = matches!(self.outcome, LeaseOutcome::Failed | LeaseOutcome::Unreachable);
+        let reach = self.pool.reach();
+        let service = &self.record.service;
+        let is_own = is_failure && (reach.is_lost(service) || reach.is_doubtful(service));
+        if is_own { LeaseOutcome::Cancelled } else { self.outcome }
+    }
+
     /// Records what a response tells about the upstream: its load, and whether it is leaving.
     pub(crate) fn record_response(&self, response: &UpstreamResponse) {
         if let Some(load) = response.load {
             self.pool.record_load(self.key, load);
+            self.remote.iter().for_each(|it| it.record_load(load));
         }
 
         // A misdirected request has reached another upstream at the same address.
@@ -88,6 +106,12 @@
 
 impl Drop for UpstreamLease {
     fn drop(&mut self) {
+        let outcome = self.reported_outcome();
+
+        if let Some(remote) = self.remote.take() {
+            remote.end(outcome);
+        }
+
         self.pool.release(self.key, self.outcome, self.granted_at.elapsed());
     }
 }
--- a/src/gateway/entry_node.rs
+++ b/src/gateway/entry_node.rs
@@ -18,7 +18,8 @@
     BackoffPolicy, PeerHandler, PeerMessage, PeerStream, PeerTransport,
     entry::{
         BufferBudget, EntryBackends, EntryHost, EntrySettings, ReadFreshness, RouteLimits,
-        entry_metrics::EntryMetrics, mesh_connector::MeshConnector,
+        dispatching::placement_denial::PlacementDenial, entry_metrics::EntryMetrics,
+        mesh_connector::MeshConnector,
     },
     gateway::{
         DeclineReason, HostNetwork, RequestForwarder, SchedulerDirectory, SchedulerEntry,
@@ -55,7 +56,7 @@
     starter: Arc<dyn SchedulerStarter>,
     pub(super) forwarder: RequestForwarder,
     /// The scheduler, once this host has become one.
-    pub(super) host: OnceLock<Arc<EntryHost>>,
+    pub(crate) host: OnceLock<Arc<EntryHost>>,
     is_draining: AtomicBool,
     /// When this host ends, once that is known.
     pub(super) stops_at: OnceLock<Instant>,
@@ -317,6 +318,14 @@
             (PeerMessage::ForwardOffer { .. }, None) => {
                 decline(stream.as_mut(), DeclineReason::NotScheduler).await
             }
+            (PeerMessage::PlacementQuery(query), Some(host)) => {
+                host.placements().serve(*query, host.is_ready(), stream.as_mut()).await
+            }
+            (PeerMessage::PlacementQuery(_), None) => {
+                // This host may be about to become a scheduler, so it is not refused as by a build that knows no queries.
+                let denial = PlacementDenial::not_ready("not a scheduler");
+                stream.send(&PeerMessage::PlacementRefused(denial)).await
+            }
             (PeerMessage::SchedulersQuery, Some(host)) if host.is_ready() => {
                 let table = host.routes();
                 let response = PeerMessage::Schedulers {
--- a/src/gateway/scheduler_directory.rs
+++ b/src/gateway/scheduler_directory.rs
@@ -53,11 +53,11 @@
 
 /// Score of a scheduler for a key; the lowest is the first. Each scheduler is the first for a part of all keys that is in
 /// proportion to its processor time, and a change of one scheduler moves only keys of its own.
-fn weighted_score(seed: u64, scheduler: &SchedulerEntry) -> u64 {
-    let hash = xxh3_64_with_seed(scheduler.host.as_bytes(), seed);
+pub(crate) fn weighted_score(seed: u64, host: &str, processor_millis: u32) -> u64 {
+    let hash = xxh3_64_with_seed(host.as_bytes(), seed);
     // A number from 0 to 1, neither of them included.
     let uniform = ((hash >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
-    let score = -uniform.ln() / f64::from(scheduler.processor_millis.max(1));
+    let score = -uniform.ln() / f64::from(processor_millis.max(1));
     // The bits of positive numbers have the same order as the numbers.
     score.to_bits()
 }
@@ -125,7 +125,7 @@
                 let rank = CandidateRank {
                     state: candidate_state,
                     is_remote: prefers_local && it.region != self.region,
-                    score: weighted_score(seed, it),
+                    score: weighted_score(seed, &it.host, it.processor_millis),
                 };
                 (rank, it)
             })
--- a/src/membership/peer_message.rs
+++ b/src/membership/peer_message.rs
@@ -12,6 +12,10 @@
         EntryRefusal, RouteLimits,
         batch_index::IndexedBatch,
         budget_ledger::{SpendNote, SpendRecord, WriterSpends},
+        dispatching::{
+            placement_denial::PlacementDenial, placement_end::PlacementEnd,
+            placement_grant::PlacementGrant, placement_query::PlacementQuery,
+        },
         host_reach::LostServices,
         record_readings::ReadingAges,
         stream_versions::{BegunStream, StreamOrigin},
@@ -275,6 +279,17 @@
     Features {
         features: Vec<(Arc<str>, u64)>,
     },
+    /// Dispatching: request for a slot on an upstream. The response is `PlacementQueued` once or more while the request
+    /// waits, then `PlacementGranted` or `PlacementRefused`; `Refused` from a build or a host that does not dispatch.
+    PlacementQuery(Box<PlacementQuery>),
+    /// Dispatching: the request waits for a slot.
+    PlacementQueued,
+    /// Dispatching: the sender holds a slot for the receiver while the stream is open.
+    PlacementGranted(PlacementGrant),
+    /// Dispatching: the sender grants no slot.
+    PlacementRefused(PlacementDenial),
+    /// Dispatching: the lease of the granted slot has ended.
+    PlacementEnded(PlacementEnd),
 }
 
 impl PeerMessage {
@@ -312,6 +327,11 @@
                 | Self::ForwardRefused { .. }
                 | Self::ForwardBytes { .. }
                 | Self::ForwardEnd
+                | Self::PlacementQuery(_)
+                | Self::PlacementQueued
+                | Self::PlacementGranted(_)
+                | Self::PlacementRefused(_)
+                | Self::PlacementEnded(_)
         )
     }
 }
--- a/src/tests/entry_fakes.rs
+++ b/src/tests/entry_fakes.rs
@@ -345,7 +345,7 @@
 const CHUNK_INTERVAL: Duration = Duration::from_millis(1);
 
 #[derive(Debug)]
-struct ScriptedBody {
+pub(super) struct ScriptedBody {
     /// Chunks, each with the time before it.
     chunks: VecDeque<(Duration, &'static str)>,
     is_complete: bool,
@@ -354,7 +354,7 @@
 }
 
 impl ScriptedBody {
-    fn new(chunks: impl IntoIterator<Item = &'static str>, is_complete: bool) -> Self {
+    pub(super) fn new(chunks: impl IntoIterator<Item = &'static str>, is_complete: bool) -> Self {
         let chunks = chunks.into_iter().map(|chunk| (CHUNK_INTERVAL, chunk)).collect();
         Self { chunks, is_complete, next_at: None }
     }
--- a/src/tests/entry_node.rs
+++ b/src/tests/entry_node.rs
@@ -85,6 +85,7 @@
         memory_bytes: None,
         store_value_bytes: None,
         expiry: ExpiryBounds::default(),
+        region_dispatch: true,
     };
     let backends = EntryBackends {
         store: Arc::clone(store) as Arc<dyn ObjectStore>,
--- a/src/tests/entry_runner.rs
+++ b/src/tests/entry_runner.rs
@@ -15,6 +15,7 @@
         PossibleRuns, RelayedBody, RequestKind, RouteTarget, ServiceConfig, ServiceRoute,
         StreamItem, UpstreamRecord,
         chain_recorder::ChainRecorder,
+        dispatching::placement_server::PlacementServer,
         entry_metrics::EntryMetrics,
         placement_request::PlacementRequest,
         request_runner::{RequestRunner, RunnerContext},
@@ -137,6 +138,8 @@
         streams: Arc::default(),
         crashes: Arc::clone(crashes),
         presumed_crashes: Mutex::default(),
+        dispatch: None,
+        placements: PlacementServer::new(pool, &metrics, false),
         metrics,
     });
 
--- a/src/tests/lost_links.rs
+++ b/src/tests/lost_links.rs
@@ -112,7 +112,9 @@
 
 /// Puts a configuration with one service in force, and adds its upstreams.
 #[derive(Debug)]
-struct ServiceStarter;
+struct ServiceStarter {
+    cache_tokens: u64,
+}
 
 impl SchedulerStarter for ServiceStarter {
     fn start(&self, host: &Arc<EntryHost>) {
@@ -132,7 +134,7 @@
         let service = ServiceConfig {
             name: "service".into(),
             connection_limit: 96,
-            cache_tokens: 0,
+            cache_tokens: self.cache_tokens,
             tokens_per_event: 0,
         };
         host.apply_routes(RouteTable::new(1, RouteLimits::default(), vec![route], vec![service]));
@@ -144,13 +146,18 @@
 }
 
 /// Hosts of one region, each with links of its own.
-struct LinkedHosts {
-    nodes: Vec<Arc<EntryNode>>,
+pub(super) struct LinkedHosts {
+    pub(super) nodes: Vec<Arc<EntryNode>>,
     channels: Vec<Arc<LinkedChannel>>,
 }
 
 impl LinkedHosts {
     async fn start(count: usize) -> Self {
+        Self::start_with_cache(count, 0).await
+    }
+
+    /// Starts hosts whose upstreams have a prompt cache of this size.
+    pub(super) async fn start_with_cache(count: usize, cache_tokens: u64) -> Self {
         let store = Arc::new(MemoryStore::default());
         let mut hosts = Self { nodes: Vec::new(), channels: Vec::new() };
 
@@ -165,12 +172,15 @@
                 memory_bytes: None,
                 store_value_bytes: None,
                 expiry: ExpiryBounds::default(),
+                region_dispatch: true,
             };
             let backends = EntryBackends {
                 store: Arc::clone(&store) as Arc<dyn ObjectStore>,
                 channel: Arc::clone(&channel) as Arc<dyn UpstreamChannel>,
             };
-            let node = EntryNode::start(settings, backends, Arc::new(ServiceStarter)).await;
+            let node =
+                EntryNode::start(settings, backends, Arc::new(ServiceStarter { cache_tokens }))
+                    .await;
             hosts.nodes.push(node.expect("the node starts"));
             hosts.channels.push(channel);
         }
@@ -211,7 +221,7 @@
     }
 }
 
-fn plain_request(id: &str) -> EntryRequest {
+pub(super) fn plain_request(id: &str) -> EntryRequest {
     EntryRequest { id: id.into(), program: None, ..turn("none") }
 }
 
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -9,6 +9,7 @@
 mod config_model;
 mod crash_counts;
 mod cut_off_hosts;
+mod dispatching;
 mod entry_budget;
 mod entry_fakes;
 mod entry_journal;
--- a/src/tests/retained_records.rs
+++ b/src/tests/retained_records.rs
@@ -77,6 +77,7 @@
         memory_bytes: None,
         store_value_bytes: None,
         expiry: ExpiryBounds::default(),
+        region_dispatch: true,
     };
     let stream = ScriptedResponse::Stream { chunks: vec!["data: out\n\n"], is_complete: true };
     let channel = ScriptedChannel::new(vec![stream; MAX_TURNS]);
