--- a/src/entry/dispatching/region_dispatch.rs
+++ b/src/entry/dispatching/region_dispatch.rs
@@ -22,7 +22,7 @@
         entry_metrics::EntryMetrics,
         peer_mesh::PeerMesh,
         placement_pool::MIN_RETRY_AFTER,
-        placement_request::PlacementRefusal,
+        placement_request::{PlacementRefusal, PlacementRequest},
         pooled_upstream::LeaseOutcome,
         upstream_lease::UpstreamLease,
     },
@@ -36,6 +36,13 @@
 /// busy host of half a core pauses for up to 100 ms, and all requests that wait there would move at once.
 pub(crate) const QUEUED_SILENCE_LIMIT: Duration = Duration::from_millis(600);
 
+/// Lateness of this host's own timer from which on the host has paused, so that a message may have arrived meanwhile that it
+/// has not read yet.
+const LATE_TIMER: Duration = Duration::from_millis(10);
+
+/// Time to read what has arrived during such a pause.
+const PAUSE_GRACE: Duration = Duration::from_millis(20);
+
 /// Grants in a row that this host can't use before it places the request itself. The lists of upstreams of two hosts
 /// differ for as long as one of them is late in following the store.
 const MAX_UNUSABLE_GRANTS: usize = 3;
@@ -112,6 +119,11 @@
                 }
                 DispatcherAnswer::Taken(lease) => {
                     self.metrics.count_dispatch("own_share");
+                    log::info!(
+                        request:% = request.id, dispatcher:% = dispatcher.host, upstream:% = lease.record.id,
+                        waited_ms = asked_at.elapsed().as_millis() as u64;
+                        "a request that its dispatcher can't place at once takes this host's share of an upstream's limit"
+                    );
                     return Ok(lease);
                 }
                 DispatcherAnswer::Refused(refusal) => {
@@ -179,6 +191,26 @@
         }
     }
 
+    /// Takes a slot that is free now on an upstream of whose limit this host has a share.
+    fn try_own_share(&self, placement: &PlacementRequest) -> Option<UpstreamLease> {
+        let limited = self.pool.own_share_request(placement)?;
+        self.pool.try_acquire(&limited)
+    }
+
+    /// Places a request that the dispatcher has refused on an upstream of whose limit this host has a share.
+    async fn place_by_own_share(
+        &self,
+        request: &DispatchRequest,
+        refusal: PlacementRefusal,
+    ) -> DispatcherAnswer {
+        let lease = match self.pool.own_share_request(&request.placement) {
+            Some(limited) if request.may_wait => self.pool.acquire(limited).await.ok(),
+            Some(limited) => self.pool.try_acquire(&limited),
+            None => None,
+        };
+        lease.map_or(DispatcherAnswer::Refused(refusal), DispatcherAnswer::Taken)
+    }
+
     /// Asks one dispatcher, and waits as long as it states that the request waits.
     async fn ask(
         &self,
@@ -200,17 +232,24 @@
                 Err(_) => return overdue(deadline),
             };
 
+        let mut has_paused = false;
+
         loop {
             let message = match timeout_at(silent_at.min(deadline), stream.receive()).await {
                 Ok(Ok(Some(message))) => message,
                 Ok(Ok(None)) => return DispatcherAnswer::Failed(DispatcherFailure::Lost),
                 Ok(Err(error)) => return failed_exchange(&error),
+                Err(_) if !has_paused && silent_at.elapsed() >= LATE_TIMER => {
+                    has_paused = true;
+                    silent_at = Instant::now() + PAUSE_GRACE;
+                    continue;
+                }
                 Err(_) => return overdue(deadline),
             };
 
             match message {
                 PeerMessage::PlacementQueued => {
-                    if let Some(lease) = self.pool.try_own_share(&request.placement) {
+                    if let Some(lease) = self.try_own_share(&request.placement) {
                         return DispatcherAnswer::Taken(lease);
                     }
                     silent_at = Instant::now() + QUEUED_SILENCE_LIMIT;
@@ -222,11 +261,8 @@
                     return DispatcherAnswer::Failed(DispatcherFailure::NotReady);
                 }
                 PeerMessage::PlacementRefused(denial) => {
-                    let own_share = self.pool.try_own_share(&request.placement);
-                    return own_share.map_or_else(
-                        || DispatcherAnswer::Refused(denial.decode()),
-                        DispatcherAnswer::Taken,
-                    );
+                    drop(stream);
+                    return self.place_by_own_share(request, denial.decode()).await;
                 }
                 // A build that knows no queries refuses the exchange.
                 _ => return DispatcherAnswer::Failed(DispatcherFailure::Unable),
--- a/src/entry/dispatching/remote_grants.rs
+++ b/src/entry/dispatching/remote_grants.rs
@@ -54,33 +54,29 @@
         })
     }
 
-    /// Takes a free slot on an upstream that has stated a limit of which this host has a share. Each host's share is its own,
-    /// so the dispatcher can't use it for the region.
-    pub(crate) fn try_own_share(
-        self: &Arc<Self>,
-        request: &PlacementRequest,
-    ) -> Option<UpstreamLease> {
-        let mut request = request.clone();
-        let upstream_count = {
-            let state = self.state.lock();
-            let limits = self.limits.lock();
-            let keys = &state.services.get(&request.service)?.keys;
-            let records = keys.iter().map(|key| &state.upstreams[*key].record);
-            let unlimited = records.filter(|it| limits.share(it, self.region_of(it)).is_none());
-            let known = request.excluded.len();
-            request.excluded.extend(unlimited.map(|it| Arc::clone(&it.id)));
+    /// The request as this host may place it by its own shares of limits: on upstreams that have stated a limit. Each host's
+    /// share is its own, so the dispatcher can't use it for the region. `None` if this host has no share of any.
+    pub(crate) fn own_share_request(&self, request: &PlacementRequest) -> Option<PlacementRequest> {
+        let state = self.state.lock();
+        let limits = self.limits.lock();
+        let keys = &state.services.get(&request.service)?.keys;
+        let mut unlimited = Vec::new();
+        let mut has_share = false;
 
-            if request.excluded.len() - known == keys.len() {
-                return None;
+        for record in keys.iter().map(|key| &state.upstreams[*key].record) {
+            match limits.share(record, self.region_of(record)) {
+                Some(share) => has_share |= share.per_second() > 0.0,
+                None => unlimited.push(Arc::clone(&record.id)),
             }
-            keys.len()
-        };
-        let lease = self.try_acquire(&request)?;
-        log::info!(
-            service:% = request.service, upstream:% = lease.record.id, upstream_count;
-            "a request that would wait for the dispatcher takes this host's share of a limit"
-        );
-        Some(lease)
+        }
+
+        if !has_share {
+            return None;
+        }
+
+        let mut request = request.clone();
+        request.excluded.extend(unlimited);
+        Some(request)
     }
 
     /// Records the load that an upstream has reported to another host, unless a later report is known.
--- a/src/tests/dispatching.rs
+++ b/src/tests/dispatching.rs
@@ -37,6 +37,7 @@
             region_dispatch::RegionDispatch,
         },
         entry_metrics::EntryMetrics,
+        host_reach::ReachEvidence,
         mesh_peer::MeshIdentity,
         mesh_state::MeshState,
         peer_mesh::PeerMesh,
@@ -419,6 +420,8 @@
     }
 
     let mut query = PlacementQuery::encode(&request(true), &"h".into(), &"dc-a".into(), now);
+    let frame = encode_frame(&PeerMessage::PlacementQuery(Box::new(query.clone())));
+    assert!(frame.len() < 128, "a query of {} bytes", frame.len());
     (query.time_left_us, query.finish_in_us) = (u64::MAX, i64::MIN);
     let decoded = query.decode(Instant::now());
     assert!(decoded.deadline > Instant::now() && decoded.finish_by <= Instant::now());
@@ -558,6 +561,41 @@
     assert!([1, 3, 4].iter().all(|it| region.in_flight(*it, "u1") == 0));
 }
 
+#[tokio::test(start_paused = true)]
+async fn requests_that_wait_move_when_their_dispatcher_loses_its_links() {
+    let region = Arc::new(Region::start(5, &["u1", "u2"].map(|id| upstream(id, SERVICE, 1))).await);
+    let held = [region.acquire(4).await, region.acquire(4).await];
+    let mut waiting = Box::pin(region.acquire(3));
+    assert!(timeout(LINK_LATENCY * 20, &mut waiting).await.is_err(), "no slot is free");
+    let evidence = ReachEvidence::Unconnected { since: Instant::now() };
+    for id in ["u1", "u2"] {
+        region.hosts[0].pool.record_reach(&upstream(id, SERVICE, 1), evidence);
+    }
+    let lease = waiting.await.expect("the next dispatcher has a slot");
+    assert_eq!(lease.dispatcher(), &*region.hosts[1].mesh.identity.host);
+    assert!(held.iter().all(Result::is_ok));
+}
+
+#[tokio::test(start_paused = true)]
+async fn failures_of_a_requester_without_links_do_not_count_at_the_dispatcher() {
+    // Guards against a host that has lost its links and so keeps its region from sound upstreams.
+    let region = Region::start(4, &["u1", "u2"].map(|id| upstream(id, SERVICE, 4))).await;
+    let leases = [region.acquire(3).await, region.acquire(3).await].map(|it| it.expect("a slot"));
+    let evidence = ReachEvidence::Unconnected { since: Instant::now() };
+    leases.iter().for_each(|it| {
+        region.hosts[3].pool.record_reach(&it.record, evidence);
+    });
+    assert!(region.hosts[3].pool.reach().is_lost(SERVICE));
+    let cached = Arc::clone(&leases[0].record.id);
+    // The other one ends as cancelled, so that only this outcome can tell the upstreams apart.
+    let [unreachable, cancelled] = leases;
+    unreachable.finish(LeaseOutcome::Unreachable);
+    drop(cancelled);
+    settle().await;
+    let lease = region.acquire(2).await.expect("a slot");
+    assert_eq!(lease.record.id, cached, "an upstream in backoff comes last");
+}
+
 #[tokio::test(start_paused = true)]
 async fn cancelled_requests_leave_the_queue_and_release_their_slot() {
     // Guards against slots that stay counted for a request that nobody runs any more.
