--- a/src/tests/dispatching.rs
+++ b/src/tests/dispatching.rs
@@ -14,7 +14,7 @@
 use parking_lot::Mutex;
 use tokio::{
     sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
-    task::{AbortHandle, JoinHandle, JoinSet},
+    task::{JoinHandle, JoinSet},
     time::{Duration, Instant, sleep, timeout},
 };
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -109,9 +109,7 @@
     server: PlacementServer,
     mode: HostMode,
     queries: Vec<PlacementQuery>,
-    exchanges: Vec<AbortHandle>,
-    /// Streams that a silent host keeps open.
-    kept: Vec<LinkedStream>,
+    exchanges: JoinSet<()>,
 }
 
 /// Transport between the hosts of a region.
@@ -147,29 +145,26 @@
         let mut hosts = self.hosts.lock();
         let host = hosts.get_mut(&peer).expect("a known host");
         host.queries.push(PlacementQuery::clone(&query));
-        let answer = |stream: &LinkedStream, message| {
-            if let Some(sender) = &stream.sender {
-                let _ = sender.send(message);
-            }
-        };
+        let (server, mode) = (host.server.clone(), host.mode);
 
-        match host.mode {
-            HostMode::Down => return Err(PeerError::Lost { reason: "down".into() }),
-            HostMode::Silent => host.kept.push(dispatcher_end),
-            HostMode::SilentOnceQueued => {
-                answer(&dispatcher_end, PeerMessage::PlacementQueued);
-                host.kept.push(dispatcher_end);
-            }
-            HostMode::Old => answer(&dispatcher_end, PeerMessage::Refused { reason: "".into() }),
-            HostMode::Serving | HostMode::NotReady => {
-                let (server, is_ready) = (host.server.clone(), host.mode == HostMode::Serving);
-                let exchange = tokio::spawn(async move {
-                    let _ = server.serve(*query, is_ready, &mut dispatcher_end).await;
-                });
-                host.exchanges.push(exchange.abort_handle());
-            }
+        if mode == HostMode::Down {
+            return Err(PeerError::Lost { reason: "down".into() });
         }
 
+        host.exchanges.spawn(async move {
+            let stream = &mut dispatcher_end;
+            let _ = match mode {
+                HostMode::SilentOnceQueued => stream.send(&PeerMessage::PlacementQueued).await,
+                HostMode::Old => stream.send(&PeerMessage::Refused { reason: "".into() }).await,
+                HostMode::Serving => server.serve(*query, true, stream).await,
+                HostMode::NotReady => server.serve(*query, false, stream).await,
+                HostMode::Silent | HostMode::Down => Ok(()),
+            };
+            // A silent host keeps its streams open.
+            if matches!(mode, HostMode::Silent | HostMode::SilentOnceQueued) {
+                std::future::pending::<()>().await;
+            }
+        });
         Ok(Box::new(requester_end))
     }
 }
@@ -218,13 +213,9 @@
             let peers = Arc::clone(&transport) as Arc<dyn PeerTransport>;
             let mesh = Arc::new(PeerMesh::new(identity, peers, state));
             let server = PlacementServer::new(&pool, &metrics, true);
-            let serving = ServingHost {
-                server,
-                mode: HostMode::Serving,
-                queries: Vec::new(),
-                exchanges: Vec::new(),
-                kept: Vec::new(),
-            };
+            let mode = HostMode::Serving;
+            let (queries, exchanges) = (Vec::new(), JoinSet::new());
+            let serving = ServingHost { server, mode, queries, exchanges };
             transport.hosts.lock().insert(address(index), serving);
             let dispatch = RegionDispatch::new(&mesh, &pool, &metrics);
             hosts.push(RegionHost { pool, mesh, dispatch: Arc::new(dispatch) });
@@ -275,9 +266,7 @@
     fn kill(&self, index: usize) {
         self.set_mode(index, HostMode::Down);
         let mut hosts = self.transport.hosts.lock();
-        let host = hosts.get_mut(&address(index)).expect("a host");
-        host.exchanges.drain(..).for_each(|it| it.abort());
-        host.kept.clear();
+        hosts.get_mut(&address(index)).expect("a host").exchanges.abort_all();
     }
 
     fn queries(&self, index: usize) -> Vec<PlacementQuery> {
@@ -336,12 +325,11 @@
 }
 
 fn candidate(name: &str, is_local: bool, is_able: bool) -> DispatchCandidate {
-    let processor_millis = 1_000;
     DispatchCandidate {
         host: name.into(),
         run: name.into(),
         address: address(1),
-        processor_millis,
+        processor_millis: 1_000,
         is_local,
         is_able,
     }
@@ -699,11 +687,9 @@
     const PER_SECOND: f64 = 6.0;
     let record = upstream("u1", SERVICE, 64);
     let region = Region::start(6, std::slice::from_ref(&record)).await;
-    let hosts: Vec<SharingHost> = region
-        .hosts
-        .iter()
-        .map(|it| SharingHost { name: Arc::clone(&it.mesh.identity.host), region: "north".into() })
-        .collect();
+    let name = |it: &RegionHost| Arc::clone(&it.mesh.identity.host);
+    let sharing = |it| SharingHost { name: name(it), region: "north".into() };
+    let hosts: Vec<SharingHost> = region.hosts.iter().map(sharing).collect();
     for host in &region.hosts {
         host.pool.limits().lock().set_hosts(&host.mesh.identity.host, hosts.clone());
         host.pool.record_limit(&record, RequestRate::from_per_second(PER_SECOND));
@@ -726,27 +712,19 @@
 
     let mut sent = sent.lock().clone();
     sent.sort();
-    let window = Duration::from_secs(4);
-    let most = sent
-        .iter()
-        .map(|from| sent.iter().filter(|at| *at >= from && **at < *from + window).count());
-    let most = most.max().unwrap_or(0) as f64;
-    assert!(most <= PER_SECOND * 4.0 * 1.5 + 5.0, "{most} requests in 4 s");
+    let most = (PER_SECOND * 4.0 * 1.5 + 5.0) as usize;
+    let is_kept = |it: &[Instant]| it[most] - it[0] >= Duration::from_secs(4);
+    assert!(sent.windows(most + 1).all(is_kept), "more than {most} requests in 4 s");
     let share = sent.len() as f64 / (PER_SECOND * 60.0);
     assert!(share > 0.5, "shares of requesters are left unused: {share}");
 }
 
-/// Sum of a metric's samples over all hosts, by its labels in the text format.
-fn metric_sum(hosts: &LinkedHosts, sample: &str) -> u64 {
-    let texts = hosts.nodes.iter().map(|it| it.metrics_text().expect("metrics"));
-    let lines = texts.flat_map(|it| it.lines().map(str::to_owned).collect::<Vec<_>>());
-    let is_sample = |line: &String| {
-        let (name, labels) = sample.split_once(' ').expect("a name and a label");
-        line.starts_with(name) && line.contains(labels)
-    };
-    let values =
-        lines.filter(is_sample).filter_map(|it| it.rsplit(' ').next()?.parse::<u64>().ok());
-    values.sum()
+/// Sum of a metric's samples with a result over all hosts.
+fn count(hosts: &LinkedHosts, metric: &str, result: &str) -> u64 {
+    let texts: String = hosts.nodes.iter().map(|it| it.metrics_text().expect("metrics")).collect();
+    let (name, label) = (format!("ragwortknot_entry_{metric}{{"), format!("result=\"{result}\""));
+    let samples = texts.lines().filter(|line| line.starts_with(&name) && line.contains(&label));
+    samples.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok()).sum()
 }
 
 #[tokio::test]
@@ -762,25 +740,20 @@
     }
 
     assert_eq!(served, 80);
-    let granted = metric_sum(&hosts, "ragwortknot_entry_dispatches_total result=\"granted\"");
     // A busy machine may make a dispatcher late, so that a few requests are placed otherwise.
+    let granted = count(&hosts, "dispatches_total", "granted");
     assert!(granted >= 40, "{granted} of 60 requests are placed by another host");
-    let by_peers =
-        metric_sum(&hosts, "ragwortknot_entry_placements_served_total result=\"granted\"");
-    assert!(by_peers >= granted, "{by_peers} grants were sent, {granted} received");
-    let attempts = metric_sum(&hosts, "ragwortknot_entry_attempts_total result=\"answered\"");
-    assert_eq!(attempts, 80, "each request runs once");
+    assert!(count(&hosts, "placements_served_total", "granted") >= granted);
+    assert_eq!(count(&hosts, "attempts_total", "answered"), 80, "each request runs once");
     let is_idle = || {
         let pools = hosts.nodes.iter().filter_map(|it| it.host.get());
         pools
             .flat_map(|host| (1..=6).map(|it| host.pool().upstream_load(&format!("u{it}"))))
             .all(|load| load.is_some_and(|(in_flight, _)| in_flight == 0))
     };
-    timeout(Duration::from_secs(2), async {
-        while !is_idle() {
-            sleep(Duration::from_millis(10)).await;
-        }
-    })
-    .await
-    .expect("all leases end");
+    let ended_at = Instant::now();
+    while !is_idle() {
+        assert!(ended_at.elapsed() < Duration::from_secs(2), "a lease does not end");
+        sleep(Duration::from_millis(10)).await;
+    }
 }
