--- a/src/tests/entry_node.rs
+++ b/src/tests/entry_node.rs
@@ -95,6 +95,7 @@
         memory_bytes: None,
         store_value_bytes: None,
         expiry: ExpiryBounds::default(),
+        region_dispatch: true,
     };
     let backends = EntryBackends {
         store: Arc::clone(store) as Arc<dyn ObjectStore>,
--- a/src/tests/entry_runner.rs
+++ b/src/tests/entry_runner.rs
@@ -15,6 +15,7 @@
         PlacementPool, PossibleRuns, RelayedBody, RequestKind, RouteTarget, ServiceConfig,
         ServiceRoute, StoreMonitor, StreamItem, UpstreamRecord,
         chain_recorder::ChainRecorder,
+        dispatching::placement_server::PlacementServer,
         entry_metrics::EntryMetrics,
         placement_request::PlacementRequest,
         request_runner::{RequestRunner, RunnerContext},
@@ -139,6 +140,8 @@
         crashes: Arc::clone(crashes),
         presumed_crashes: Mutex::default(),
         keys: KeyChecker::new(&monitor, &metrics),
+        dispatch: None,
+        placements: PlacementServer::new(pool, &metrics, false),
         metrics,
     });
 
--- a/src/tests/retained_records.rs
+++ b/src/tests/retained_records.rs
@@ -79,6 +79,7 @@
         memory_bytes: None,
         store_value_bytes: None,
         expiry: ExpiryBounds::default(),
+        region_dispatch: true,
     }
 }
 
