Prefer a few upstreams of a region for a shared prompt part

Callers waited 47 to 51 ms longer in turns whose shared prompt part was read again although another engine of the region had it: 26 to 29 % of the prompt tokens that engines read.

Cause: each of the six schedulers of a region knew only the parts that it had sent itself, so each built up its own set of engines for a part.

Change: the first part of a prompt prefers a few upstreams of each region by rendezvous hashing, the same ones at all hosts without a message. Their number follows the part's share of the load. The preference is a cost beside load and distance, and ends at upstreams that are nearly full. Services without a prompt cache are not affected.

--- a/src/entry/placement_pool.rs
+++ b/src/entry/placement_pool.rs
@@ -25,6 +25,7 @@
         upstream_departures::{UpstreamDeparture, UpstreamDepartures},
         upstream_lease::UpstreamLease,
         upstream_limits::UpstreamLimits,
+        upstream_load::part_preference::PartPreference,
     },
     upstreams::rate_limit::RequestRate,
 };
@@ -278,27 +279,64 @@
             let upstream = &state.upstreams[*key];
             (upstream.is_in_backoff(now), upstream.kept_until.is_some())
         };
-        let cost = |key: &UpstreamKey| self.cost_ms(&state.upstreams[*key], now, request);
+        let preference = self.part_preference(state, now, request, &departures);
+        let cost = |key: &UpstreamKey| {
+            let upstream = &state.upstreams[*key];
+            let believed_tokens = preference.believed_tokens(*key, upstream.load_share(now));
+            self.cost_ms(upstream, now, request, believed_tokens)
+        };
         let (_, _, key) = keys
             .iter()
             .filter(eligible)
             .map(|key| (rank(key), cost(key), *key))
             .min_by(|left, right| left.0.cmp(&right.0).then(left.1.total_cmp(&right.1)))?;
         drop(departures);
+        let has_cache = state.upstreams[key].cache.has_capacity();
         let upstream = &mut state.upstreams[key];
         limits.take(&upstream.record, self.region_of(&upstream.record), now);
         let cached_tokens = upstream.cached_tokens(&request.prompt_parts);
         upstream.in_flight += 1;
         upstream.cache.record(&request.prompt_parts);
-        Some(GrantedSlot { key, record: Arc::clone(&upstream.record), cached_tokens })
+        let slot = GrantedSlot { key, record: Arc::clone(&upstream.record), cached_tokens };
+        if has_cache && let Some(pool) = state.services.get_mut(&request.service) {
+            pool.demand.record(now, &request.prompt_parts);
+        }
+        Some(slot)
+    }
+
+    /// Which open upstreams should have the first part of a request's prompt; none for a service without a prompt cache.
+    fn part_preference(
+        &self,
+        state: &PoolState,
+        now: Instant,
+        request: &PlacementRequest,
+        departures: &UpstreamDepartures,
+    ) -> PartPreference {
+        let Some(pool) = state.services.get(&request.service) else {
+            return PartPreference::default();
+        };
+        let upstreams = pool
+            .keys
+            .iter()
+            .map(|key| (*key, &state.upstreams[*key]))
+            .filter(|(_, upstream)| upstream.cache.has_capacity())
+            .filter(|(_, upstream)| state.is_open(upstream, now, departures))
+            .map(|(key, upstream)| (key, upstream, self.region_of(&upstream.record)));
+        PartPreference::new(&request.prompt_parts, &pool.demand, upstreams)
     }
 
-    /// Cost of running a request on an upstream: prefill of the uncached tokens, load and network distance.
-    fn cost_ms(&self, upstream: &PooledUpstream, now: Instant, request: &PlacementRequest) -> f64 {
+    /// Cost of running a request on an upstream: prefill of the uncached tokens, load and network distance. Of the
+    /// prompt's leading tokens, `believed_tokens` should be cached beyond what this host knows.
+    fn cost_ms(
+        &self,
+        upstream: &PooledUpstream,
+        now: Instant,
+        request: &PlacementRequest,
+        believed_tokens: u64,
+    ) -> f64 {
         let load = f64::from(upstream.load(now));
-        let uncached_tokens =
-            request.prompt_tokens.saturating_sub(upstream.cached_tokens(&request.prompt_parts))
-                as f64;
+        let cached_tokens = upstream.cached_tokens(&request.prompt_parts).max(believed_tokens);
+        let uncached_tokens = request.prompt_tokens.saturating_sub(cached_tokens) as f64;
         let prefill_ms = uncached_tokens / PREFILL_TOKENS_PER_MS;
         prefill_ms + load * CONCURRENCY_COST_MS + self.network_cost_ms(&upstream.record.data_centre)
     }
--- a/src/entry/pool_state.rs
+++ b/src/entry/pool_state.rs
@@ -18,6 +18,7 @@
         placement_request::{PlacementRefusal, PlacementRequest},
         pooled_upstream::PooledUpstream,
         upstream_departures::UpstreamDepartures,
+        upstream_load::part_demand::PartDemand,
     },
     upstreams::rate_limit::RequestRate,
 };
@@ -66,6 +67,8 @@
     pub(super) mean_lease_time: Duration,
     /// Software versions of upstreams that are gone, and when the last of each left.
     pub(super) past_versions: HashMap<Arc<str>, Instant>,
+    /// First prompt parts of the requests that this host has placed.
+    pub(super) demand: PartDemand,
 }
 
 impl Default for ServicePool {
@@ -75,6 +78,7 @@
             waiting: BTreeMap::new(),
             mean_lease_time: INITIAL_LEASE_TIME,
             past_versions: HashMap::new(),
+            demand: PartDemand::default(),
         }
     }
 }
--- a/src/entry/pooled_upstream.rs
+++ b/src/entry/pooled_upstream.rs
@@ -124,6 +124,11 @@
         self.in_flight.saturating_add(other_requests)
     }
 
+    /// Load as a share of the slots; above 1 if requests wait inside the upstream.
+    pub(crate) fn load_share(&self, now: Instant) -> f64 {
+        f64::from(self.load(now)) / f64::from(self.record.slots.max(1))
+    }
+
     pub(crate) fn has_room(&self, now: Instant) -> bool {
         self.load(now) < self.record.slots.max(1)
     }
--- a/src/entry/prompt_cache.rs
+++ b/src/entry/prompt_cache.rs
@@ -28,6 +28,11 @@
         self.evict();
     }
 
+    /// Whether the upstream has a prompt cache at all.
+    pub(crate) fn has_capacity(&self) -> bool {
+        self.capacity_tokens > 0
+    }
+
     pub(crate) fn clear(&mut self) {
         let capacity_tokens = self.capacity_tokens;
         *self = Self { capacity_tokens, ..Self::default() };
--- a/src/tests/entry_placement.rs
+++ b/src/tests/entry_placement.rs
@@ -27,7 +27,7 @@
     Arc::new(PlacementPool::new("dc-a".into(), regions))
 }
 
-fn request(priority: u32, is_continuation: bool) -> PlacementRequest {
+pub(super) fn request(priority: u32, is_continuation: bool) -> PlacementRequest {
     let now = Instant::now();
 
     PlacementRequest {
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -60,4 +60,6 @@
 mod turn_search_model;
 mod upstream_departures;
 mod upstream_limits;
+mod upstream_load;
+mod upstream_load_bench;
 mod upstream_watcher;
--- /dev/null
+++ b/src/tests/upstream_load.rs
@@ -0,0 +1,137 @@
+//! Tests of the estimates and preferences of upstreams, without a network.
+
+use std::sync::Arc;
+
+use slotmap::SlotMap;
+use tokio::time::{Duration, Instant};
+
+use super::entry_fakes::upstream;
+use crate::entry::{
+    PromptPart,
+    pool_state::UpstreamKey,
+    pooled_upstream::PooledUpstream,
+    upstream_load::{
+        part_demand::PartDemand,
+        part_preference::{PartPreference, preferred_count},
+    },
+};
+
+fn prompt(shared: u64, session: u64) -> [PromptPart; 2] {
+    [PromptPart { id: shared, tokens: 12_600 }, PromptPart { id: session, tokens: 1_000 }]
+}
+
+/// Upstreams in the order of `ids`, so that two hosts may have them in different orders.
+fn upstreams(ids: &[&str]) -> SlotMap<UpstreamKey, PooledUpstream> {
+    let mut upstreams = SlotMap::with_key();
+    for id in ids {
+        upstreams.insert(PooledUpstream::new(Arc::new(upstream(id, "model", 8)), 234_075));
+    }
+    upstreams
+}
+
+/// Ids of the upstreams that a prompt prefers, with the tokens that they should have.
+fn preferred(
+    prompt_parts: &[PromptPart],
+    demand: &PartDemand,
+    upstreams: &SlotMap<UpstreamKey, PooledUpstream>,
+) -> Vec<(Arc<str>, u64)> {
+    let candidates = upstreams.iter().map(|(key, upstream)| (key, upstream, "north"));
+    let preference = PartPreference::new(prompt_parts, demand, candidates);
+    let mut preferred: Vec<(Arc<str>, u64)> = upstreams
+        .iter()
+        .map(|(key, it)| (Arc::clone(&it.record.id), preference.believed_tokens(key, 0.0)))
+        .filter(|(_, tokens)| *tokens > 0)
+        .collect();
+    preferred.sort();
+    preferred
+}
+
+/// Guards against hosts that spread one part over different upstreams.
+#[test]
+fn part_preference_is_the_same_at_hosts_that_list_upstreams_in_another_order() {
+    let demand = PartDemand::default();
+    let one = upstreams(&["a", "b", "c", "d", "e", "f", "g", "h"]);
+    let other = upstreams(&["h", "c", "b", "f", "a", "e", "d", "g"]);
+    for part in 0..20 {
+        assert_eq!(
+            preferred(&prompt(part, 1), &demand, &one),
+            preferred(&prompt(part, 2), &demand, &other)
+        );
+    }
+}
+
+/// Guards against reads of all parts at new upstreams when one upstream leaves.
+#[test]
+fn part_preference_moves_little_when_an_upstream_leaves() {
+    let demand = PartDemand::default();
+    let before = upstreams(&["a", "b", "c", "d", "e", "f", "g", "h"]);
+    let after = upstreams(&["a", "b", "c", "d", "e", "f", "g"]);
+    for part in 0..20 {
+        let before = preferred(&prompt(part, 1), &demand, &before);
+        let after = preferred(&prompt(part, 1), &demand, &after);
+        let new = after.iter().filter(|it| before.iter().all(|(id, _)| *id != it.0)).count();
+        assert!(new <= 1, "{before:?} became {after:?}");
+    }
+}
+
+/// Guards against hot parts that overload the few upstreams of a rare one.
+#[test]
+fn preferred_count_grows_with_the_share_of_the_load() {
+    assert_eq!(preferred_count(0.0, 16), 3);
+    assert_eq!(preferred_count(1.0 / 6.0, 16), 4);
+    assert_eq!(preferred_count(0.5, 16), 12);
+    assert_eq!(preferred_count(1.0, 16), 16);
+    assert_eq!(preferred_count(0.1, 2), 2);
+}
+
+/// Guards against load on a full upstream for the sake of its cache.
+#[test]
+fn part_preference_ends_at_a_full_upstream() {
+    let upstreams = upstreams(&["a"]);
+    let candidates = upstreams.iter().map(|(key, upstream)| (key, upstream, "north"));
+    let preference = PartPreference::new(&prompt(1, 2), &PartDemand::default(), candidates);
+    let key = upstreams.keys().next().expect("an upstream");
+    let tokens = |load_share| preference.believed_tokens(key, load_share);
+    assert!(tokens(0.0) > 0 && tokens(0.0) == tokens(0.7));
+    assert!(tokens(0.9) < tokens(0.7));
+    assert_eq!((tokens(1.0), tokens(2.0)), (0, 0));
+}
+
+/// Guards against a later turn that leaves the upstream with its session for a preferred one.
+#[test]
+fn part_preference_counts_less_than_a_session_until_the_part_is_shared() {
+    let upstreams = upstreams(&["a", "b", "c", "d"]);
+    let mut demand = PartDemand::default();
+    assert_eq!(preferred(&prompt(1, 2)[..1], &demand, &upstreams), Vec::new());
+
+    let now = Instant::now();
+    demand.record(now, &prompt(1, 2));
+    demand.record(now, &prompt(1, 2));
+    assert!(!demand.is_shared(1), "the turns of one session count as several");
+    let unconfirmed = preferred(&prompt(1, 2), &demand, &upstreams);
+    demand.record(now, &prompt(1, 3));
+    assert!(demand.is_shared(1));
+    let shared = preferred(&prompt(1, 2), &demand, &upstreams);
+    assert!(unconfirmed.iter().zip(&shared).all(|(one, other)| one.1 * 2 < other.1));
+    assert!(shared.iter().all(|(_, tokens)| *tokens < 12_600));
+}
+
+/// Guards against shares that follow a burst too late, and against counts that grow without a bound.
+#[test]
+fn part_demand_follows_the_load_and_forgets_rare_parts() {
+    let mut demand = PartDemand::default();
+    let mut now = Instant::now();
+    for session in 0..10_000 {
+        now += Duration::from_millis(20);
+        demand.record(now, &prompt(session % 4, session));
+        demand.record(now, &prompt(1_000 + session, session));
+    }
+    assert!((0.1..0.15).contains(&demand.share(2)), "{}", demand.share(2));
+    assert!(demand.share(1_001) < 1e-6, "a part of one prompt is still counted");
+
+    for session in 0..1_000 {
+        now += Duration::from_millis(20);
+        demand.record(now, &prompt(7, session));
+    }
+    assert!(demand.share(7) > 0.5, "{}", demand.share(7));
+}
