Open upstreams that start or recover by a window of requests

Callers whose requests were among the first at an upstream that had just started or recovered got late answers or none: it got a full share of the load at once.

Change: such an upstream has a window of requests under way. The window begins with one, grows by one with each answer as fast as those of the service's other upstreams, and shrinks with late answers, rejections and failures. Which upstreams have just started is told by their stated starts alone, compared with each other. Slow start does not hold while more than half of a service's upstreams are in it.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -36,6 +36,7 @@
 pub(crate) mod placement_pool;
 pub(crate) mod placement_request;
 mod pool_listing;
+mod pool_pace;
 mod pool_reach;
 pub(crate) mod pool_state;
 pub(crate) mod pooled_upstream;
--- a/src/entry/crash_guard.rs
+++ b/src/entry/crash_guard.rs
@@ -84,7 +84,8 @@
         }
 
         let crashed = lease.crashed_run();
-        let disproved = self.presumed_crashes.lock().take_disproved(&crashed, lease.granted_at);
+        let disproved =
+            self.presumed_crashes.lock().take_disproved(&crashed, lease.granted.granted_at);
 
         if let Some(suspects) = disproved {
             log::info!(upstream:% = crashed.upstream, born_ms = crashed.run; "an upstream that was presumed to have crashed responds");
--- a/src/entry/entry_metrics.rs
+++ b/src/entry/entry_metrics.rs
@@ -35,6 +35,7 @@
     is_scheduler: Gauge<u64>,
     schedulers: Gauge<u64>,
     lost_services: Gauge<u64>,
+    slow_starts: Gauge<u64>,
 }
 
 impl EntryMetrics {
@@ -121,6 +122,12 @@
                 .u64_gauge("ragwortknot.entry.reach.lost")
                 .with_description("Services of which this host reaches no upstream.")
                 .build(),
+            slow_starts: meter
+                .u64_gauge("ragwortknot.entry.slow.starts")
+                .with_description(
+                    "Upstreams that have just started or failed and get few requests.",
+                )
+                .build(),
             registry,
         })
     }
@@ -182,6 +189,10 @@
         self.lost_services.record(count as u64, &[]);
     }
 
+    pub(crate) fn record_slow_starts(&self, count: usize) {
+        self.slow_starts.record(count as u64, &[]);
+    }
+
     pub(crate) fn record_history_bytes(&self, bytes: usize) {
         self.history_bytes.record(bytes as u64, &[]);
     }
--- a/src/entry/placement_pool.rs
+++ b/src/entry/placement_pool.rs
@@ -19,20 +19,21 @@
         ExpiryBounds, UpstreamRecord,
         host_reach::HostReach,
         placement_request::{PlacementRefusal, PlacementRequest},
+        pool_pace::{AnswerKind, PREFILL_TOKENS_PER_MS},
         pool_state::{GrantedSlot, PoolState, QueuePosition, UpstreamKey, WaitingRequest},
         pooled_upstream::{LeaseOutcome, PooledUpstream},
         upstream_channel::ReportedLoad,
         upstream_departures::{UpstreamDeparture, UpstreamDepartures},
         upstream_lease::UpstreamLease,
         upstream_limits::UpstreamLimits,
-        upstream_load::part_preference::PartPreference,
+        upstream_load::{
+            granted_load::{GrantedLoad, LeaseEnd},
+            part_preference::PartPreference,
+        },
     },
     upstreams::rate_limit::RequestRate,
 };
 
-/// Prompt tokens that an engine prefills in a millisecond, as the users' specifications state.
-const PREFILL_TOKENS_PER_MS: f64 = 147.0;
-
 /// Cost of each further request on an upstream, in milliseconds: two requests that run concurrently slow each other's
 /// response, of about 250 tokens, by 0.038 ms a token.
 const CONCURRENCY_COST_MS: f64 = 18.0;
@@ -171,7 +172,7 @@
             let mut state = self.state.lock();
 
             if let Some(slot) = self.take_free_slot(&mut state, now, &request) {
-                return Ok(self.lease(slot, now));
+                return Ok(self.lease(slot));
             }
 
             self.check_expected_wait(&state, now, &request)?;
@@ -196,7 +197,7 @@
             let next_at = self.next_share(&service).map_or(deadline, |at| at.min(deadline));
 
             match timeout_at(next_at, &mut guard.receiver).await {
-                Ok(Ok(slot)) => return Ok(self.lease(slot, Instant::now())),
+                Ok(Ok(slot)) => return Ok(self.lease(slot)),
                 Err(_) if Instant::now() < deadline => {
                     self.serve_queue(&mut self.state.lock(), &service);
                 }
@@ -231,7 +232,7 @@
     ) -> Option<UpstreamLease> {
         let now = Instant::now();
         let slot = self.take_free_slot(&mut self.state.lock(), now, request)?;
-        Some(self.lease(slot, now))
+        Some(self.lease(slot))
     }
 
     fn take_free_slot(
@@ -244,13 +245,14 @@
         self.take_slot(state, now, request)
     }
 
-    fn lease(self: &Arc<Self>, slot: GrantedSlot, now: Instant) -> UpstreamLease {
+    fn lease(self: &Arc<Self>, slot: GrantedSlot) -> UpstreamLease {
         UpstreamLease {
             pool: Arc::clone(self),
             key: slot.key,
             record: slot.record,
             cached_tokens: slot.cached_tokens,
-            granted_at: now,
+            granted: slot.granted,
+            first_event_time: None,
             outcome: LeaseOutcome::Cancelled,
         }
     }
@@ -264,20 +266,22 @@
     ) -> Option<GrantedSlot> {
         let keys = &state.services.get(&request.service)?.keys;
 
+        let applies_pace = state.applies_pace(&request.service, now);
         let departures = self.departures.lock();
         let mut limits = self.limits.lock();
         let eligible = |key: &&UpstreamKey| {
             let upstream = &state.upstreams[**key];
             state.is_open(upstream, now, &departures)
                 && request.may_use(upstream)
-                && upstream.has_room(now)
+                && upstream.has_room(now, applies_pace)
                 && limits.may_send(&upstream.record, self.region_of(&upstream.record), now)
         };
 
-        // An upstream in backoff, or one that may have left, is better than none.
+        // An upstream in backoff, one that may have left, or one that has not answered since it failed, is better than none.
         let rank = |key: &UpstreamKey| {
             let upstream = &state.upstreams[*key];
-            (upstream.is_in_backoff(now), upstream.kept_until.is_some())
+            let is_risky = !request.may_repeat && upstream.is_unproven();
+            (upstream.is_in_backoff(now) || is_risky, upstream.kept_until.is_some())
         };
         let preference = self.part_preference(state, now, request, &departures);
         let cost = |key: &UpstreamKey| {
@@ -297,7 +301,10 @@
         let cached_tokens = upstream.cached_tokens(&request.prompt_parts);
         upstream.in_flight += 1;
         upstream.cache.record(&request.prompt_parts);
-        let slot = GrantedSlot { key, record: Arc::clone(&upstream.record), cached_tokens };
+        let uncached_tokens = request.prompt_tokens.saturating_sub(cached_tokens);
+        let granted = GrantedLoad { granted_at: now, uncached_tokens };
+        let record = Arc::clone(&upstream.record);
+        let slot = GrantedSlot { key, record, cached_tokens, granted };
         if has_cache && let Some(pool) = state.services.get_mut(&request.service) {
             pool.demand.record(now, &request.prompt_parts);
         }
@@ -388,12 +395,13 @@
     }
 
     fn has_free_slot(&self, state: &PoolState, now: Instant, service: &Arc<str>) -> bool {
+        let applies_pace = state.applies_pace(service, now);
         let departures = self.departures.lock();
         let limits = self.limits.lock();
         let is_free = |key: &UpstreamKey| {
             let upstream = &state.upstreams[*key];
             state.is_open(upstream, now, &departures)
-                && upstream.has_room(now)
+                && upstream.has_room(now, applies_pace)
                 && limits.may_send(&upstream.record, self.region_of(&upstream.record), now)
         };
         state.services.get(service).is_some_and(|pool| pool.keys.iter().any(is_free))
@@ -432,18 +440,22 @@
     }
 
     /// Returns the slot of a lease and records how the lease ended.
-    pub(super) fn release(&self, key: UpstreamKey, outcome: LeaseOutcome, lease_time: Duration) {
+    pub(super) fn release(&self, key: UpstreamKey, end: LeaseEnd) {
         let now = Instant::now();
+        let lease_time = now.saturating_duration_since(end.granted.granted_at);
         let mut state = self.state.lock();
         let Some(upstream) = state.upstreams.get_mut(key) else {
             return;
         };
 
         upstream.in_flight = upstream.in_flight.saturating_sub(1);
-        upstream.record_outcome(now, outcome);
+        upstream.record_outcome(now, end.outcome);
         let service = Arc::clone(&upstream.record.service);
 
-        if outcome == LeaseOutcome::Answered
+        if end.outcome == LeaseOutcome::Answered && end.first_event_time.is_none() {
+            state.record_answer_time(now, key, AnswerKind::Whole, end.granted, lease_time);
+        }
+        if end.outcome == LeaseOutcome::Answered
             && let Some(pool) = state.services.get_mut(&service)
         {
             pool.mean_lease_time =
@@ -472,7 +484,8 @@
         }
 
         if let Ok(slot) = self.receiver.try_recv() {
-            self.pool.release(slot.key, LeaseOutcome::Cancelled, Duration::ZERO);
+            let (outcome, granted) = (LeaseOutcome::Cancelled, slot.granted);
+            self.pool.release(slot.key, LeaseEnd { outcome, granted, first_event_time: None });
         }
     }
 }
--- a/src/entry/placement_request.rs
+++ b/src/entry/placement_request.rs
@@ -20,6 +20,8 @@
     pub(crate) deadline: Instant,
     pub(crate) prompt_parts: Vec<PromptPart>,
     pub(crate) prompt_tokens: u64,
+    /// Whether the request may be sent again after it may have run, so that its loss does little harm.
+    pub(crate) may_repeat: bool,
     /// Software version of the upstream, if the request goes on with a stream that one has begun.
     pub(crate) software_version: Option<Arc<str>>,
     /// Upstreams that have failed or rejected this request.
--- a/src/entry/pool_listing.rs
+++ b/src/entry/pool_listing.rs
@@ -42,12 +42,26 @@
             state.by_id.keys().filter(|id| !listed_ids.contains(*id)).cloned().collect()
         };
         unlisted_ids.iter().for_each(|id| self.remove(id, revision));
-        records.into_iter().for_each(|record| self.upsert(record));
+        let mut state = self.state.lock();
+        let keys: Vec<UpstreamKey> =
+            records.into_iter().filter_map(|record| self.apply(&mut state, record)).collect();
+        // Only the whole list tells which of its upstreams have started after the others.
+        state.pace_new_upstreams(now, &keys);
+        let services: Vec<Arc<str>> = state.services.keys().cloned().collect();
+        services.iter().for_each(|service| self.serve_queue(&mut state, service));
     }
 
     /// Adds an upstream, or updates it from its new entry in the store.
     pub fn upsert(&self, record: UpstreamRecord) {
         let mut state = self.state.lock();
+        let service = Arc::clone(&record.service);
+        let key = self.apply(&mut state, record);
+        state.pace_new_upstreams(Instant::now(), key.as_slice());
+        self.serve_queue(&mut state, &service);
+    }
+
+    /// Adds an upstream, or updates it. Returns its key if this host has not known the run before.
+    fn apply(&self, state: &mut PoolState, record: UpstreamRecord) -> Option<UpstreamKey> {
         let record = Arc::new(record);
         let service = Arc::clone(&record.service);
 
@@ -62,7 +76,7 @@
             // A watch may report changes that the listing before it already contains.
             if record.revision < old.revision {
                 log::info!(upstream:% = record.id, revision = record.revision, known_revision = old.revision; "an older entry of an upstream is ignored");
-                return;
+                return None;
             }
 
             if old.phase != record.phase || old.started_at_ms != record.started_at_ms {
@@ -76,21 +90,22 @@
                 state.record_past_version(&old);
             }
 
+            let is_new_run = old.started_at_ms != record.started_at_ms;
             state.upstreams[key].update(record);
             if old.service != service {
                 state.remove_from_service(&old.service, key);
                 state.services.entry(Arc::clone(&service)).or_default().keys.push(key);
             }
+            is_new_run.then_some(key)
         } else {
             let cache_tokens = state.cache_capacities.get(&service).copied().unwrap_or(0);
             let id = Arc::clone(&record.id);
             log::info!(upstream:% = id, service:% = service, revision = record.revision, born_ms = record.started_at_ms, software_version:% = record.software_version, data_centre:% = record.data_centre; "an upstream is listed");
             let key = state.upstreams.insert(PooledUpstream::new(record, cache_tokens));
             state.by_id.insert(id, key);
-            state.services.entry(Arc::clone(&service)).or_default().keys.push(key);
+            state.services.entry(service).or_default().keys.push(key);
+            Some(key)
         }
-
-        self.serve_queue(&mut state, &service);
     }
 
     /// Removes an upstream whose entry is gone from the store at a revision. If the entry may only have expired in a store
--- a/src/entry/pool_state.rs
+++ b/src/entry/pool_state.rs
@@ -18,7 +18,9 @@
         placement_request::{PlacementRefusal, PlacementRequest},
         pooled_upstream::PooledUpstream,
         upstream_departures::UpstreamDepartures,
-        upstream_load::part_demand::PartDemand,
+        upstream_load::{
+            answer_times::AnswerTimes, granted_load::GrantedLoad, part_demand::PartDemand,
+        },
     },
     upstreams::rate_limit::RequestRate,
 };
@@ -58,6 +60,7 @@
     pub(super) key: UpstreamKey,
     pub(super) record: Arc<UpstreamRecord>,
     pub(super) cached_tokens: u64,
+    pub(super) granted: GrantedLoad,
 }
 
 #[derive(Debug)]
@@ -69,6 +72,10 @@
     pub(super) past_versions: HashMap<Arc<str>, Instant>,
     /// First prompt parts of the requests that this host has placed.
     pub(super) demand: PartDemand,
+    /// Times to the first events of streams.
+    pub(super) first_event_times: AnswerTimes,
+    /// Times to the ends of leases whose first event was not recorded.
+    pub(super) answer_times: AnswerTimes,
 }
 
 impl Default for ServicePool {
@@ -79,6 +86,8 @@
             mean_lease_time: INITIAL_LEASE_TIME,
             past_versions: HashMap::new(),
             demand: PartDemand::default(),
+            first_event_times: AnswerTimes::default(),
+            answer_times: AnswerTimes::default(),
         }
     }
 }
--- a/src/entry/pooled_upstream.rs
+++ b/src/entry/pooled_upstream.rs
@@ -5,8 +5,14 @@
 use tokio::time::{Duration, Instant};
 
 use crate::entry::{
-    PromptPart, UpstreamPhase, UpstreamRecord, prompt_cache::PromptCache,
-    upstream_channel::ReportedLoad, upstream_departures::UpstreamDepartures,
+    PromptPart, UpstreamPhase, UpstreamRecord,
+    prompt_cache::PromptCache,
+    upstream_channel::ReportedLoad,
+    upstream_departures::UpstreamDepartures,
+    upstream_load::{
+        answer_times::AnswerSpeed,
+        pace_window::{PaceCause, PaceWindow},
+    },
 };
 
 /// Time in which the weight of a load report declines from 1 to 0. Requests run for half a second or less, so an older
@@ -59,6 +65,7 @@
     other_load: Option<OtherLoad>,
     failures: u32,
     backoff_until: Option<Instant>,
+    pace: Option<PaceWindow>,
 }
 
 impl PooledUpstream {
@@ -75,6 +82,7 @@
             other_load: None,
             failures: 0,
             backoff_until: None,
+            pace: None,
         }
     }
 
@@ -85,6 +93,7 @@
             self.other_load = None;
             self.failures = 0;
             self.backoff_until = None;
+            self.pace = None;
         }
 
         self.record = record;
@@ -129,8 +138,46 @@
         f64::from(self.load(now)) / f64::from(self.record.slots.max(1))
     }
 
-    pub(crate) fn has_room(&self, now: Instant) -> bool {
-        self.load(now) < self.record.slots.max(1)
+    /// Whether the upstream may get another request: by its slots, and by its window if slow start holds at its service.
+    pub(crate) fn has_room(&self, now: Instant, applies_pace: bool) -> bool {
+        let window = self.pace.filter(|it| applies_pace && !it.is_over(now, self.record.slots));
+        let slots = self.record.slots.max(1);
+        self.load(now) < window.map_or(slots, |it| it.limit(now).min(slots))
+    }
+
+    /// Whether the upstream is in slow start.
+    pub(crate) fn is_paced(&self, now: Instant) -> bool {
+        self.pace.is_some_and(|it| !it.is_over(now, self.record.slots))
+    }
+
+    /// Whether the upstream has failed and not answered since.
+    pub(crate) fn is_unproven(&self) -> bool {
+        self.pace.is_some_and(|it| it.is_unproven())
+    }
+
+    /// Begins slow start.
+    pub(crate) fn begin_pace(&mut self, now: Instant, cause: PaceCause) {
+        log::info!(
+            upstream:% = self.record.id, born_ms = self.record.started_at_ms, cause:? = cause, slots = self.record.slots;
+            "slow start of an upstream begins"
+        );
+        self.pace = Some(PaceWindow::new(cause, now));
+    }
+
+    /// Records the speed of an answer to a request that was granted at `granted_at`.
+    pub(crate) fn record_speed(&mut self, now: Instant, granted_at: Instant, speed: AnswerSpeed) {
+        let Some(pace) = &mut self.pace else {
+            return;
+        };
+        pace.record_answer(now, granted_at, speed);
+        let window = pace.limit(now);
+
+        if pace.is_over(now, self.record.slots) {
+            log::info!(upstream:% = self.record.id, window, speed:? = speed; "slow start of an upstream ends");
+            self.pace = None;
+        } else if speed == AnswerSpeed::Late {
+            log::info!(upstream:% = self.record.id, window; "an upstream in slow start answers late");
+        }
     }
 
     pub(crate) fn cached_tokens(&self, prompt_parts: &[PromptPart]) -> u64 {
@@ -149,12 +196,18 @@
                 self.failures = 0;
                 self.backoff_until = None;
             }
+            // In slow start one failure is enough, since the upstream has not shown yet that it bears requests.
+            LeaseOutcome::Failed if self.is_paced(now) => self.record_failures(now, FAILURE_LIMIT),
             LeaseOutcome::Failed => self.record_failures(now, 1),
             LeaseOutcome::Unreachable => self.record_failures(now, FAILURE_LIMIT),
             LeaseOutcome::Full => {
                 // All slots that this host has not leased must be in use by other hosts.
                 let other_requests = self.record.slots.saturating_sub(self.in_flight);
                 self.other_load = Some(OtherLoad { other_requests, reported_at: now });
+
+                if let Some(pace) = &mut self.pace {
+                    pace.record_rejection(now);
+                }
             }
             LeaseOutcome::Cancelled => (),
         }
@@ -164,15 +217,24 @@
     pub(crate) fn forget_failures(&mut self) {
         self.failures = 0;
         self.backoff_until = None;
+        self.pace = self.pace.filter(|it| it.cause == PaceCause::Started);
     }
 
     fn record_failures(&mut self, now: Instant, count: u32) {
         self.failures += count;
 
+        if let Some(pace) = &mut self.pace {
+            pace.record_failure(now);
+        }
+
         if self.failures >= FAILURE_LIMIT {
             let exponent = (self.failures - FAILURE_LIMIT).min(8);
             let backoff = INITIAL_BACKOFF.saturating_mul(1 << exponent).min(MAX_BACKOFF);
             self.backoff_until = Some(now + backoff);
+
+            if self.pace.is_none_or(|it| it.is_over(now, self.record.slots)) {
+                self.begin_pace(now, PaceCause::Recovering);
+            }
         }
     }
 }
--- a/src/entry/request_runner.rs
+++ b/src/entry/request_runner.rs
@@ -67,7 +67,7 @@
     /// A whole response for the client.
     Response(RelayedResponse),
     /// A stream whose first event has arrived.
-    Stream(StreamSource),
+    Stream(Box<StreamSource>),
     /// The upstream did not run the request.
     NotRun { reason: &'static str },
     /// No connection to the upstream could be made.
@@ -122,7 +122,7 @@
 
             match self.attempt(lease).await {
                 AttemptResult::Response(response) => return EntryResponse::Relayed(response),
-                AttemptResult::Stream(source) => return self.relay_stream(source),
+                AttemptResult::Stream(source) => return self.relay_stream(*source),
                 AttemptResult::NotRun { reason } => {
                     self.rejections += 1;
                     log::info!(request:% = self.routed.request.id, upstream:% = upstream; "the upstream did not run the request: {reason}");
@@ -401,7 +401,7 @@
 
     async fn read_first_event(
         &self,
-        lease: UpstreamLease,
+        mut lease: UpstreamLease,
         mut watch: AttemptWatch,
         mut response: UpstreamResponse,
         attempt_deadline: Instant,
@@ -416,9 +416,10 @@
         loop {
             if let Some(event) = framer.next_event() {
                 watch.finish();
+                lease.record_first_event();
                 let departure = lease.departure(&response);
                 let (status, headers) = (response.status, response.headers);
-                return AttemptResult::Stream(StreamSource {
+                return AttemptResult::Stream(Box::new(StreamSource {
                     lease,
                     status,
                     headers,
@@ -426,7 +427,7 @@
                     body: response.body,
                     framer,
                     first_event: event,
-                });
+                }));
             }
 
             match timeout_at(attempt_deadline, response.body.next()).await {
--- a/src/entry/upstream_lease.rs
+++ b/src/entry/upstream_lease.rs
@@ -3,14 +3,18 @@
 use std::sync::Arc;
 
 use hyper::StatusCode;
-use tokio::time::Instant;
+use tokio::time::Duration;
 
 use crate::{
     CrashedRun,
     entry::{
-        PlacementPool, SendGuard, UpstreamRecord, host_reach::ReachEvidence,
-        pool_state::UpstreamKey, pooled_upstream::LeaseOutcome, upstream_channel::UpstreamResponse,
+        PlacementPool, SendGuard, UpstreamRecord,
+        host_reach::ReachEvidence,
+        pool_state::UpstreamKey,
+        pooled_upstream::LeaseOutcome,
+        upstream_channel::UpstreamResponse,
         upstream_departures::UpstreamDeparture,
+        upstream_load::granted_load::{GrantedLoad, LeaseEnd},
     },
 };
 
@@ -22,7 +26,9 @@
     pub(crate) record: Arc<UpstreamRecord>,
     /// Tokens of the prompt that the upstream should have cached.
     pub(crate) cached_tokens: u64,
-    pub(super) granted_at: Instant,
+    pub(super) granted: GrantedLoad,
+    /// Time from the grant to the first event of a stream.
+    pub(super) first_event_time: Option<Duration>,
     pub(super) outcome: LeaseOutcome,
 }
 
@@ -32,6 +38,13 @@
         self.outcome = outcome;
     }
 
+    /// Records that the first event of a stream has arrived, which tells how fast the upstream answers.
+    pub(crate) fn record_first_event(&mut self) {
+        let time = self.granted.granted_at.elapsed();
+        self.first_event_time = Some(time);
+        self.pool.record_first_event(self.key, self.granted, time);
+    }
+
     /// The run of the upstream, as crashes are counted.
     pub(crate) fn crashed_run(&self) -> CrashedRun {
         CrashedRun { upstream: Arc::clone(&self.record.id), run: self.record.started_at_ms }
@@ -74,7 +87,7 @@
         if !is_open {
             log::info!(
                 upstream:% = self.record.id, entry_revision = self.record.revision,
-                granted_ms_ago = self.granted_at.elapsed().as_millis() as u64;
+                granted_ms_ago = self.granted.granted_at.elapsed().as_millis() as u64;
                 "the upstream leaves since it was chosen, so the request is not sent to it"
             );
         }
@@ -88,6 +101,8 @@
 
 impl Drop for UpstreamLease {
     fn drop(&mut self) {
-        self.pool.release(self.key, self.outcome, self.granted_at.elapsed());
+        let (outcome, granted) = (self.outcome, self.granted);
+        let end = LeaseEnd { outcome, granted, first_event_time: self.first_event_time };
+        self.pool.release(self.key, end);
     }
 }
--- /dev/null
+++ b/src/entry/upstream_load/granted_load.rs
@@ -0,0 +1,22 @@
+//! What a granted request puts on its upstream.
+
+use tokio::time::{Duration, Instant};
+
+use crate::entry::pooled_upstream::LeaseOutcome;
+
+/// What a granted request puts on its upstream, as known at the grant.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct GrantedLoad {
+    pub(crate) granted_at: Instant,
+    /// Prompt tokens that the upstream has to read.
+    pub(crate) uncached_tokens: u64,
+}
+
+/// How a lease has ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct LeaseEnd {
+    pub(crate) outcome: LeaseOutcome,
+    pub(crate) granted: GrantedLoad,
+    /// Time from the grant to the first event of a stream, if there was one.
+    pub(crate) first_event_time: Option<Duration>,
+}
--- a/src/entry/upstream_load/part_demand.rs
+++ b/src/entry/upstream_load/part_demand.rs
@@ -14,7 +14,7 @@
 const MAX_PARTS: usize = 256;
 
 /// Time after which all weights are brought to the present, so that they stay in the range of numbers.
-const REBASE_INTERVAL: Duration = Duration::from_secs(60);
+const REBASE_INTERVAL: Duration = Duration::from_mins(1);
 
 /// Requests that began with one part.
 #[derive(Clone, Copy, Debug)]
--- a/src/entry/upstream_load/part_preference.rs
+++ b/src/entry/upstream_load/part_preference.rs
@@ -32,6 +32,9 @@
 /// Part of an upstream's slots that is in use when its preference begins to decline; it ends when all are in use.
 const NEARLY_FULL: f64 = 0.75;
 
+/// An upstream with its score for a part. Its id decides between equal scores.
+type RankedUpstream<'a> = (u64, &'a Arc<str>, UpstreamKey);
+
 /// Belief about the first part of one prompt, for the upstreams that should have it.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct PartPreference {
@@ -51,7 +54,7 @@
             return Self::default();
         };
         let belief = if demand.is_shared(first.id) { SHARED_BELIEF } else { UNCONFIRMED_BELIEF };
-        let mut regions: HashMap<&str, Vec<(u64, &Arc<str>, UpstreamKey)>> = HashMap::new();
+        let mut regions: HashMap<&str, Vec<RankedUpstream<'_>>> = HashMap::new();
 
         for (key, upstream, region) in upstreams {
             let id = &upstream.record.id;
--- a/src/tests/entry_metrics.rs
+++ b/src/tests/entry_metrics.rs
@@ -37,6 +37,7 @@
     metrics.record_role(true);
     metrics.record_schedulers(6, 0);
     metrics.record_lost_services(0);
+    metrics.record_slow_starts(0);
 
     let text = metrics.text().expect("failed to encode the metrics");
     let help = text.lines().filter_map(|line| line.strip_prefix("# HELP "));
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -62,4 +62,6 @@
 mod upstream_limits;
 mod upstream_load;
 mod upstream_load_bench;
+mod upstream_pace;
+mod upstream_pace_bench;
 mod upstream_watcher;
--- a/src/tests/upstream_load_bench.rs
+++ b/src/tests/upstream_load_bench.rs
@@ -53,10 +53,10 @@
 
 /// Linear congruential generator, so that each run has the same load.
 #[derive(Debug)]
-struct BenchRandom(u64);
+pub(super) struct BenchRandom(pub(super) u64);
 
 impl BenchRandom {
-    fn next_unit(&mut self) -> f64 {
+    pub(super) fn next_unit(&mut self) -> f64 {
         self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963);
         (self.0 >> 11) as f64 / (1_u64 << 53) as f64
     }
