Count the memory that requests hold at an upstream

Callers of all requests on an engine lost them when the engine crashed because the requests on it exceeded its memory: placement counted slots only.

Change: prompts and largest completions of granted requests are counted against the service's cache_tokens. An upstream whose memory a request would exceed is chosen only if no other one may be, and a request that is larger than the memory is refused at once. It is a preference and no bound, since engines that hold a shared part once bear more than the account says. Services without cache_tokens are not affected.

Tested without a network; not measured under load.

--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -257,6 +257,7 @@
             self.context.channel.close_expired();
             let lost_services = self.context.pool.reach().lost_services().len();
             self.context.metrics.record_lost_services(lost_services);
+            self.context.metrics.record_full_memories(self.context.pool.full_memory_count());
             self.context.metrics.record_slow_starts(self.context.pool.slow_start_count());
 
             if self.budgets.mesh.take_deregistered() && !self.is_draining() {
--- a/src/entry/entry_metrics.rs
+++ b/src/entry/entry_metrics.rs
@@ -36,6 +36,7 @@
     schedulers: Gauge<u64>,
     lost_services: Gauge<u64>,
     slow_starts: Gauge<u64>,
+    full_memories: Gauge<u64>,
 }
 
 impl EntryMetrics {
@@ -122,6 +123,10 @@
                 .u64_gauge("ragwortknot.entry.reach.lost")
                 .with_description("Services of which this host reaches no upstream.")
                 .build(),
+            full_memories: meter
+                .u64_gauge("ragwortknot.entry.memory.full")
+                .with_description("Upstreams whose memory this host's requests nearly fill.")
+                .build(),
             slow_starts: meter
                 .u64_gauge("ragwortknot.entry.slow.starts")
                 .with_description(
@@ -193,6 +198,10 @@
         self.slow_starts.record(count as u64, &[]);
     }
 
+    pub(crate) fn record_full_memories(&self, count: usize) {
+        self.full_memories.record(count as u64, &[]);
+    }
+
     pub(crate) fn record_history_bytes(&self, bytes: usize) {
         self.history_bytes.record(bytes as u64, &[]);
     }
--- a/src/entry/placement_pool.rs
+++ b/src/entry/placement_pool.rs
@@ -277,7 +277,12 @@
         let rank = |key: &UpstreamKey| {
             let upstream = &state.upstreams[*key];
             let is_risky = !request.may_repeat && upstream.is_unproven();
-            (upstream.is_in_backoff(now) || is_risky, upstream.kept_until.is_some())
+            (
+                // More requests than its memory holds end an upstream, with all requests on it.
+                upstream.is_memory_exceeded_by(now, request.memory_tokens()),
+                upstream.is_in_backoff(now) || is_risky,
+                upstream.kept_until.is_some(),
+            )
         };
         let preference = self.part_preference(state, now, request, &departures);
         let cost = |key: &UpstreamKey| {
@@ -293,12 +298,17 @@
         let upstream = &mut state.upstreams[key];
         limits.take(&upstream.record, self.region_of(&upstream.record), now);
         let cached_tokens = upstream.cached_tokens(&request.prompt_parts);
-        upstream.in_flight += 1;
         upstream.cache.record(&request.prompt_parts);
         let uncached_tokens = request.prompt_tokens.saturating_sub(cached_tokens);
         let is_prefill_known = preference.believed_tokens(key, 0.0) <= cached_tokens;
-        let granted =
-            GrantedLoad { granted_at: now, uncached_tokens, is_prefill_known, requests: 0 };
+        let granted = GrantedLoad {
+            granted_at: now,
+            uncached_tokens,
+            is_prefill_known,
+            memory_tokens: request.memory_tokens(),
+            requests: 0,
+        };
+        upstream.record_grant(granted);
         let record = Arc::clone(&upstream.record);
         let slot = GrantedSlot { key, record, cached_tokens, granted };
         if has_cache && let Some(pool) = state.services.get_mut(&request.service) {
@@ -388,7 +398,7 @@
             if let Some(waiting) = waiting
                 && waiting.slot_sender.send(slot.clone()).is_err()
             {
-                state.upstreams[slot.key].in_flight -= 1;
+                state.upstreams[slot.key].record_end(slot.granted);
             }
         }
     }
@@ -447,7 +457,7 @@
             return;
         };
 
-        upstream.in_flight = upstream.in_flight.saturating_sub(1);
+        upstream.record_end(end.granted);
         upstream.record_outcome(now, end.outcome);
         let service = Arc::clone(&upstream.record.service);
 
--- a/src/entry/placement_request.rs
+++ b/src/entry/placement_request.rs
@@ -4,7 +4,9 @@
 
 use tokio::time::{Duration, Instant};
 
-use crate::entry::{PromptPart, pooled_upstream::PooledUpstream};
+use crate::entry::{
+    PromptPart, pooled_upstream::PooledUpstream, upstream_load::memory_account::MemoryAccount,
+};
 
 /// A request for a slot on an upstream of a service.
 #[derive(Clone, Debug)]
@@ -20,6 +22,8 @@
     pub(crate) deadline: Instant,
     pub(crate) prompt_parts: Vec<PromptPart>,
     pub(crate) prompt_tokens: u64,
+    /// Largest number of tokens in the response; 0 if not stated.
+    pub(crate) completion_tokens: u64,
     /// Whether the request may be sent again after it may have run, so that its loss does little harm.
     pub(crate) may_repeat: bool,
     /// Software version of the upstream, if the request goes on with a stream that one has begun.
@@ -29,11 +33,23 @@
 }
 
 impl PlacementRequest {
-    /// Whether the request may run on an upstream, if that is open for new requests.
+    /// Tokens that an upstream holds for the request.
+    pub(crate) fn memory_tokens(&self) -> u64 {
+        self.prompt_tokens.saturating_add(self.completion_tokens)
+    }
+
+    /// Whether the request may run on an upstream, if that is open for new requests. One that is larger than the upstream's
+    /// memory would end it.
     pub(crate) fn may_use(&self, upstream: &PooledUpstream) -> bool {
         let version = &upstream.record.software_version;
 
-        !self.excluded.contains(&upstream.record.id)
+        let fits = !MemoryAccount::default().is_exceeded_by(
+            self.memory_tokens(),
+            0,
+            upstream.cache.capacity_tokens(),
+        );
+
+        fits && !self.excluded.contains(&upstream.record.id)
             && self.software_version.as_ref().is_none_or(|it| it == version)
     }
 }
--- a/src/entry/pool_pace.rs
+++ b/src/entry/pool_pace.rs
@@ -43,6 +43,13 @@
     }
 }
 
+impl PlacementPool {
+    /// Number of upstreams whose memory this host's requests nearly fill.
+    pub(crate) fn full_memory_count(&self) -> usize {
+        self.state.lock().upstreams.values().filter(|it| it.is_memory_nearly_full()).count()
+    }
+}
+
 impl PoolState {
     /// Begins slow start for those of `keys` that have just started, compared with the others of their service.
     pub(super) fn pace_new_upstreams(&mut self, now: Instant, keys: &[UpstreamKey]) {
--- a/src/entry/pooled_upstream.rs
+++ b/src/entry/pooled_upstream.rs
@@ -11,6 +11,8 @@
     upstream_departures::UpstreamDepartures,
     upstream_load::{
         answer_times::AnswerSpeed,
+        granted_load::GrantedLoad,
+        memory_account::MemoryAccount,
         pace_window::{PaceCause, PaceWindow},
         request_costs::RequestCosts,
     },
@@ -60,6 +62,7 @@
     pub(crate) in_flight: u32,
     pub(crate) cache: PromptCache,
     pub(crate) costs: RequestCosts,
+    memory: MemoryAccount,
     /// Until when the upstream is kept although its entry is missing from the store, since the entry may only have expired.
     pub(crate) kept_until: Option<Instant>,
     /// Revision of the store at which the entry was last found to be missing, or 0.
@@ -80,6 +83,7 @@
             in_flight: 0,
             cache,
             costs: RequestCosts::default(),
+            memory: MemoryAccount::default(),
             kept_until: None,
             missing_revision: 0,
             other_load: None,
@@ -137,6 +141,29 @@
         self.in_flight.saturating_add(other_requests)
     }
 
+    /// Counts a granted request.
+    pub(crate) fn record_grant(&mut self, granted: GrantedLoad) {
+        self.in_flight += 1;
+        self.memory.record_grant(granted.memory_tokens);
+    }
+
+    /// Counts the end of a granted request.
+    pub(crate) fn record_end(&mut self, granted: GrantedLoad) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.memory.record_end(granted.memory_tokens);
+    }
+
+    /// Whether another request of `tokens` would exceed the upstream's memory.
+    pub(crate) fn is_memory_exceeded_by(&self, now: Instant, tokens: u64) -> bool {
+        let other_requests = self.load(now).saturating_sub(self.in_flight);
+        self.memory.is_exceeded_by(tokens, other_requests, self.cache.capacity_tokens())
+    }
+
+    /// Whether this host's requests fill most of the upstream's memory.
+    pub(crate) fn is_memory_nearly_full(&self) -> bool {
+        self.memory.is_nearly_full(self.cache.capacity_tokens())
+    }
+
     /// Load as a share of the slots; above 1 if requests wait inside the upstream.
     pub(crate) fn load_share(&self, now: Instant) -> f64 {
         f64::from(self.load(now)) / f64::from(self.record.slots.max(1))
--- a/src/entry/prompt_cache.rs
+++ b/src/entry/prompt_cache.rs
@@ -28,6 +28,11 @@
         self.evict();
     }
 
+    /// Tokens that the upstream can hold, or 0 if it has no prompt cache.
+    pub(crate) fn capacity_tokens(&self) -> u64 {
+        self.capacity_tokens
+    }
+
     /// Whether the upstream has a prompt cache at all.
     pub(crate) fn has_capacity(&self) -> bool {
         self.capacity_tokens > 0
--- a/src/entry/routed_request.rs
+++ b/src/entry/routed_request.rs
@@ -48,6 +48,7 @@
             deadline: self.deadline,
             prompt_parts: self.request.prompt_parts.clone(),
             prompt_tokens: self.request.prompt_tokens,
+            completion_tokens: self.request.max_completion_tokens,
             may_repeat: self.route.kind.is_retryable(),
             software_version: self.software_version.clone(),
             excluded: excluded.to_vec(),
--- a/src/entry/upstream_load.rs
+++ b/src/entry/upstream_load.rs
@@ -7,12 +7,14 @@
 //! | how many requests an upstream that starts or recovers may have under way (`pace_window`) | speed of its answers, failures, rejections, time | an upstream that needs 0 to 20 s to warm up, or flaps |
 //! | whether an answer is as fast as expected (`answer_times`) | times of the service's other upstreams, uncached tokens | the same; a cold cache and a slow service are no slow start |
 //! | what prefill and a concurrent request cost (`request_costs`, `learned_slope`) | uncached tokens, requests beside, time to the first event and from it to the end | engines that read 147, 247 or 270 tokens in a millisecond |
+//! | whether a request fits in an upstream's memory (`memory_account`) | tokens of granted requests, number of others, capacity | upstreams crash if the requests on them exceed 234,075 or 292,205 tokens |
 //! | which upstreams have just started (`start_cohort`) | starts of the service's upstreams | replaced upstreams; all that start at once |
 //! | how many requests begin with a part (`part_demand`) | first and second prompt part of each placed request, time | one part with a sixth of all load; parts that come and go |
 
 pub(crate) mod answer_times;
 pub(crate) mod granted_load;
 pub(crate) mod learned_slope;
+pub(crate) mod memory_account;
 pub(crate) mod pace_window;
 pub(crate) mod part_demand;
 pub(crate) mod part_preference;
--- a/src/entry/upstream_load/granted_load.rs
+++ b/src/entry/upstream_load/granted_load.rs
@@ -12,6 +12,8 @@
     pub(crate) uncached_tokens: u64,
     /// Whether that number is well known: not if another host may have sent the first part of the prompt there.
     pub(crate) is_prefill_known: bool,
+    /// Tokens that the upstream holds for the request: its prompt and its largest completion.
+    pub(crate) memory_tokens: u64,
     /// Requests on the upstream with this one, at the first event: the load report of the response has just come then, so
     /// that those of other hosts are well known.
     pub(crate) requests: u32,
--- a/src/tests/entry_metrics.rs
+++ b/src/tests/entry_metrics.rs
@@ -38,6 +38,7 @@
     metrics.record_schedulers(6, 0);
     metrics.record_lost_services(0);
     metrics.record_slow_starts(0);
+    metrics.record_full_memories(0);
 
     let text = metrics.text().expect("failed to encode the metrics");
     let help = text.lines().filter_map(|line| line.strip_prefix("# HELP "));
--- a/src/tests/entry_placement.rs
+++ b/src/tests/entry_placement.rs
@@ -38,6 +38,7 @@
         deadline: now + REQUEST_TIMEOUT,
         prompt_parts: Vec::new(),
         prompt_tokens: 1_000,
+        completion_tokens: 0,
         may_repeat: true,
         software_version: None,
         excluded: Vec::new(),
--- a/src/tests/entry_runner.rs
+++ b/src/tests/entry_runner.rs
@@ -349,6 +349,7 @@
         deadline,
         prompt_parts: Vec::new(),
         prompt_tokens: 0,
+        completion_tokens: 0,
         may_repeat: true,
         software_version: None,
         excluded: excluded.iter().map(|it| Arc::from(*it)).collect(),
--- a/src/tests/shared_departures.rs
+++ b/src/tests/shared_departures.rs
@@ -162,6 +162,7 @@
         deadline,
         prompt_parts: Vec::new(),
         prompt_tokens: 1_000,
+        completion_tokens: 0,
         may_repeat: true,
         software_version: None,
         excluded: Vec::new(),
--- a/src/tests/upstream_departures.rs
+++ b/src/tests/upstream_departures.rs
@@ -186,6 +186,7 @@
         deadline,
         prompt_parts: Vec::new(),
         prompt_tokens: 1_000,
+        completion_tokens: 0,
         may_repeat: true,
         software_version: None,
         excluded: Vec::new(),
--- a/src/tests/upstream_limits.rs
+++ b/src/tests/upstream_limits.rs
@@ -33,6 +33,7 @@
         deadline,
         prompt_parts: Vec::new(),
         prompt_tokens: 0,
+        completion_tokens: 0,
         may_repeat: true,
         software_version: None,
         excluded: Vec::new(),
--- a/src/tests/upstream_load.rs
+++ b/src/tests/upstream_load.rs
@@ -1,16 +1,18 @@
 //! Tests of the estimates and preferences of upstreams, without a network.
 
-use std::sync::Arc;
+use std::{collections::BTreeMap, sync::Arc};
 
 use slotmap::SlotMap;
-use tokio::time::{Duration, Instant};
+use tokio::time::{Duration, Instant, timeout};
 
-use super::entry_fakes::upstream;
+use super::{entry_fakes::upstream, entry_placement::request};
 use crate::entry::{
-    PromptPart,
+    PlacementPool, PromptPart,
+    placement_request::PlacementRequest,
     pool_state::UpstreamKey,
     pooled_upstream::PooledUpstream,
     upstream_load::{
+        memory_account::MemoryAccount,
         part_demand::PartDemand,
         part_preference::{PartPreference, preferred_count},
         request_costs::RequestCosts,
@@ -175,3 +177,48 @@
     assert!((costs.tokens_per_ms() - 147.0).abs() < 0.01);
     assert!((costs.concurrency_ms() - 18.0).abs() < 0.01);
 }
+
+/// Guards against upstreams that crash as the requests on them exceed their memory.
+#[tokio::test(start_paused = true)]
+async fn placement_pool_spares_an_upstream_whose_memory_is_full() {
+    let pool = Arc::new(PlacementPool::new("dc-a".into(), BTreeMap::new()));
+    pool.upsert(upstream("u1", "model", 8));
+    pool.upsert(upstream("u2", "model", 8));
+    pool.set_cache_capacities([("model".into(), 100_000)].into());
+    let large = || PlacementRequest {
+        prompt_tokens: 50_000,
+        completion_tokens: 10_000,
+        ..request(0, false)
+    };
+    let first = pool.try_acquire(&large()).expect("a free slot");
+    let leases: Vec<_> = (0..7).filter_map(|_| pool.try_acquire(&request(0, false))).collect();
+    assert_eq!(leases.len(), 7);
+    let busy = leases.iter().filter(|it| it.record.id != first.record.id).count();
+    assert!(busy >= 3);
+    let second = pool.try_acquire(&large()).expect("a free slot");
+    assert_ne!(second.record.id, first.record.id, "two large requests are on one upstream");
+    assert_eq!(pool.full_memory_count(), 0);
+    let third = pool.try_acquire(&large()).expect("no request waits while slots are free");
+    assert_eq!(pool.full_memory_count(), 1);
+
+    drop((first, second, third, leases));
+    assert_eq!(pool.full_memory_count(), 0);
+    let too_large = PlacementRequest { prompt_tokens: 100_001, ..request(0, false) };
+    assert!(pool.try_acquire(&too_large).is_none());
+    let outcome = timeout(Duration::from_millis(10), pool.acquire(too_large)).await;
+    assert!(outcome.expect("an answer at once").is_err());
+}
+
+/// Guards against sums that overflow, and against an account without a known memory.
+#[test]
+fn memory_account_bears_numbers_at_the_end_of_their_range() {
+    let mut account = MemoryAccount::default();
+    account.record_grant(u64::MAX);
+    account.record_grant(u64::MAX);
+    assert!(account.is_exceeded_by(u64::MAX, u32::MAX, u64::MAX - 1));
+    assert!(!account.is_exceeded_by(u64::MAX, u32::MAX, 0));
+    account.record_end(u64::MAX);
+    account.record_end(1);
+    assert!(!account.is_exceeded_by(100_000, 0, 100_000));
+    assert!(account.is_exceeded_by(50_000, 1, 99_999), "requests of other hosts don't count");
+}
