Use what upstreams state of their machine's speed

Callers were placed on machines that had slowed down for a moment, as only running and waiting requests were read from X-Server-Load.

Change: the fourth figure, how long work takes now, is read if there is one, limited to 50 to 400, and used for 400 ms with a declining weight. A figure that can't be read leaves the other three in force. A faster machine attracts no request by that alone, and hosts order upstreams of equal cost in different ways, so that hosts with the same old report don't all choose the same upstream. An upstream beside those that a shared part prefers now pays for all of the displaced tokens.

--- a/src/entry/placement_pool.rs
+++ b/src/entry/placement_pool.rs
@@ -13,6 +13,7 @@
     sync::oneshot,
     time::{Duration, Instant, timeout_at},
 };
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
     entry::{
@@ -41,6 +42,11 @@
 /// Cost of sending a request to another data centre of the same region, as an equivalent wait in milliseconds.
 const CROSS_DATA_CENTRE_COST_MS: f64 = 12.0;
 
+/// Largest cost by which hosts order alike upstreams in different ways, so that hosts without a report don't all choose the
+/// same upstream. It decides between equal costs only: 6 ms moved requests away from cached parts, and repeated reads rose
+/// from 8 to 11 % at 0.65 of the capacity.
+const MAX_SPREAD_MS: f64 = 0.5;
+
 /// Reciprocal of the weight of a new sample in the moving average of lease times.
 const MEAN_DIVISOR: u32 = 16;
 
@@ -285,8 +291,12 @@
             )
         };
         let preference = self.part_preference(state, now, request, &departures);
+        let lease_time = state.services[&request.service].mean_lease_time;
+        let local_host = Arc::clone(limits.local_host());
         let cost = |key: &UpstreamKey| {
-            self.cost_ms(*key, &state.upstreams[*key], now, request, &preference)
+            let upstream = &state.upstreams[*key];
+            let work_ms = self.cost_ms(*key, upstream, now, request, &preference);
+            work_ms + slowness_cost_ms(upstream, now, lease_time) + spread_ms(upstream, &local_host)
         };
         let (_, _, key) = keys
             .iter()
@@ -354,7 +364,7 @@
             + preference.displaced_tokens(key, cached_tokens);
         let costs = &upstream.costs;
         let work_ms = costs.prefill_ms(read_tokens) + load * costs.concurrency_ms();
-        work_ms + self.network_cost_ms(&upstream.record.data_centre)
+        work_ms * upstream.slowness(now) + self.network_cost_ms(&upstream.record.data_centre)
     }
 
     fn network_cost_ms(&self, data_centre: &Arc<str>) -> f64 {
@@ -481,6 +491,22 @@
     }
 }
 
+/// Cost of a machine that is slower than usual for the rest of a request. One that is faster saves nothing here: all hosts
+/// that hear of it would choose it.
+fn slowness_cost_ms(upstream: &PooledUpstream, now: Instant, lease_time: Duration) -> f64 {
+    (upstream.slowness(now) - 1.0).max(0.0) * lease_time.as_secs_f64() * 1_000.0
+}
+
+/// Cost by which each host orders upstreams that are alike in another way; 0 for services without a prompt cache.
+fn spread_ms(upstream: &PooledUpstream, local_host: &Arc<str>) -> f64 {
+    if !upstream.cache.has_capacity() {
+        return 0.0;
+    }
+    let seed = xxh3_64_with_seed(local_host.as_bytes(), 0);
+    let hash = xxh3_64_with_seed(upstream.record.id.as_bytes(), seed);
+    hash as f64 / u64::MAX as f64 * MAX_SPREAD_MS
+}
+
 /// Removes a request from its queue when the caller stops waiting, and releases a slot that was granted but not taken.
 struct QueueGuard<'a> {
     pool: &'a Arc<PlacementPool>,
--- a/src/entry/pool_pace.rs
+++ b/src/entry/pool_pace.rs
@@ -98,6 +98,8 @@
             AnswerKind::FirstEvent => &mut pool.first_event_times,
             AnswerKind::Whole => &mut pool.answer_times,
         };
+        // What the upstream states of its machine now is no sign of a slow start, and no lasting cost.
+        let time = time.div_f64(upstream.slowness(now));
         let prefill_ms = upstream.costs.prefill_ms(granted.uncached_tokens);
 
         if upstream.is_paced(now) {
--- a/src/entry/pooled_upstream.rs
+++ b/src/entry/pooled_upstream.rs
@@ -15,6 +15,7 @@
         memory_account::MemoryAccount,
         pace_window::{PaceCause, PaceWindow},
         request_costs::RequestCosts,
+        slowness_report::SlownessReport,
     },
 };
 
@@ -68,6 +69,7 @@
     /// Revision of the store at which the entry was last found to be missing, or 0.
     pub(crate) missing_revision: u64,
     other_load: Option<OtherLoad>,
+    slowness: Option<SlownessReport>,
     failures: u32,
     backoff_until: Option<Instant>,
     pace: Option<PaceWindow>,
@@ -87,6 +89,7 @@
             kept_until: None,
             missing_revision: 0,
             other_load: None,
+            slowness: None,
             failures: 0,
             backoff_until: None,
             pace: None,
@@ -99,6 +102,7 @@
             self.cache.clear();
             self.costs = RequestCosts::default();
             self.other_load = None;
+            self.slowness = None;
             self.failures = 0;
             self.backoff_until = None;
             self.pace = None;
@@ -164,6 +168,11 @@
         self.memory.is_nearly_full(self.cache.capacity_tokens())
     }
 
+    /// Factor by which work takes longer on the upstream's machine now than usual, by its last statement.
+    pub(crate) fn slowness(&self, now: Instant) -> f64 {
+        self.slowness.map_or(1.0, |it| it.factor(now))
+    }
+
     /// Load as a share of the slots; above 1 if requests wait inside the upstream.
     pub(crate) fn load_share(&self, now: Instant) -> f64 {
         f64::from(self.load(now)) / f64::from(self.record.slots.max(1))
@@ -219,6 +228,7 @@
         let other_requests =
             load.running.saturating_add(load.waiting).saturating_sub(self.in_flight);
         self.other_load = Some(OtherLoad { other_requests, reported_at: now });
+        self.slowness = load.slowness.map(|it| SlownessReport::new(it, now));
     }
 
     pub(crate) fn record_outcome(&mut self, now: Instant, outcome: LeaseOutcome) {
--- a/src/entry/upstream_channel.rs
+++ b/src/entry/upstream_channel.rs
@@ -33,7 +33,7 @@
 }
 
 /// Load that an upstream has reported with a response.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ReportedLoad {
     /// Number of running requests.
     pub running: u32,
@@ -41,6 +41,21 @@
     pub waiting: u32,
     /// Number of requests that the upstream runs concurrently.
     pub slots: u32,
+    /// Factor by which work takes longer on the upstream's machine now than usual, if it states one; 1.0 is as usual.
+    pub slowness: Option<f32>,
+}
+
+impl ReportedLoad {
+    /// Reads the figures of a load report, which are separated by commas: running, waiting, slots, and optionally how long
+    /// work takes, which is 100 as usual. A fourth figure that can't be read counts as none, so that the others still count.
+    pub fn from_figures(text: &str) -> Option<Self> {
+        let mut figures = text.split(',').map(str::trim);
+        let mut number = || figures.next()?.parse::<u32>().ok();
+        let (running, waiting, slots) = (number()?, number()?, number()?);
+        let percent = figures.next().and_then(|it| it.parse::<f32>().ok());
+        let slowness = percent.filter(|it| it.is_finite() && *it > 0.0).map(|it| it / 100.0);
+        Some(Self { running, waiting, slots, slowness })
+    }
 }
 
 /// An upstream's response whose head has been received.
--- a/src/entry/upstream_limits.rs
+++ b/src/entry/upstream_limits.rs
@@ -81,6 +81,11 @@
         self.hosts = hosts;
     }
 
+    /// Name of this host; empty until the hosts are set.
+    pub(crate) fn local_host(&self) -> &Arc<str> {
+        &self.local_host
+    }
+
     /// Records what a response of an upstream states: a limit, or by its absence that there is none. Returns whether that is new.
     pub(crate) fn record_stated(
         &mut self,
--- a/src/entry/upstream_load.rs
+++ b/src/entry/upstream_load.rs
@@ -8,6 +8,7 @@
 //! | whether an answer is as fast as expected (`answer_times`) | times of the service's other upstreams, uncached tokens | the same; a cold cache and a slow service are no slow start |
 //! | what prefill and a concurrent request cost (`request_costs`, `learned_slope`) | uncached tokens, requests beside, time to the first event and from it to the end | engines that read 147, 247 or 270 tokens in a millisecond |
 //! | whether a request fits in an upstream's memory (`memory_account`) | tokens of granted requests, number of others, capacity | upstreams crash if the requests on them exceed 234,075 or 292,205 tokens |
+//! | how slow an upstream's machine is now (`slowness_report`) | fourth figure of the load header, its age | machines that slow down for less than a second |
 //! | which upstreams have just started (`start_cohort`) | starts of the service's upstreams | replaced upstreams; all that start at once |
 //! | how many requests begin with a part (`part_demand`) | first and second prompt part of each placed request, time | one part with a sixth of all load; parts that come and go |
 
@@ -19,4 +20,5 @@
 pub(crate) mod part_demand;
 pub(crate) mod part_preference;
 pub(crate) mod request_costs;
+pub(crate) mod slowness_report;
 pub(crate) mod start_cohort;
--- a/src/entry/upstream_load/part_preference.rs
+++ b/src/entry/upstream_load/part_preference.rs
@@ -30,9 +30,9 @@
 const NEXT_FACTOR: f64 = 0.5;
 
 /// Part of a shared part's tokens that are read once more elsewhere when an upstream beside the preferred ones reads it, as
-/// its memory then has less room for others. Without it, repeated reads were 11 % at 0.65 of the capacity once hosts had
-/// learned that engines read 247 tokens in a millisecond in place of 147.
-const DISPLACED_SHARE: f64 = 0.5;
+/// its memory then has less room for others. With a half, repeated reads were 16 % at 0.8 of the capacity once hosts had
+/// learned that engines read 247 tokens in a millisecond in place of 147; with all of them 12 %, and more changed nothing.
+const DISPLACED_SHARE: f64 = 1.0;
 
 /// Part of an upstream's slots that is in use when its preference begins to decline; it ends when all are in use.
 const NEARLY_FULL: f64 = 0.75;
--- a/src/tests/entry_placement.rs
+++ b/src/tests/entry_placement.rs
@@ -278,7 +278,7 @@
         pool.upsert(upstream(id, "model", u32::MAX));
     }
     let lease = acquire(&pool).await.expect("a free slot");
-    let load = ReportedLoad { running: u32::MAX, waiting: u32::MAX, slots: 0 };
+    let load = ReportedLoad { running: u32::MAX, waiting: u32::MAX, slots: 0, slowness: None };
     pool.record_load(lease.key, load);
     let other = acquire(&pool).await.expect("a free slot on another upstream");
     assert_ne!(other.record.id, lease.record.id);
--- a/src/tests/upstream_load.rs
+++ b/src/tests/upstream_load.rs
@@ -3,11 +3,11 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use slotmap::SlotMap;
-use tokio::time::{Duration, Instant, timeout};
+use tokio::time::{Duration, Instant, sleep, timeout};
 
 use super::{entry_fakes::upstream, entry_placement::request};
 use crate::entry::{
-    PlacementPool, PromptPart,
+    PlacementPool, PromptPart, ReportedLoad,
     placement_request::PlacementRequest,
     pool_state::UpstreamKey,
     pooled_upstream::PooledUpstream,
@@ -16,6 +16,7 @@
         part_demand::PartDemand,
         part_preference::{PartPreference, preferred_count},
         request_costs::RequestCosts,
+        slowness_report::SlownessReport,
     },
 };
 
@@ -222,3 +223,103 @@
     assert!(!account.is_exceeded_by(100_000, 0, 100_000));
     assert!(account.is_exceeded_by(50_000, 1, 99_999), "requests of other hosts don't count");
 }
+
+/// Guards against a figure that is used for too long, and against one that is wrong.
+#[test]
+fn slowness_report_fades_within_400_ms_and_keeps_its_range() {
+    let now = Instant::now();
+    let percent = |stated, age_ms| {
+        let report = SlownessReport::new(stated, now);
+        (report.factor(now + Duration::from_millis(age_ms)) * 100.0).round() as u32
+    };
+    let by_age = [0, 200, 400, 2_000].map(|age_ms| percent(3.0, age_ms));
+    assert_eq!(by_age, [300, 200, 100, 100]);
+    let by_figure = [0.0, 0.5, 9.0, f32::INFINITY, f32::NAN].map(|it| percent(it, 0));
+    assert_eq!(by_figure, [50, 50, 400, 400, 100]);
+}
+
+/// Guards against a load report that is lost because of its fourth figure.
+#[test]
+fn reported_load_reads_three_figures_with_or_without_a_fourth() {
+    let load = |slowness| Some(ReportedLoad { running: 3, waiting: 1, slots: 8, slowness });
+    let read = ReportedLoad::from_figures;
+    assert_eq!(read("3,1,8"), load(None));
+    assert_eq!(read("3, 1, 8, 150"), load(Some(1.5)));
+    assert_eq!(read("3,1,8,50.0,7"), load(Some(0.5)));
+    for text in ["3,1,8,", "3,1,8,fast", "3,1,8,-100", "3,1,8,0", "3,1,8,NaN", "3,1,8,inf"] {
+        assert_eq!(read(text), load(None), "{text}");
+    }
+    for text in ["", "3,1", "3,1,x,100", "-3,1,8"] {
+        assert_eq!(read(text), None, "{text}");
+    }
+}
+
+/// Guards against hosts that all choose the upstream of which the same old report says that it is idle and fast.
+#[tokio::test(start_paused = true)]
+async fn placement_pools_spread_requests_when_their_load_reports_are_old() {
+    for age_ms in [200, 400, 1_000, 2_000] {
+        let mut chosen: BTreeMap<Arc<str>, u32> = BTreeMap::new();
+        for host in 0..18 {
+            let pool = Arc::new(PlacementPool::new("dc-a".into(), BTreeMap::new()));
+            let name = format!("host-{host}").into();
+            pool.limits().lock().set_hosts(&name, Vec::new());
+            let records = (0..16).map(|it| upstream(&format!("u{it}"), "model", 8)).collect();
+            pool.reset(records, 1, None);
+            pool.set_cache_capacities([("model".into(), 234_075)].into());
+            let turn = |session| PlacementRequest {
+                prompt_parts: prompt(host % 8, session).into(),
+                prompt_tokens: 13_600,
+                ..request(0, false)
+            };
+            drop((pool.try_acquire(&turn(100)), pool.try_acquire(&turn(101))));
+
+            let leases: Vec<_> =
+                (0..16).filter_map(|_| pool.try_acquire(&request(0, false))).collect();
+            for lease in &leases {
+                let is_fast = &*lease.record.id == "u0";
+                let (running, slowness) = if is_fast { (1, 0.5) } else { (3, 1.0) };
+                let load = ReportedLoad { running, waiting: 0, slots: 8, slowness: Some(slowness) };
+                pool.record_load(lease.key, load);
+            }
+            drop(leases);
+            sleep(Duration::from_millis(age_ms)).await;
+            let lease = pool.try_acquire(&turn(102)).expect("a free slot");
+            *chosen.entry(Arc::clone(&lease.record.id)).or_default() += 1;
+        }
+        println!("reports of {age_ms} ms: {chosen:?}");
+        let most = chosen.values().max().copied().unwrap_or(0);
+        assert!(most <= 8, "{most} of 18 hosts chose the same upstream at {age_ms} ms");
+    }
+}
+
+/// Guards against hosts without a report that all choose the upstream that is listed first.
+#[tokio::test(start_paused = true)]
+async fn placement_pools_order_idle_upstreams_in_different_ways() {
+    let mut chosen: BTreeMap<Arc<str>, u32> = BTreeMap::new();
+    for host in 0..18 {
+        let pool = Arc::new(PlacementPool::new("dc-a".into(), BTreeMap::new()));
+        pool.limits().lock().set_hosts(&format!("host-{host}").into(), Vec::new());
+        pool.set_cache_capacities([("model".into(), 234_075)].into());
+        pool.reset((0..16).map(|it| upstream(&format!("u{it}"), "model", 8)).collect(), 1, None);
+        let lease = pool.try_acquire(&request(0, false)).expect("a free slot");
+        *chosen.entry(Arc::clone(&lease.record.id)).or_default() += 1;
+    }
+    assert!(chosen.values().all(|it| *it <= 6), "{chosen:?}");
+}
+
+/// Guards against a machine that is slow now and gets as many requests as the others.
+#[tokio::test(start_paused = true)]
+async fn placement_pool_avoids_a_machine_that_is_slow_now() {
+    let pool = Arc::new(PlacementPool::new("dc-a".into(), BTreeMap::new()));
+    pool.reset(["u1", "u2"].map(|id| upstream(id, "model", 8)).into(), 1, None);
+    let lease = pool.try_acquire(&request(0, false)).expect("a free slot");
+    let slow = Arc::clone(&lease.record.id);
+    let load = ReportedLoad { running: 1, waiting: 0, slots: 8, slowness: Some(2.0) };
+    pool.record_load(lease.key, load);
+    drop(lease);
+    let leases: Vec<_> = (0..4).filter_map(|_| pool.try_acquire(&request(0, false))).collect();
+    assert!(leases.iter().all(|it| it.record.id != slow));
+    sleep(Duration::from_millis(400)).await;
+    let next = pool.try_acquire(&request(0, false)).expect("a free slot");
+    assert_eq!(next.record.id, slow, "the statement is used after 400 ms");
+}
--- a/src/tests/upstream_load_bench.rs
+++ b/src/tests/upstream_load_bench.rs
@@ -89,6 +89,8 @@
             BTreeMap::from([("dc-a".into(), "north".into()), ("dc-b".into(), "north".into())]);
         let pools = (0..hosts).map(|host| {
             let pool = Arc::new(PlacementPool::new(data_centre(host), regions.clone()));
+            let name = format!("host-{host}").into();
+            pool.limits().lock().set_hosts(&name, Vec::new());
             for engine in 0..ENGINES {
                 let mut record = upstream(&format!("engine-{engine}"), "model", SLOTS);
                 record.data_centre = data_centre(engine);
@@ -141,7 +143,7 @@
             };
             let index: usize = lease.record.id["engine-".len()..].parse().expect("a number");
             let (is_full, running, uncached) = self.admit(index, &parts);
-            let load = ReportedLoad { running, waiting: 0, slots: SLOTS };
+            let load = ReportedLoad { running, waiting: 0, slots: SLOTS, slowness: None };
 
             if is_full {
                 self.pools[host].record_load(lease.key, load);
--- a/src/tests/upstream_pace_bench.rs
+++ b/src/tests/upstream_pace_bench.rs
@@ -104,7 +104,12 @@
                 running[index] += 1;
                 running[index]
             };
-            let load = ReportedLoad { running: running.min(SLOTS), waiting: 0, slots: SLOTS };
+            let load = ReportedLoad {
+                running: running.min(SLOTS),
+                waiting: 0,
+                slots: SLOTS,
+                slowness: None,
+            };
             let is_new = index >= self.case.old;
             let seconds = self.joined_at.elapsed().as_secs();
             let outcome = if running > SLOTS {
