Admission of new programs and order of the queue by class

Cause: every request was admitted to a queue, by the wait of the turn instead of the time of the program, and the order held new programs for so long that they ended late.

Change: services with a prompt cache admit a new program only if it is expected to end in time, refuse the others at once, and never refuse a turn of a program under way. Programs, their turns and lease times are learned by route and size.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -3,6 +3,7 @@
 //!
 //! A deployment is connected through three traits: [`ObjectStore`], [`UpstreamChannel`] and [`ObjectListener`].
 
+pub(crate) mod admission;
 pub(crate) mod batch_index;
 pub(crate) mod budget_ledger;
 mod buffer_budget;
--- a/src/entry/entry_metrics.rs
+++ b/src/entry/entry_metrics.rs
@@ -31,6 +31,7 @@
     history_bytes: Gauge<u64>,
     offers: Counter<u64>,
     forwarded_requests: Counter<u64>,
+    placement_refusals: Counter<u64>,
     broken_streams: Counter<u64>,
     is_scheduler: Gauge<u64>,
     schedulers: Gauge<u64>,
@@ -105,6 +106,10 @@
                 "ragwortknot.entry.forwarded",
                 "Forwarded requests that a scheduler has accepted, by outcome.",
             ),
+            placement_refusals: counter(
+                "ragwortknot.entry.placement.refusals",
+                "Requests that got no place at an upstream, by reason.",
+            ),
             broken_streams: counter(
                 "ragwortknot.entry.streams.broken",
                 "Streams to clients that were closed before their end, by cause.",
@@ -155,6 +160,11 @@
         self.forwarded_requests.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a request that got no place at an upstream. The reasons are texts of the code, so they are few.
+    pub(crate) fn count_placement_refusal(&self, reason: &'static str) {
+        self.placement_refusals.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Counts a stream that this host closes before its end. The client then has an incomplete response.
     pub(crate) fn count_broken_stream(&self, cause: &'static str) {
         self.broken_streams.add(1, &[KeyValue::new("cause", cause)]);
--- a/src/entry/placement_pool.rs
+++ b/src/entry/placement_pool.rs
@@ -17,6 +17,7 @@
 use crate::{
     entry::{
         ExpiryBounds, UpstreamRecord,
+        admission::admission_ticket::AdmissionTicket,
         host_reach::HostReach,
         placement_request::{PlacementRefusal, PlacementRequest},
         pool_state::{GrantedSlot, PoolState, QueuePosition, UpstreamKey, WaitingRequest},
@@ -165,15 +166,16 @@
         let deadline = request.deadline;
         let service = Arc::clone(&request.service);
 
-        let (receiver, position) = {
+        let (receiver, position, ticket) = {
             let now = Instant::now();
             let mut state = self.state.lock();
+            let ticket = state.record_arrival(now, &request);
 
             if let Some(slot) = self.take_free_slot(&mut state, now, &request) {
-                return Ok(self.lease(slot, now));
+                return Ok(self.lease(slot, now, ticket));
             }
 
-            self.check_expected_wait(&state, now, &request)?;
+            self.check_admission(&mut state, now, &request)?;
             state.last_sequence += 1;
             let position = QueuePosition {
                 priority: request.priority,
@@ -183,19 +185,26 @@
             };
             let (slot_sender, receiver) = oneshot::channel();
             let pool = state.services.entry(Arc::clone(&service)).or_default();
-            pool.waiting.insert(position, WaitingRequest { request, slot_sender });
+            let waiting = WaitingRequest { request, slot_sender, ticket: ticket.clone() };
+            pool.waiting.insert(position, waiting);
             self.serve_queue(&mut state, &service);
-            (receiver, position)
+            (receiver, position, ticket)
         };
 
-        let mut guard = QueueGuard { pool: self, service: &service, position, receiver };
+        let mut guard = QueueGuard {
+            pool: self,
+            service: &service,
+            position,
+            receiver,
+            ticket: ticket.clone(),
+        };
 
         loop {
             // A share of a limit becomes free without any event.
             let next_at = self.next_share(&service).map_or(deadline, |at| at.min(deadline));
 
             match timeout_at(next_at, &mut guard.receiver).await {
-                Ok(Ok(slot)) => return Ok(self.lease(slot, Instant::now())),
+                Ok(Ok(slot)) => return Ok(self.lease(slot, Instant::now(), ticket)),
                 Err(_) if Instant::now() < deadline => {
                     self.serve_queue(&mut self.state.lock(), &service);
                 }
@@ -229,8 +238,10 @@
         request: &PlacementRequest,
     ) -> Option<UpstreamLease> {
         let now = Instant::now();
-        let slot = self.take_free_slot(&mut self.state.lock(), now, request)?;
-        Some(self.lease(slot, now))
+        let mut state = self.state.lock();
+        let ticket = state.record_arrival(now, request);
+        let slot = self.take_free_slot(&mut state, now, request)?;
+        Some(self.lease(slot, now, ticket))
     }
 
     fn take_free_slot(
@@ -240,16 +251,24 @@
         request: &PlacementRequest,
     ) -> Option<GrantedSlot> {
         self.serve_queue(state, &request.service);
-        self.take_slot(state, now, request)
+        let slot = self.take_slot(state, now, request)?;
+        state.record_grant(now, request);
+        Some(slot)
     }
 
-    fn lease(self: &Arc<Self>, slot: GrantedSlot, now: Instant) -> UpstreamLease {
+    fn lease(
+        self: &Arc<Self>,
+        slot: GrantedSlot,
+        now: Instant,
+        ticket: Option<Arc<AdmissionTicket>>,
+    ) -> UpstreamLease {
         UpstreamLease {
             pool: Arc::clone(self),
             key: slot.key,
             record: slot.record,
             cached_tokens: slot.cached_tokens,
             granted_at: now,
+            ticket,
             outcome: LeaseOutcome::Cancelled,
         }
     }
@@ -320,15 +339,19 @@
     /// the free slots leaves them to those behind it.
     pub(super) fn serve_queue(&self, state: &mut PoolState, service: &Arc<str>) {
         let now = Instant::now();
-        let positions: Vec<QueuePosition> = state
-            .services
-            .get(service)
-            .into_iter()
-            .flat_map(|it| it.waiting.keys())
-            .copied()
-            .collect();
-
-        for position in positions {
+        self.serve_waiting(state, now, service);
+        state.record_queue(now, service);
+    }
+
+    fn serve_waiting(&self, state: &mut PoolState, now: Instant, service: &Arc<str>) {
+        // The order is costly to find in a long queue, and most calls find no free slot.
+        if state.services.get(service).is_none_or(|it| it.waiting.is_empty())
+            || !self.has_free_slot(state, now, service)
+        {
+            return;
+        }
+
+        for position in state.queue_order(now, service) {
             if !self.has_free_slot(state, now, service) {
                 return;
             }
@@ -345,6 +368,8 @@
                 && waiting.slot_sender.send(slot.clone()).is_err()
             {
                 state.upstreams[slot.key].in_flight -= 1;
+            } else {
+                state.record_grant(now, &request);
             }
         }
     }
@@ -380,21 +405,27 @@
         }
     }
 
-    /// Refuses a request that can't be expected to get a slot in time.
-    fn check_expected_wait(
+    /// Refuses a request that can't be expected to get a slot, or to end its program, in time.
+    fn check_admission(
         &self,
-        state: &PoolState,
+        state: &mut PoolState,
         now: Instant,
         request: &PlacementRequest,
     ) -> Result<(), PlacementRefusal> {
         let departures = self.departures.lock();
         let limits = self.limits.lock();
         let share = |record: &UpstreamRecord| limits.share(record, self.region_of(record));
-        state.check_expected_wait(now, request, &departures, &share)
+        state.check_admission(now, request, &departures, &share)
     }
 
     /// Returns the slot of a lease and records how the lease ended.
-    pub(super) fn release(&self, key: UpstreamKey, outcome: LeaseOutcome, lease_time: Duration) {
+    pub(super) fn release(
+        &self,
+        key: UpstreamKey,
+        outcome: LeaseOutcome,
+        lease_time: Duration,
+        ticket: Option<&AdmissionTicket>,
+    ) {
         let now = Instant::now();
         let mut state = self.state.lock();
         let Some(upstream) = state.upstreams.get_mut(key) else {
@@ -412,6 +443,11 @@
                 (pool.mean_lease_time * (MEAN_DIVISOR - 1) + lease_time) / MEAN_DIVISOR;
         }
 
+        if let Some((pool, ticket)) = state.services.get_mut(&service).zip(ticket) {
+            let is_answered = outcome == LeaseOutcome::Answered;
+            pool.admission.record_end(now, ticket, lease_time, is_answered);
+        }
+
         self.serve_queue(&mut state, &service);
     }
 }
@@ -422,6 +458,7 @@
     service: &'a Arc<str>,
     position: QueuePosition,
     receiver: oneshot::Receiver<GrantedSlot>,
+    ticket: Option<Arc<AdmissionTicket>>,
 }
 
 impl Drop for QueueGuard<'_> {
@@ -434,7 +471,8 @@
         }
 
         if let Ok(slot) = self.receiver.try_recv() {
-            self.pool.release(slot.key, LeaseOutcome::Cancelled, Duration::ZERO);
+            let ticket = self.ticket.as_deref();
+            self.pool.release(slot.key, LeaseOutcome::Cancelled, Duration::ZERO, ticket);
         }
     }
 }
--- a/src/entry/placement_request.rs
+++ b/src/entry/placement_request.rs
@@ -10,6 +10,14 @@
 #[derive(Clone, Debug)]
 pub(crate) struct PlacementRequest {
     pub(crate) service: Arc<str>,
+    /// Name of the request's route; what is learned of programs is learned by route.
+    pub(crate) route: Arc<str>,
+    /// Id of the request, for logs and for the spread of retries.
+    pub(crate) request: Arc<str>,
+    /// Team of the request, if the deployment has teams.
+    pub(crate) team: Option<Arc<str>>,
+    /// Id of the request's program, if that states a finish time.
+    pub(crate) program: Option<Arc<str>>,
     /// Priority of the route; 0 is the most urgent.
     pub(crate) priority: u32,
     /// Whether the request continues earlier turns; their work is lost if the request is refused.
--- a/src/entry/pool_state.rs
+++ b/src/entry/pool_state.rs
@@ -14,6 +14,7 @@
 use crate::{
     entry::{
         UpstreamRecord,
+        admission::{admission_state::AdmissionState, admission_ticket::AdmissionTicket},
         placement_pool::MIN_RETRY_AFTER,
         placement_request::{PlacementRefusal, PlacementRequest},
         pooled_upstream::PooledUpstream,
@@ -36,8 +37,11 @@
 /// Longest expected wait with which a request is admitted to the queue.
 const MAX_EXPECTED_WAIT: Duration = Duration::from_millis(1_200);
 
-/// Sort key of a waiting request: by priority, then continuations of earlier work before new work, then by the time at
+/// Sort key of a waiting request. Services with a prompt cache serve their queues by [`QueueRank`], which changes with time;
+/// the others by this key: by priority, then continuations of earlier work before new work, then by the time at
 /// which the program should finish, then by arrival.
+///
+/// [`QueueRank`]: crate::entry::admission::queue_rank::QueueRank
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(super) struct QueuePosition {
     pub(super) priority: u32,
@@ -50,6 +54,8 @@
 pub(super) struct WaitingRequest {
     pub(super) request: PlacementRequest,
     pub(super) slot_sender: oneshot::Sender<GrantedSlot>,
+    /// Set for requests that take part in admission control.
+    pub(super) ticket: Option<Arc<AdmissionTicket>>,
 }
 
 #[derive(Clone, Debug)]
@@ -64,6 +70,8 @@
     pub(super) keys: Vec<UpstreamKey>,
     pub(super) waiting: BTreeMap<QueuePosition, WaitingRequest>,
     pub(super) mean_lease_time: Duration,
+    /// Used for services with a prompt cache.
+    pub(super) admission: AdmissionState,
     /// Software versions of upstreams that are gone, and when the last of each left.
     pub(super) past_versions: HashMap<Arc<str>, Instant>,
 }
@@ -74,6 +82,7 @@
             keys: Vec::new(),
             waiting: BTreeMap::new(),
             mean_lease_time: INITIAL_LEASE_TIME,
+            admission: AdmissionState::default(),
             past_versions: HashMap::new(),
         }
     }
@@ -156,7 +165,8 @@
         }
     }
 
-    /// Refuses a request that can't be expected to get a slot in time.
+    /// Refuses a request that can't be expected to get a slot in time. Admission control takes the place of this for requests
+    /// of programs with a finish time, at services with a prompt cache.
     pub(super) fn check_expected_wait(
         &self,
         now: Instant,
--- a/src/entry/request_runner.rs
+++ b/src/entry/request_runner.rs
@@ -189,8 +189,10 @@
     async fn acquire(&self) -> Result<UpstreamLease, PlacementRefusal> {
         let queued_at = Instant::now();
         self.context.check_crashes(self.routed.fingerprint)?;
-        let lease =
-            self.context.pool.acquire(self.routed.placement_request(&self.excluded)).await?;
+        let request = self.routed.placement_request(&self.excluded);
+        let lease = self.context.pool.acquire(request).await.inspect_err(|refusal| {
+            self.context.metrics.count_placement_refusal(refusal.reason);
+        })?;
         self.context.check_crashes(self.routed.fingerprint)?;
         self.context.metrics.record_queue_time(queued_at.elapsed());
 
--- a/src/entry/routed_request.rs
+++ b/src/entry/routed_request.rs
@@ -38,10 +38,15 @@
 
     /// The request as the placement pool sees it. `excluded` lists upstreams that must not get it.
     pub(crate) fn placement_request(&self, excluded: &[Arc<str>]) -> PlacementRequest {
-        let finish_by = self.request.program.as_ref().and_then(|program| program.finish_by);
+        let program = self.request.program.as_ref().filter(|it| it.finish_by.is_some());
+        let finish_by = program.and_then(|program| program.finish_by);
 
         PlacementRequest {
             service: Arc::clone(&self.service.name),
+            route: Arc::clone(&self.route.name),
+            request: Arc::clone(&self.request.id),
+            team: None,
+            program: program.map(|it| Arc::clone(&it.id)),
             priority: self.route.priority,
             is_continuation: !self.chain.is_empty(),
             finish_by: finish_by.unwrap_or(self.deadline),
--- a/src/entry/upstream_lease.rs
+++ b/src/entry/upstream_lease.rs
@@ -8,9 +8,9 @@
 use crate::{
     CrashedRun,
     entry::{
-        PlacementPool, SendGuard, UpstreamRecord, host_reach::ReachEvidence,
-        pool_state::UpstreamKey, pooled_upstream::LeaseOutcome, upstream_channel::UpstreamResponse,
-        upstream_departures::UpstreamDeparture,
+        PlacementPool, SendGuard, UpstreamRecord, admission::admission_ticket::AdmissionTicket,
+        host_reach::ReachEvidence, pool_state::UpstreamKey, pooled_upstream::LeaseOutcome,
+        upstream_channel::UpstreamResponse, upstream_departures::UpstreamDeparture,
     },
 };
 
@@ -23,6 +23,8 @@
     /// Tokens of the prompt that the upstream should have cached.
     pub(crate) cached_tokens: u64,
     pub(super) granted_at: Instant,
+    /// What admission control learns from the lease's end, if the request takes part.
+    pub(super) ticket: Option<Arc<AdmissionTicket>>,
     pub(super) outcome: LeaseOutcome,
 }
 
@@ -88,6 +90,7 @@
 
 impl Drop for UpstreamLease {
     fn drop(&mut self) {
-        self.pool.release(self.key, self.outcome, self.granted_at.elapsed());
+        let lease_time = self.granted_at.elapsed();
+        self.pool.release(self.key, self.outcome, lease_time, self.ticket.as_deref());
     }
 }
--- a/src/tests/entry_metrics.rs
+++ b/src/tests/entry_metrics.rs
@@ -34,6 +34,7 @@
     metrics.count_offer("accepted");
     metrics.count_forwarded("answered");
     metrics.count_broken_stream("deadline");
+    metrics.count_placement_refusal("the queue is too long");
     metrics.record_role(true);
     metrics.record_schedulers(6, 0);
     metrics.record_lost_services(0);
--- a/src/tests/entry_placement.rs
+++ b/src/tests/entry_placement.rs
@@ -32,6 +32,10 @@
 
     PlacementRequest {
         service: "model".into(),
+        route: "route".into(),
+        request: "request".into(),
+        team: None,
+        program: None,
         priority,
         is_continuation,
         finish_by: now + REQUEST_TIMEOUT,
--- a/src/tests/entry_runner.rs
+++ b/src/tests/entry_runner.rs
@@ -343,6 +343,10 @@
 
     PlacementRequest {
         service: "service".into(),
+        route: "route".into(),
+        request: "request".into(),
+        team: None,
+        program: None,
         priority: 0,
         is_continuation: false,
         finish_by: deadline,
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -1,6 +1,8 @@
 //! Tests of the library's modules, with fakes in place of their dependencies.
 
 mod abandoned_connections;
+mod admission_bench;
+mod admission_pools;
 mod broken_streams;
 mod buffer_budget;
 mod cell_dispatcher;
--- a/src/tests/shared_departures.rs
+++ b/src/tests/shared_departures.rs
@@ -156,6 +156,10 @@
     let deadline = Instant::now() + Duration::from_secs(1);
     let request = PlacementRequest {
         service: "model".into(),
+        route: "route".into(),
+        request: "request".into(),
+        team: None,
+        program: None,
         priority: 0,
         is_continuation: false,
         finish_by: deadline,
--- a/src/tests/upstream_departures.rs
+++ b/src/tests/upstream_departures.rs
@@ -180,6 +180,10 @@
     let deadline = Instant::now() + Duration::from_secs(1);
     PlacementRequest {
         service: "model".into(),
+        route: "route".into(),
+        request: "request".into(),
+        team: None,
+        program: None,
         priority: 0,
         is_continuation: false,
         finish_by: deadline,
--- a/src/tests/upstream_limits.rs
+++ b/src/tests/upstream_limits.rs
@@ -27,6 +27,10 @@
     let deadline = Instant::now() + Duration::from_secs(3);
     PlacementRequest {
         service: service.into(),
+        route: "route".into(),
+        request: "request".into(),
+        team: None,
+        program: None,
         priority: 0,
         is_continuation: false,
         finish_by: deadline,
