--- a/src/entry/admission/admission_refusal.rs
+++ b/src/entry/admission/admission_refusal.rs
@@ -7,10 +7,8 @@
 pub(crate) enum RefusalReason {
     /// A new program has no chance to end in time.
     NoChance,
-    /// The queue is too long for the program's client, whatever its slack is.
+    /// The request would wait for more than half of the time that its client or its program has.
     QueueTooLong,
-    /// The program has taken more than twice its time.
-    Worthless,
 }
 
 impl RefusalReason {
@@ -19,7 +17,6 @@
         match self {
             Self::NoChance => "the new program would not end in time",
             Self::QueueTooLong => "the queue is too long",
-            Self::Worthless => "the program has taken more than twice its time",
         }
     }
 }
--- a/src/entry/admission/admission_state.rs
+++ b/src/entry/admission/admission_state.rs
@@ -151,7 +151,7 @@
     }
 
     /// Decides whether a request that finds no free slot may wait. A turn of a program under way always may, unless the
-    /// program earns nothing any more.
+    /// program earns nothing any more and the queue is too long for its client.
     pub(crate) fn check(
         &mut self,
         now: Instant,
@@ -182,12 +182,14 @@
         let ahead = (view.under_way_ahead + view.new_ahead + 1) as f64;
         let least_wait = seconds(ahead / view.slots_per_s);
 
-        let reason = match self.class(now, request) {
-            QueueClass::Worthless => RefusalReason::Worthless,
-            _ if self.is_under_way(request) => return Ok(()),
-            _ if least_wait > time_left.min(client_time).mul_f64(MAX_WAIT_SHARE) => {
-                RefusalReason::QueueTooLong
-            }
+        let class = self.class(now, request);
+        let is_worthless = class == QueueClass::Worthless;
+        let wait_limit = if is_worthless { client_time } else { time_left.min(client_time) };
+
+        let reason = match class {
+            _ if self.is_under_way(request) && !is_worthless => return Ok(()),
+            _ if least_wait > wait_limit.mul_f64(MAX_WAIT_SHARE) => RefusalReason::QueueTooLong,
+            QueueClass::Worthless => return Ok(()),
             _ if view.queue_age >= MIN_QUEUE_AGE
                 && expected_wait > allowed_wait
                 && view.longest_wait >= allowed_wait.mul_f64(MIN_WAIT_EVIDENCE) =>
--- a/src/entry/admission/pool_admission.rs
+++ b/src/entry/admission/pool_admission.rs
@@ -131,6 +131,8 @@
             .iter()
             .map(|key| &self.upstreams[*key])
             .filter(|upstream| self.is_open(upstream, now, departures) && request.may_use(upstream))
+            // A turn of a program under way waits also for upstreams that may be failing, since a refusal would lose its work.
+            .filter(|upstream| request.is_continuation || !upstream.is_in_backoff(now))
             .map(|upstream| {
                 let slots = upstream.record.slots.max(1);
                 let free = slots.saturating_sub(upstream.load(now));
