--- a/src/entry/admission.rs
+++ b/src/entry/admission.rs
@@ -25,6 +25,7 @@
 mod pool_admission;
 mod program_progress;
 mod program_table;
+mod program_view;
 pub(crate) mod queue_rank;
 pub(crate) mod queue_view;
 mod retry_time;
--- a/src/entry/admission/admission_state.rs
+++ b/src/entry/admission/admission_state.rs
@@ -9,12 +9,11 @@
     admission_ticket::AdmissionTicket,
     decayed_count::DecayedCount,
     grant_group::GrantGroup,
-    program_progress::ProgramProgress,
     program_table::ProgramTable,
+    program_view::ProgramView,
     queue_rank::{QueueClass, QueueRank},
     queue_view::QueueView,
     retry_time::retry_time,
-    route_estimate::RouteEstimate,
     team_usage::TeamUsage,
 };
 use crate::entry::placement_request::PlacementRequest;
@@ -36,10 +35,6 @@
 /// Largest part of the time left that any admitted request may be expected to wait, also in a queue that has just formed.
 const MAX_WAIT_SHARE: f64 = 0.5;
 
-/// Part of the predicted time still needed that has to fit for a turn to count as in time. A turn that is wrongly taken for
-/// late costs its program; one that is wrongly taken for in time costs a slot.
-const NEEDED_MARGIN: f64 = 0.8;
-
 /// Grants of which one goes to the late program that has waited longest, so that a long overload can't hold
 /// back programs under way for good. It is far less than new programs get, so it admits no further load.
 const LATE_INTERVAL: u32 = 16;
@@ -105,14 +100,14 @@
         request: &PlacementRequest,
         sequence: u64,
     ) -> QueueRank {
-        let class = self.class(now, request);
+        let program = self.programs.view(now, request);
+        let class = program.class();
         let overuse = self.teams.level(now, request.team.as_ref());
         let (size, due_at) = match class {
-            QueueClass::New if request.program.is_some() => (
-                self.programs.estimate_key(now, request).size,
-                self.programs.progress(request).map_or(now, |it| it.first_seen),
-            ),
-            _ => (0, self.finish_by(request)),
+            QueueClass::New if request.program.is_some() => {
+                (program.size, program.progress.map_or(now, |it| it.first_seen))
+            }
+            _ => (0, program.finish_by()),
         };
         QueueRank { class, priority: request.priority, overuse, size, due_at, sequence }
     }
@@ -158,38 +153,38 @@
         request: &PlacementRequest,
         view: &QueueView,
     ) -> Result<(), AdmissionRefusal> {
-        let progress = self.programs.progress(request);
-        let time_left = self.finish_by(request).saturating_duration_since(now);
-        let first_left = progress.and_then(|it| it.first_left).unwrap_or(time_left);
-        let route = self.estimate(now, request);
-        let turns = route.turns(first_left);
-        let slack = time_left.saturating_sub(route.idle_time(first_left));
-        let lease_excess = route.lease_excess();
+        let program = self.programs.view(now, request);
+        let (time_left, first_left) = (program.time_left(), program.first_left());
+        let estimate = program.estimate;
+        let turns = estimate.turns(first_left);
+        let idle_time = estimate.idle_time(first_left);
+        let slack = time_left.saturating_sub(idle_time);
+        let lease_excess = estimate.lease_excess();
 
         let (min_share, max_share) = WAIT_SHARE_BOUNDS;
         let client_time = request.deadline.saturating_duration_since(now);
-        let first_slack = first_left.saturating_sub(route.idle_time(first_left));
+        let first_slack = first_left.saturating_sub(idle_time);
         let age = first_left.saturating_sub(time_left);
         let allowed_wait = slack
             .saturating_sub(lease_excess.mul_f64(turns))
-            .saturating_sub(route.idle_time(first_left).mul_f64(IDLE_MARGIN))
+            .saturating_sub(idle_time.mul_f64(IDLE_MARGIN))
             .min(slack.mul_f64(max_share))
             .max(first_slack.mul_f64(min_share).saturating_sub(age))
             .min(client_time.mul_f64(MAX_WAIT_SHARE))
-            .min(route.idle_lease().mul_f64(MAX_WAIT_LEASES));
-        let expected_wait = self.expected_wait(now, request, turns, view);
+            .min(estimate.idle_lease().mul_f64(MAX_WAIT_LEASES));
+        let expected_wait = self.expected_wait(&program, turns, view);
         // What the queue takes if no further turn goes before it: a wait that can't become shorter.
         let ahead = (view.under_way_ahead + view.new_ahead + 1) as f64;
         let least_wait = seconds(ahead / view.slots_per_s);
 
-        let class = self.class(now, request);
-        let is_worthless = class == QueueClass::Worthless;
-        let wait_limit = if is_worthless { client_time } else { time_left.min(client_time) };
+        let class = program.class();
+        let is_expired = class == QueueClass::Expired;
+        let wait_limit = if is_expired { client_time } else { time_left.min(client_time) };
 
         let reason = match class {
-            _ if self.is_under_way(request) && !is_worthless => return Ok(()),
+            _ if program.is_under_way() && !is_expired => return Ok(()),
             _ if least_wait > wait_limit.mul_f64(MAX_WAIT_SHARE) => RefusalReason::QueueTooLong,
-            QueueClass::Worthless => return Ok(()),
+            QueueClass::Expired => return Ok(()),
             _ if view.queue_age >= MIN_QUEUE_AGE
                 && expected_wait > allowed_wait
                 && view.longest_wait >= allowed_wait.mul_f64(MIN_WAIT_EVIDENCE) =>
@@ -202,8 +197,7 @@
         // Those that were refused before come back as well.
         let returning = self.refusals.value(now);
         let return_time = self.expected_wait(
-            now,
-            request,
+            &program,
             turns,
             &QueueView { under_way_ahead: 0, new_ahead: returning as usize, ..*view },
         );
@@ -223,11 +217,12 @@
 
     /// Records that a request has got a slot.
     pub(crate) fn record_grant(&mut self, now: Instant, request: &PlacementRequest) {
-        let is_late = self.class(now, request) == QueueClass::Late;
+        let program = self.programs.view(now, request);
+        let is_late = program.class() == QueueClass::Late;
+        let group = (!program.is_under_way()).then(|| self.group(&program));
         self.grants_since_late = if is_late { 0 } else { self.grants_since_late.saturating_add(1) };
         self.grants.add(now);
-        if !self.is_under_way(request) {
-            let group = self.group(now, request);
+        if let Some(group) = group {
             let count = self.new_grants.entry(group);
             count.or_insert_with(|| DecayedCount::new(RATE_TIME)).add(now);
         }
@@ -249,81 +244,22 @@
     }
 
     /// Time until a new program gets a slot: requests under way go first, and new programs share what those leave.
-    fn expected_wait(
-        &self,
-        now: Instant,
-        request: &PlacementRequest,
-        turns: f64,
-        view: &QueueView,
-    ) -> Duration {
+    fn expected_wait(&self, program: &ProgramView<'_>, turns: f64, view: &QueueView) -> Duration {
         // Groups before this one are served first, so only the grants that they leave can be hoped for.
-        let groups = self.new_grants.range(self.group(now, request)..);
-        let new_grants: f64 = groups.map(|(_, count)| count.value(now)).sum();
-        let grants = self.grants.value(now);
-        let min_share = MIN_NEW_SHARE / turns.max(1.0);
+        let groups = self.new_grants.range(self.group(program)..);
+        let new_grants: f64 = groups.map(|(_, count)| count.value(program.now)).sum();
+        let grants = self.grants.value(program.now);
         // With few grants the count says little, and each turn of a program counts the same.
         let measured = (new_grants + 1.0) / (grants + turns.max(1.0));
-        let new_share = measured.clamp(min_share, 1.0);
+        let new_share = measured.clamp(MIN_NEW_SHARE / turns.max(1.0), 1.0);
         let turns_ahead = view.under_way_ahead as f64 + (view.new_ahead + 1) as f64 / new_share;
         seconds(turns_ahead / view.slots_per_s)
     }
 
-    fn estimate(&self, now: Instant, request: &PlacementRequest) -> RouteEstimate {
-        self.programs.estimate(&self.programs.estimate_key(now, request))
-    }
-
-    fn group(&self, now: Instant, request: &PlacementRequest) -> GrantGroup {
-        let overuse = self.teams.level(now, request.team.as_ref());
-        let size = self.programs.estimate_key(now, request).size;
-        GrantGroup::new(request.priority, overuse, size)
-    }
-
-    fn finish_by(&self, request: &PlacementRequest) -> Instant {
-        let known = self.programs.progress(request).map(|it| it.finish_by);
-        known.map_or(request.finish_by, |known| known.min(request.finish_by))
-    }
-
-    fn is_under_way(&self, request: &PlacementRequest) -> bool {
-        // A sub-agent's first turn continues no other.
-        request.is_continuation || self.programs.progress(request).is_some_and(|it| it.has_started)
-    }
-
-    fn class(&self, now: Instant, request: &PlacementRequest) -> QueueClass {
-        let is_under_way = self.is_under_way(request);
-        let progress = self.programs.progress(request);
-
-        if request.program.is_some() {
-            if progress.and_then(ProgramProgress::worthless_at).is_some_and(|at| at < now) {
-                return QueueClass::Worthless;
-            }
-
-            let needed = self.needed_time(now, request, is_under_way).mul_f64(NEEDED_MARGIN);
-            if self.finish_by(request).saturating_duration_since(now) < needed {
-                return if is_under_way { QueueClass::Late } else { QueueClass::LateNew };
-            }
-        }
-
-        if is_under_way { QueueClass::UnderWay } else { QueueClass::New }
-    }
-
-    /// Time that the program still needs on idle upstreams, or that of this turn if no more is known.
-    fn needed_time(
-        &self,
-        now: Instant,
-        request: &PlacementRequest,
-        is_under_way: bool,
-    ) -> Duration {
-        let route = self.estimate(now, request);
-        let first_left = self.programs.progress(request).and_then(|it| it.first_left);
-        let Some((first_left, answered)) = first_left
-            .filter(|_| route.is_learned())
-            .zip(self.programs.progress(request).map(|it| it.answered))
-        else {
-            return route.idle_lease();
-        };
-
-        let done = if is_under_way { f64::from(answered) / route.turns(first_left) } else { 0.0 };
-        route.idle_time(first_left).mul_f64((1.0 - done).max(0.0)).max(route.idle_lease())
+    /// Group in which a new program is served.
+    fn group(&self, program: &ProgramView<'_>) -> GrantGroup {
+        let overuse = self.teams.level(program.now, program.request.team.as_ref());
+        GrantGroup::new(program.request.priority, overuse, program.size)
     }
 }
 
--- a/src/entry/admission/program_progress.rs
+++ b/src/entry/admission/program_progress.rs
@@ -27,7 +27,7 @@
 
 impl ProgramProgress {
     /// When the program's credit ends: twice its time after it began. `None` if its begin is not known.
-    pub(super) fn worthless_at(&self) -> Option<Instant> {
+    pub(super) fn expires_at(&self) -> Option<Instant> {
         self.first_left.and_then(|left| self.finish_by.checked_add(left))
     }
 
--- a/src/entry/admission/program_table.rs
+++ b/src/entry/admission/program_table.rs
@@ -9,7 +9,7 @@
 
 use super::{
     admission_ticket::AdmissionTicket, estimate_key::EstimateKey,
-    program_progress::ProgramProgress, route_estimate::RouteEstimate,
+    program_progress::ProgramProgress, program_view::ProgramView, route_estimate::RouteEstimate,
 };
 use crate::entry::placement_request::PlacementRequest;
 
@@ -37,9 +37,22 @@
 }
 
 impl ProgramTable {
-    /// Estimates for a request's program.
-    pub(super) fn estimate(&self, key: &EstimateKey) -> RouteEstimate {
-        self.estimates.get(key).cloned().unwrap_or_default()
+    /// What is known of a request's program.
+    pub(super) fn view<'a>(
+        &'a self,
+        now: Instant,
+        request: &'a PlacementRequest,
+    ) -> ProgramView<'a> {
+        let progress = self.progress(request);
+        let left = request.finish_by.saturating_duration_since(now);
+        let (estimate, size) = if let Some(progress) = progress {
+            (self.estimates.get(&progress.estimate), progress.estimate.size)
+        } else {
+            let key = EstimateKey::new(&request.route, left);
+            (self.estimates.get(&key), key.size)
+        };
+        let estimate = estimate.copied().unwrap_or_default();
+        ProgramView { request, progress, estimate, size, now }
     }
 
     /// Key of the estimates for a request's program.
@@ -51,7 +64,7 @@
     }
 
     /// Progress of a request's program, if it is remembered.
-    pub(super) fn progress(&self, request: &PlacementRequest) -> Option<&ProgramProgress> {
+    fn progress(&self, request: &PlacementRequest) -> Option<&ProgramProgress> {
         let program = request.program.as_ref()?;
         self.programs.get(&(request.team.clone(), Arc::clone(program)))
     }
@@ -159,8 +172,8 @@
                     estimate.record_program(progress.answered, left, idle_time);
                 }
             }
-            let worthless_at = progress.worthless_at();
-            let is_over = progress.finish_by <= now && worthless_at.is_none_or(|at| at <= now);
+            let expires_at = progress.expires_at();
+            let is_over = progress.finish_by <= now && expires_at.is_none_or(|at| at <= now);
             // A program that goes on after twice its time has to be known as one that earns nothing.
             !is_over || silence < RETRY_TIME
         });
--- a/src/entry/admission/queue_rank.rs
+++ b/src/entry/admission/queue_rank.rs
@@ -14,7 +14,7 @@
     /// The program is new and can't end in time.
     LateNew,
     /// The program earns nothing any more.
-    Worthless,
+    Expired,
 }
 
 /// Sort key of a waiting request. Within a class the route's priority decides, then how far the team exceeds its share, then
--- a/src/entry/admission/route_estimate.rs
+++ b/src/entry/admission/route_estimate.rs
@@ -36,7 +36,7 @@
 
 /// Estimates of a route's programs, with sane values from the start. The samples are bounded, and each moves an estimate
 /// by a tenth at most.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 pub(crate) struct RouteEstimate {
     programs: u32,
     leases: u32,
--- a/src/tests/admission_bench.rs
+++ b/src/tests/admission_bench.rs
@@ -5,6 +5,7 @@
 
 use std::{cmp::Reverse, collections::BinaryHeap, sync::Arc};
 
+use derive_more::Display;
 use tokio::time::{Duration, Instant};
 
 use crate::entry::{
@@ -42,12 +43,19 @@
 /// Wait of a turn from which on waits aren't normal, in ms.
 const NORMAL_WAIT_MS: u64 = 50;
 
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 enum Policy {
+    /// All requests wait, the oldest is served first.
+    #[display("first come")]
     FirstCome,
-    Today,
+    /// Priority, continuation and finish time; a request is refused by its expected wait.
+    #[display("before")]
+    Before,
+    /// All requests wait, the team with the fewest recent grants is served first.
+    #[display("fair share")]
     FairShare,
-    New,
+    #[display("admission")]
+    Admission,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -324,13 +332,13 @@
         let slots_per_s = SLOTS as f64 / self.mean_lease_ms * 1_000.0;
         match self.policy {
             Policy::FirstCome | Policy::FairShare => Ok(()),
-            Policy::Today => {
+            Policy::Before => {
                 let wait_ms = (self.queue.len() + 1) as f64 / slots_per_s * 1_000.0;
                 let left = request.deadline.saturating_duration_since(self.instant(self.now_ms));
                 let max_ms = (left.as_millis() as f64 / 2.0).min(1_200.0);
                 if wait_ms > max_ms { Err(wait_ms.max(100.0) as u64) } else { Ok(()) }
             }
-            Policy::New => {
+            Policy::Admission => {
                 let now = self.instant(self.now_ms);
                 let rank = self.admission.rank(now, request, u64::MAX);
                 let ranks = self.queue.iter().map(|it| {
@@ -346,8 +354,8 @@
 
     fn refuse(&mut self, index: usize, retry_ms: u64) {
         let program = &mut self.programs[index];
-        let worthless_ms = program.began_ms + 2 * program.objective_ms;
-        if program.has_started && self.now_ms < worthless_ms {
+        let expires_ms = program.began_ms + 2 * program.objective_ms;
+        if program.has_started && self.now_ms < expires_ms {
             self.result.refused_under_way += 1;
         }
         program.was_refused = true;
@@ -406,7 +414,7 @@
         let waiting = || self.queue.iter().enumerate();
         match self.policy {
             Policy::FirstCome => waiting().min_by_key(|(_, it)| it.sequence).map(|(at, _)| at),
-            Policy::Today => {
+            Policy::Before => {
                 let key = |it: &Waiting| {
                     let request = &it.request;
                     (request.priority, !request.is_continuation, request.finish_by, it.sequence)
@@ -420,7 +428,7 @@
                 };
                 waiting().min_by(|(_, left), (_, right)| compare(left, right)).map(|(at, _)| at)
             }
-            Policy::New => {
+            Policy::Admission => {
                 let now = self.instant(self.now_ms);
                 let items = waiting().map(|(at, it)| (at, it.sequence, &it.request));
                 self.admission.sort_queue(now, items).first().copied()
@@ -515,13 +523,13 @@
     println!("|---|---|---|---|---|---|---|---|---|");
 
     for scenario in SCENARIOS {
-        for policy in [Policy::FirstCome, Policy::Today, Policy::FairShare, Policy::New] {
+        for policy in [Policy::FirstCome, Policy::Before, Policy::FairShare, Policy::Admission] {
             let result = Simulation::new(scenario, policy, 1).run();
             for (group, label) in result.groups.iter().zip([", these", ", others"]) {
                 let label = if result.groups[0].total() == 0 { "" } else { label };
                 if group.total() > 0 {
                     println!(
-                        "| {}{label} | {policy:?} | {} | {:.3} | {:.3} | {:.3} | {:.3} | {} | {:.2} |",
+                        "| {}{label} | {policy} | {} | {:.3} | {:.3} | {:.3} | {:.3} | {} | {:.2} |",
                         scenario.name,
                         group.total(),
                         group.share_in_time(),
@@ -541,7 +549,7 @@
 #[test]
 fn check_refuses_nothing_below_the_capacity_and_no_turn_under_way() {
     for scenario in SCENARIOS {
-        let result = run(scenario.name, Policy::New);
+        let result = run(scenario.name, Policy::Admission);
         assert_eq!(result.refused_under_way, 0, "{}", scenario.name);
         if scenario.load < 1.0 && scenario.hot.0 == 0 {
             let refused: usize = result.groups.iter().map(|it| it.refused + it.late).sum();
@@ -554,13 +562,13 @@
 #[test]
 fn check_lets_more_programs_end_in_time_in_a_burst() {
     for (name, bound) in [("load 1.7", 0.7), ("urgent short, load 1.7", 0.7)] {
-        let new = run(name, Policy::New);
-        let today = run(name, Policy::Today);
+        let admission = run(name, Policy::Admission);
+        let before = run(name, Policy::Before);
         let in_time =
             |result: &BenchResult| -> usize { result.groups.iter().map(|it| it.in_time).sum() };
-        let total: usize = new.groups.iter().map(Outcomes::total).sum();
-        assert!(in_time(&new) > in_time(&today), "{name}: {new:?}, today {today:?}");
-        assert!(in_time(&new) as f64 > bound * total as f64, "{name}: {new:?}");
+        let total: usize = admission.groups.iter().map(Outcomes::total).sum();
+        assert!(in_time(&admission) > in_time(&before), "{name}: {admission:?}, before {before:?}");
+        assert!(in_time(&admission) as f64 > bound * total as f64, "{name}: {admission:?}");
     }
 }
 
@@ -568,7 +576,7 @@
 #[test]
 fn rank_lets_hot_teams_pay_first() {
     for name in ["one team at 7.5", "three teams at 5"] {
-        let [_, others] = run(name, Policy::New).groups;
+        let [_, others] = run(name, Policy::Admission).groups;
         assert!(others.share_in_time() > 0.98, "{name}: {others:?}");
     }
 }
--- a/src/tests/admission_pools.rs
+++ b/src/tests/admission_pools.rs
@@ -75,13 +75,15 @@
     }
 }
 
-/// Programs with 5 turns, one each `interval`, at pools in turn. Returns how many first and later turns were refused, and how
+/// Programs with 5 turns, one each `interval`, at pools in turn. Programs that don't state a finish time get the rules from
+/// before admission control. Returns how many first and later turns were refused, and how
 /// many programs ended in time.
 async fn run_programs(
     pools: usize,
     count: usize,
     interval: Duration,
     objective: Duration,
+    states_finish: bool,
 ) -> (usize, usize, usize) {
     let pools: Vec<_> = (0..pools).map(|_| pool(16)).collect();
     let running = Running::default();
@@ -94,11 +96,10 @@
             let finish_at = Instant::now() + objective;
             for turn in 0..5 {
                 let left = finish_at.saturating_duration_since(Instant::now());
-                let request = request(program, turn > 0, left);
+                let mut request = request(program, turn > 0, left);
+                request.program = request.program.filter(|_| states_finish);
                 if let Err(refusal) = run_turn(&pool, &running, request).await {
-                    if turn > 0 {
-                        println!("turn {turn} of program {program}: {refusal:?}");
-                    }
+                    assert!(refusal.retry_after > Duration::ZERO);
                     return (usize::from(turn == 0), usize::from(turn > 0), 0);
                 }
                 sleep(Duration::from_millis(50)).await;
@@ -123,7 +124,7 @@
         // 0.83 of the capacity.
         let interval = Duration::from_millis(14);
         let objective = Duration::from_secs(3);
-        let outcome = run_programs(pools, 700, interval, objective).await;
+        let outcome = run_programs(pools, 700, interval, objective, true).await;
         assert_eq!(outcome, (0, 0, 700), "with {pools} pools");
     }
 }
@@ -132,7 +133,7 @@
 #[tokio::test(start_paused = true)]
 async fn acquire_refuses_nothing_below_the_capacity_with_impossible_objectives() {
     let interval = Duration::from_millis(14);
-    let (first, later, _) = run_programs(6, 700, interval, Duration::from_millis(400)).await;
+    let (first, later, _) = run_programs(6, 700, interval, Duration::from_millis(400), true).await;
     assert_eq!((first, later), (0, 0));
 }
 
@@ -142,9 +143,35 @@
     for pools in [1, 6] {
         let interval = Duration::from_micros(6_500);
         let objective = Duration::from_secs(3);
-        let (first, later, in_time) = run_programs(pools, 1_500, interval, objective).await;
+        let (first, later, in_time) = run_programs(pools, 1_500, interval, objective, true).await;
         assert_eq!(later, 0, "turns of programs under way were refused with {pools} pools");
         assert!(first > 300, "only {first} programs were refused with {pools} pools");
         assert!(in_time > 675, "only {in_time} programs ended in time with {pools} pools");
     }
 }
+
+/// Prints the table of docs/BENCHMARKS.md: `cargo test --lib acquire_prints -- --nocapture`.
+#[tokio::test(start_paused = true)]
+async fn acquire_prints_its_table() {
+    println!(
+        "| pools | load | rules | programs | first turns refused | later turns refused | in time |"
+    );
+    println!("|---|---|---|---|---|---|---|");
+
+    for pools in [1, 6] {
+        for (interval_us, count) in [(14_000, 700), (9_700, 1_000), (6_500, 1_500), (4_500, 2_000)]
+        {
+            for (rules, states_finish) in [("before", false), ("admission", true)] {
+                let interval = Duration::from_micros(interval_us);
+                let objective = Duration::from_secs(3);
+                let (first, later, in_time) =
+                    run_programs(pools, count, interval, objective, states_finish).await;
+                // 128 slots, 5 turns of 301 ms each.
+                let load = 1_505.0 / 128.0 / (interval_us as f64 / 1_000.0);
+                println!(
+                    "| {pools} | {load:.2} | {rules} | {count} | {first} | {later} | {in_time} |"
+                );
+            }
+        }
+    }
+}
--- a/src/tests/admission_rules.rs
+++ b/src/tests/admission_rules.rs
@@ -105,14 +105,14 @@
     assert!((1.5..=1.25 / 0.75 + 0.01).contains(&ratio), "from {min:?} to {max:?}");
 }
 
-/// Guards against an order in which hopeless requests hold up the others, and against late programs that get nothing while an
-/// overload lasts.
+/// Guards against an order in which hopeless requests hold up the others, and against late programs of a low priority that get
+/// nothing while an overload lasts.
 #[test]
 fn sort_queue_serves_by_class_and_late_programs_now_and_then() {
     let (mut state, now) = (AdmissionState::default(), Instant::now());
     let requests = [
-        request(now, "worthless", false, 200),
-        request(now, "late", true, 50),
+        request(now, "expired", false, 200),
+        PlacementRequest { priority: 5, ..request(now, "late", true, 50) },
         request(now, "new", false, 9_000),
         request(now, "under way", true, 9_000),
     ];
@@ -123,7 +123,7 @@
         let order = state.sort_queue(at, waiting);
         order.into_iter().filter_map(|at| requests[at].program.clone()).collect()
     };
-    assert_eq!(order(&state), ["under way", "new", "late", "worthless"].map(Arc::from));
+    assert_eq!(order(&state), ["under way", "new", "late", "expired"].map(Arc::from));
 
     (0..15).for_each(|_| state.record_grant(at, &requests[3]));
     assert_eq!(&*order(&state)[0], "late");
