Admission waits up to two leases, and learns programs in a fixed order after they have ended

Cause: programs were learned in the order of a hash map, and late ones before their last turn, with too few turns. New programs could wait for one lease only.

Change: programs are learned once they are silent, sorted; the cap is two leases.

--- a/src/entry/admission/admission_state.rs
+++ b/src/entry/admission/admission_state.rs
@@ -30,7 +30,7 @@
 
 /// Longest expected wait of a new program, in leases. A longer queue of new programs fills no slot that a shorter one leaves
 /// free, and makes programs late whose objectives leave little.
-const MAX_WAIT_LEASES: f64 = 1.0;
+const MAX_WAIT_LEASES: f64 = 2.0;
 
 /// Largest part of the time left that any admitted request may be expected to wait, also in a queue that has just formed.
 const MAX_WAIT_SHARE: f64 = 0.5;
@@ -123,7 +123,7 @@
             .collect();
         ranked.sort_unstable_by_key(|(rank, _)| *rank);
 
-        if self.grants_since_late + 1 >= LATE_INTERVAL {
+        if self.grants_since_late >= LATE_INTERVAL - 1 {
             let oldest = (0..ranked.len())
                 .filter(|index| ranked[*index].0.class == QueueClass::Late)
                 .min_by_key(|index| ranked[*index].0.sequence);
--- a/src/entry/admission/program_table.rs
+++ b/src/entry/admission/program_table.rs
@@ -22,7 +22,7 @@
 /// Time between sweeps of ended programs.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Time for which a program that earns nothing any more may send its next request.
+/// Time without requests after which a program has ended, since clients wait for 3 s and then send a failed turn again soon.
 const RETRY_TIME: Duration = Duration::from_secs(4);
 
 /// Time without requests after which a program is forgotten whatever its finish time is.
@@ -149,13 +149,13 @@
         }
     }
 
-    /// Learns from programs whose time is over, and forgets those that earn nothing any more.
+    /// Learns from programs that have ended, and forgets those that earn nothing any more.
     fn sweep(&mut self, now: Instant) {
         if self.swept_at.is_some_and(|at| now.saturating_duration_since(at) < SWEEP_INTERVAL) {
             return;
         }
         self.swept_at = Some(now);
-        let estimates = &mut self.estimates;
+        let mut ended = Vec::new();
 
         self.programs.retain(|_, progress| {
             let silence = now.saturating_duration_since(progress.last_seen);
@@ -164,18 +164,35 @@
                 return silence < MAX_SILENCE;
             }
 
-            if !progress.is_learned && progress.finish_by <= now {
+            // A late program that goes on would count with too few turns.
+            let is_silent = silence >= RETRY_TIME;
+            if !progress.is_learned && is_silent && progress.finish_by <= now {
                 progress.is_learned = true;
-                if let Some((left, idle_time)) = progress.first_left.zip(progress.idle_time())
-                    && let Some(estimate) = estimates.get_mut(&progress.estimate)
-                {
-                    estimate.record_program(progress.answered, left, idle_time);
-                }
+                let times = progress.first_left.zip(progress.idle_time());
+                ended.extend(times.map(|(left, idle_time)| {
+                    (
+                        progress.finish_by,
+                        left,
+                        idle_time,
+                        progress.answered,
+                        progress.estimate.clone(),
+                    )
+                }));
             }
             let expires_at = progress.expires_at();
             let is_over = progress.finish_by <= now && expires_at.is_none_or(|at| at <= now);
             // A program that goes on after twice its time has to be known as one that earns nothing.
-            !is_over || silence < RETRY_TIME
+            !is_over || !is_silent
         });
+
+        // The order of the map differs from process to process, and samples weigh by their order.
+        ended.sort_unstable_by_key(|(finish_by, left, idle_time, answered, _)| {
+            (*finish_by, *left, *idle_time, *answered)
+        });
+        for (_, left, idle_time, answered, key) in ended {
+            if let Some(estimate) = self.estimates.get_mut(&key) {
+                estimate.record_program(answered, left, idle_time);
+            }
+        }
     }
 }
--- a/src/entry/admission/team_usage.rs
+++ b/src/entry/admission/team_usage.rs
@@ -1,6 +1,6 @@
 //! Use of a service by teams, for the fair share.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{collections::BTreeMap, sync::Arc};
 
 use tokio::time::{Duration, Instant};
 
@@ -27,7 +27,8 @@
 /// Recent grants of each team with demand. All teams have the same weight.
 #[derive(Debug, Default)]
 pub(super) struct TeamUsage {
-    teams: HashMap<Arc<str>, TeamDemand>,
+    /// In a fixed order, so that sums don't depend on the process.
+    teams: BTreeMap<Arc<str>, TeamDemand>,
     mean_grants: f64,
     computed_at: Option<Instant>,
 }
