--- a/src/entry/dispatching/placement_query.rs
+++ b/src/entry/dispatching/placement_query.rs
@@ -51,6 +51,8 @@
     pub(crate) prompt_tokens: u64,
     pub(crate) software_version: Option<Arc<str>>,
     pub(crate) excluded: Vec<Arc<str>>,
+    /// Program of the request, if that states a finish time; scoped by team.
+    pub(crate) program: Option<Arc<str>>,
     pub(crate) numbers: NamedNumbers,
 }
 
@@ -81,6 +83,7 @@
             prompt_tokens: placement.prompt_tokens,
             software_version: placement.software_version.clone(),
             excluded: placement.excluded.clone(),
+            program: placement.program.clone(),
             numbers: vec![
                 (COMPLETION_TOKENS.into(), positive(placement.completion_tokens)),
                 (MAY_REPEAT.into(), i64::from(placement.may_repeat)),
@@ -94,7 +97,10 @@
 
         PlacementRequest {
             service: Arc::clone(&self.service),
+            route: Arc::clone(&self.route),
+            request: Arc::clone(&self.request),
             team: self.team.clone(),
+            program: self.program.clone(),
             priority: self.priority,
             is_continuation: self.is_continuation,
             finish_by: shifted(now, self.finish_in_us),
--- a/src/entry/dispatching/remote_grants.rs
+++ b/src/entry/dispatching/remote_grants.rs
@@ -58,6 +58,7 @@
             cached_tokens: grant.cached_tokens,
             granted,
             first_event_time: None,
+            ticket: None,
             outcome: LeaseOutcome::Cancelled,
             remote: Some(remote),
         })
--- a/src/entry/request_runner.rs
+++ b/src/entry/request_runner.rs
@@ -239,7 +239,10 @@
         let queued_at = Instant::now();
         self.context.check_key(&self.routed)?;
         self.context.check_crashes(self.routed.fingerprint)?;
-        let lease = self.context.acquire(&self.routed, &self.excluded).await?;
+        let lease =
+            self.context.acquire(&self.routed, &self.excluded).await.inspect_err(|refusal| {
+                self.context.metrics.count_placement_refusal(refusal.reason);
+            })?;
         self.context.check_key(&self.routed)?;
         self.context.check_crashes(self.routed.fingerprint)?;
         self.context.metrics.record_queue_time(queued_at.elapsed());
--- a/src/entry/upstream_lease.rs
+++ b/src/entry/upstream_lease.rs
@@ -9,6 +9,7 @@
     CrashedRun,
     entry::{
         PlacementPool, SendGuard, UpstreamRecord,
+        admission::admission_ticket::AdmissionTicket,
         dispatching::remote_lease::RemoteLease,
         host_reach::ReachEvidence,
         pool_state::UpstreamKey,
@@ -30,6 +31,8 @@
     pub(super) granted: GrantedLoad,
     /// Time from the grant to the first event of a stream.
     pub(super) first_event_time: Option<Duration>,
+    /// What admission control learns from the lease's end, if the request takes part.
+    pub(super) ticket: Option<Arc<AdmissionTicket>>,
     pub(super) outcome: LeaseOutcome,
     /// The slot as the region's dispatcher holds it, if another host has granted it.
     pub(super) remote: Option<Box<RemoteLease>>,
@@ -132,6 +135,6 @@
 
         let (outcome, granted) = (self.outcome, self.granted);
         let end = LeaseEnd { outcome, granted, first_event_time: self.first_event_time };
-        self.pool.release(self.key, end);
+        self.pool.release(self.key, end, self.ticket.as_deref());
     }
 }
--- a/src/tests/dispatching.rs
+++ b/src/tests/dispatching.rs
@@ -293,7 +293,10 @@
         may_wait,
         placement: PlacementRequest {
             service: SERVICE.into(),
+            route: "route".into(),
+            request: "r1".into(),
             team: None,
+            program: None,
             priority: 0,
             is_continuation: false,
             finish_by: deadline,
--- a/src/tests/entry_placement.rs
+++ b/src/tests/entry_placement.rs
@@ -33,6 +33,9 @@
     PlacementRequest {
         team: None,
         service: "model".into(),
+        route: "route".into(),
+        request: "request".into(),
+        program: None,
         priority,
         is_continuation,
         finish_by: now + REQUEST_TIMEOUT,
--- a/src/tests/entry_runner.rs
+++ b/src/tests/entry_runner.rs
@@ -352,6 +352,9 @@
     PlacementRequest {
         team: None,
         service: "service".into(),
+        route: "route".into(),
+        request: "request".into(),
+        program: None,
         priority: 0,
         is_continuation: false,
         finish_by: deadline,
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -1,6 +1,9 @@
 //! Tests of the library's modules, with fakes in place of their dependencies.
 
 mod abandoned_connections;
+mod admission_bench;
+mod admission_pools;
+mod admission_rules;
 mod broken_streams;
 mod buffer_budget;
 mod cell_dispatcher;
--- a/src/tests/shared_departures.rs
+++ b/src/tests/shared_departures.rs
@@ -157,6 +157,9 @@
     let request = PlacementRequest {
         team: None,
         service: "model".into(),
+        route: "route".into(),
+        request: "request".into(),
+        program: None,
         priority: 0,
         is_continuation: false,
         finish_by: deadline,
--- a/src/tests/upstream_departures.rs
+++ b/src/tests/upstream_departures.rs
@@ -181,6 +181,9 @@
     PlacementRequest {
         team: None,
         service: "model".into(),
+        route: "route".into(),
+        request: "request".into(),
+        program: None,
         priority: 0,
         is_continuation: false,
         finish_by: deadline,
--- a/src/tests/upstream_limits.rs
+++ b/src/tests/upstream_limits.rs
@@ -28,6 +28,9 @@
     PlacementRequest {
         team: None,
         service: service.into(),
+        route: "route".into(),
+        request: "request".into(),
+        program: None,
         priority: 0,
         is_continuation: false,
         finish_by: deadline,
