Enforce quotas of teams over all hosts

Cause: hosts knew no quotas, and had no common count of a team's requests.

Change: each team has a quota owner, chosen by rendezvous hashing, with a token bucket. Schedulers hold allowances out of it, which they spend without a message, and report every 100 ms (400 ms if idle) or at once if a request waits. Each scheduler hands its part of the rate to one owner per team, by its own clock, so that cuts, repetition and second owners never make the sum larger than the rate. The hook in `EntryHost::run` counts a request once and gives the token back if the response states that it has not run. Without quotas in the configuration, no message is sent.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -41,6 +41,7 @@
 pub(crate) mod pooled_upstream;
 pub(crate) mod presumed_crashes;
 mod prompt_cache;
+pub(crate) mod quotas;
 mod reach_prober;
 pub(crate) mod recent_spends;
 pub(crate) mod record_readings;
@@ -87,6 +88,7 @@
         StoredObject, WatchBatch, WriteOutcome,
     },
     placement_pool::PlacementPool,
+    quotas::QuotaTolerance,
     retirement_keeper::{RetirementKeeper, RetirementRequest},
     route_table::{RequestKind, RouteLimits, RouteTable, RouteTarget, ServiceConfig, ServiceRoute},
     run_record::PossibleRuns,
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -27,6 +27,7 @@
         mesh_peer::MeshIdentity,
         mesh_state::MeshState,
         peer_mesh::PeerMesh,
+        quotas::{QuotaLimit, quota_gate::QuotaGate, quota_token::QuotaToken},
         reach_prober::ReachProber,
         record_retention::MIN_RETENTION,
         request_runner::{RequestRunner, RunnerContext},
@@ -76,6 +77,7 @@
     peers: KindFollower,
     monitor: StoreMonitor,
     budgets: BudgetContext,
+    quotas: Arc<QuotaGate>,
     versions: VersionFinder,
     registry: HostRegistry,
     crash_records: CrashRecords,
@@ -187,6 +189,7 @@
             peers,
             monitor,
             budgets,
+            quotas: QuotaGate::start(settings.quota_tolerance, &mesh, &runner_context.metrics),
             versions,
             registry: network.registry.clone(),
             crash_records: CrashRecords::new(Arc::clone(&backends.store)),
@@ -326,6 +329,7 @@
         self.context.pool.set_cache_capacities(capacities);
         self.context.metrics.record_config_version(table.version);
         self.context.metrics.record_teams(table.team_count());
+        self.quotas.set_enabled(table.has_quotas());
         log::info!(version = table.version, teams = table.team_count(); "configuration in force");
         self.table().store(Arc::new(table));
     }
@@ -554,6 +558,11 @@
             Err(error) => return EntryResponse::not_run(BUFFERS_RETRY_AFTER, error.to_string()),
         };
 
+        let token = match self.acquire_quota(&request, team.as_ref(), deadline).await {
+            Ok(token) => token,
+            Err(response) => return response,
+        };
+
         let routed = RoutedRequest {
             body: chain_body(&chain, &request.body),
             _body_lease: body_lease,
@@ -567,7 +576,37 @@
             deadline,
         };
 
-        RequestRunner::new(Arc::clone(&self.context), routed, budget).run().await
+        let response = RequestRunner::new(Arc::clone(&self.context), routed, budget).run().await;
+        if let Some(token) = token
+            && response.states_not_run()
+        {
+            token.give_back();
+        }
+        response
+    }
+
+    /// Counts a request against its team's quota; `None` without a quota. A request that may have run through another host
+    /// was counted there.
+    async fn acquire_quota(
+        &self,
+        request: &EntryRequest,
+        team: Option<&Arc<Team>>,
+        deadline: Instant,
+    ) -> Result<Option<QuotaToken>, EntryResponse> {
+        let quota = team.and_then(|team| team.quota.map(|quota| (team, quota)));
+        let Some((team, quota)) = quota.filter(|_| request.possible_runs.count() == 0) else {
+            return Ok(None);
+        };
+
+        let limit = QuotaLimit::new(quota, self.routes().version);
+        match self.quotas.acquire(&team.name, limit, deadline).await {
+            Ok(token) => Ok(Some(token)),
+            Err(refusal) => {
+                let retry_after = refusal.retry_after;
+                let kind = EntryRefusal::QuotaExceeded { retry_after };
+                Err(EntryResponse::refused(kind, refusal.to_string()))
+            }
+        }
     }
 
     /// Counts the prompt of a request that continues earlier turns, as it is a copy of all of them.
--- a/src/entry/entry_metrics.rs
+++ b/src/entry/entry_metrics.rs
@@ -37,6 +37,7 @@
     lost_services: Gauge<u64>,
     key_checks: Counter<u64>,
     teams: Gauge<u64>,
+    quota_decisions: Counter<u64>,
 }
 
 impl EntryMetrics {
@@ -131,6 +132,10 @@
                 .u64_gauge("ragwortknot.entry.teams")
                 .with_description("Teams of the configuration in force.")
                 .build(),
+            quota_decisions: counter(
+                "ragwortknot.entry.quota.decisions",
+                "Requests of teams with a quota, and failed reports to quota owners, by result.",
+            ),
             registry,
         })
     }
@@ -159,6 +164,11 @@
         self.store_calls.add(1, &[KeyValue::new("call", call), KeyValue::new("result", result)]);
     }
 
+    /// Counts a decision on a request of a team with a quota. Teams are not told apart, since there may be 20,000.
+    pub(crate) fn count_quota_decision(&self, result: &'static str) {
+        self.quota_decisions.add(1, &[KeyValue::new("result", result)]);
+    }
+
     pub(crate) fn count_tokens(&self, tokens: u64) {
         self.tokens.add(tokens, &[]);
     }
--- a/src/entry/entry_response.rs
+++ b/src/entry/entry_response.rs
@@ -148,6 +148,17 @@
         Self::Refused { refusal, reason: reason.into() }
     }
 
+    /// Whether the response states that the request has not run and will not run.
+    pub(crate) fn states_not_run(&self) -> bool {
+        match self {
+            Self::Relayed(response) => {
+                let status = response.status;
+                status == StatusCode::TOO_MANY_REQUESTS || status == StatusCode::SERVICE_UNAVAILABLE
+            }
+            Self::Refused { refusal, .. } => refusal.states_not_run(),
+        }
+    }
+
     /// Whether another host may go on with the request.
     pub(crate) fn is_out_of_reach(&self) -> bool {
         matches!(self, Self::Refused { refusal: EntryRefusal::OutOfReach { .. }, .. })
--- a/src/entry/entry_settings.rs
+++ b/src/entry/entry_settings.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
-use crate::entry::{ExpiryBounds, ObjectStore, UpstreamChannel};
+use crate::entry::{ExpiryBounds, ObjectStore, QuotaTolerance, UpstreamChannel};
 
 /// Settings of an entry host.
 #[derive(Clone, Debug)]
@@ -23,6 +23,8 @@
     pub memory_bytes: Option<u64>,
     /// What the platform states of its upstreams' entries.
     pub expiry: ExpiryBounds,
+    /// What the platform tolerates beyond a team's quota.
+    pub quota_tolerance: QuotaTolerance,
 }
 
 impl EntrySettings {
--- a/src/entry/mesh_answers.rs
+++ b/src/entry/mesh_answers.rs
@@ -63,6 +63,7 @@
             }
             PeerMessage::KnowledgeQuery => PeerMessage::NoAck,
             PeerMessage::FeaturesQuery => PeerMessage::Features { features: self.local_features() },
+            PeerMessage::QuotaReport { report } => self.respond_to_quota_report(&report),
             PeerMessage::RecentSpendsQuery { writer, sequence } => {
                 let journal = self.journal.get().filter(|_| writer == self.identity.writer);
                 match journal.and_then(|it| it.recent_spends(sequence)) {
--- a/src/entry/peer_mesh.rs
+++ b/src/entry/peer_mesh.rs
@@ -21,6 +21,7 @@
         mesh_peer::{MeshIdentity, MeshPeer},
         mesh_state::MeshState,
         peer_contact::{DroppedPeer, PeerContact},
+        quotas::quota_owner::QuotaOwner,
         run_lives::RunLives,
         stream_versions::BegunStream,
         turn_journal::TurnJournal,
@@ -88,6 +89,8 @@
     /// Start of this run.
     pub(super) started_at: Instant,
     pub(super) journal: OnceLock<Arc<TurnJournal>>,
+    /// Quotas of the teams of which this host is the quota owner.
+    pub(super) quota_owner: OnceLock<Arc<Mutex<QuotaOwner>>>,
     pub(super) connector: MeshConnector,
     pub(super) state: MeshState,
     /// Whether this host has loaded the recorded spends and turns, so that it may respond to other hosts' queries for
@@ -130,6 +133,7 @@
             identity,
             started_at: Instant::now(),
             journal: OnceLock::new(),
+            quota_owner: OnceLock::new(),
             connector: MeshConnector::new(transport),
             state,
             has_loaded_records: AtomicBool::new(false),
@@ -154,6 +158,11 @@
         let _ = self.journal.set(journal);
     }
 
+    /// Sets what answers other schedulers' reports on quotas.
+    pub(crate) fn set_quota_owner(&self, owner: Arc<Mutex<QuotaOwner>>) {
+        let _ = self.quota_owner.set(owner);
+    }
+
     /// Adds a peer, or replaces it if its address has changed.
     pub(crate) fn add_peer(&self, host: Arc<str>, address: SocketAddr, region: Arc<str>) {
         if host == self.identity.host || self.has_peer(&host, address) {
--- a/src/entry/route_table.rs
+++ b/src/entry/route_table.rs
@@ -183,6 +183,11 @@
         self.teams.team_count() > 0
     }
 
+    /// Whether any team has a quota.
+    pub(crate) fn has_quotas(&self) -> bool {
+        self.teams.has_quotas()
+    }
+
     /// Number of teams.
     pub(crate) fn team_count(&self) -> usize {
         self.teams.team_count()
--- a/src/entry/teams/team_directory.rs
+++ b/src/entry/teams/team_directory.rs
@@ -12,6 +12,8 @@
 pub struct TeamDirectory {
     teams_by_key: HashMap<KeyDigest, Arc<Team>>,
     team_count: usize,
+    /// Whether any team has a quota.
+    has_quotas: bool,
 }
 
 impl TeamDirectory {
@@ -22,6 +24,7 @@
     /// Returns the first field that is not valid; the version of the configuration must then not be put in force.
     pub fn new(terms: Vec<TeamTerms>) -> Result<Self, TeamError> {
         let team_count = terms.len();
+        let has_quotas = terms.iter().any(|it| it.team.quota.is_some());
         let key_count = terms.iter().map(|it| it.keys.len()).sum();
         let mut teams_by_key: HashMap<KeyDigest, Arc<Team>> = HashMap::with_capacity(key_count);
         let mut names = HashSet::with_capacity(team_count);
@@ -55,7 +58,7 @@
             }
         }
 
-        Ok(Self { teams_by_key, team_count })
+        Ok(Self { teams_by_key, team_count, has_quotas })
     }
 
     /// Team of a key.
@@ -63,6 +66,11 @@
         self.teams_by_key.get(digest)
     }
 
+    /// Whether any team has a quota, so that schedulers exchange reports.
+    pub(crate) fn has_quotas(&self) -> bool {
+        self.has_quotas
+    }
+
     /// Number of teams, with those that have no keys.
     pub(crate) fn team_count(&self) -> usize {
         self.team_count
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,7 +19,7 @@
 mod tests;
 
 pub use self::{
-    benches::slope_bench::LoadedQueue,
+    benches::{quota_bench::LoadedQuotas, slope_bench::LoadedQueue},
     process::{
         node_log::{LogBuffer, LogGuard, LogSink, start_log},
         run_cli::run_cli,
--- a/src/membership/peer_message.rs
+++ b/src/membership/peer_message.rs
@@ -13,6 +13,7 @@
         batch_index::IndexedBatch,
         budget_ledger::{SpendNote, SpendRecord, WriterSpends},
         host_reach::LostServices,
+        quotas::{QuotaAnswer, QuotaReport},
         record_readings::ReadingAges,
         stream_versions::{BegunStream, StreamOrigin},
         turn_history::HistoryTurn,
@@ -275,6 +276,15 @@
     Features {
         features: Vec<(Arc<str>, u64)>,
     },
+    /// Entry: what the sender holds and needs of the teams whose quota owner the receiver is. The response is
+    /// [`PeerMessage::QuotaGrants`], or `Refused` from a build that knows no quotas.
+    QuotaReport {
+        report: QuotaReport,
+    },
+    /// Entry: changes of the allowances of the teams that the report has named.
+    QuotaGrants {
+        answer: QuotaAnswer,
+    },
 }
 
 impl PeerMessage {
--- a/src/tests/entry_metrics.rs
+++ b/src/tests/entry_metrics.rs
@@ -39,6 +39,7 @@
     metrics.record_lost_services(0);
     metrics.count_key_check("accepted");
     metrics.record_teams(2);
+    metrics.count_quota_decision("allowance");
 
     let text = metrics.text().expect("failed to encode the metrics");
     let help = text.lines().filter_map(|line| line.strip_prefix("# HELP "));
--- a/src/tests/entry_node.rs
+++ b/src/tests/entry_node.rs
@@ -14,8 +14,8 @@
     IdlePolicy, NodeMetrics, PeerMessage, PeerTransport, QuicTransport,
     entry::{
         EntryBackends, EntryHost, EntryRefusal, EntryRequest, EntryResponse, EntrySettings,
-        ExpiryBounds, HostRegistry, ObjectStore, PossibleRuns, ProgramContext, RequestKind,
-        RouteLimits, RouteTable, ServiceRoute, UpstreamChannel,
+        ExpiryBounds, HostRegistry, ObjectStore, PossibleRuns, ProgramContext, QuotaTolerance,
+        RequestKind, RouteLimits, RouteTable, ServiceRoute, UpstreamChannel,
     },
     gateway::{EntryNode, ForwardedRequest, SchedulerStarter},
 };
@@ -86,6 +86,7 @@
         memory_bytes: None,
         store_value_bytes: None,
         expiry: ExpiryBounds::default(),
+        quota_tolerance: QuotaTolerance::default(),
     };
     let backends = EntryBackends {
         store: Arc::clone(store) as Arc<dyn ObjectStore>,
--- a/src/tests/landed_frames.rs
+++ b/src/tests/landed_frames.rs
@@ -10,6 +10,7 @@
     entry::{
         batch_index::IndexedBatch,
         budget_ledger::{SpendNote, SpendRecord, WriterSpends},
+        quotas::{QuotaAnswer, QuotaReport},
         record_readings::ReadingAges,
         segment_index::SegmentIndex,
         turn_history::HistoryTurn,
@@ -123,6 +124,32 @@
     }
 }
 
+/// Guards against frames that two builds with quotas number differently.
+#[test]
+fn encode_frame_numbers_quota_messages_after_features() {
+    let features = encode_frame(&PeerMessage::Features { features: Vec::new() })[1];
+    let report = QuotaReport {
+        host: "front-ab-a-1".into(),
+        run: "front-ab-a-1.0123456789ab".into(),
+        sequence: 9_000,
+        is_probe: false,
+        delegated_us: 400_000,
+        view_hash: u64::MAX,
+        candidates: Vec::new(),
+        view_number: 3,
+        view_age_ms: 900_000,
+        known_hosts: 18,
+        teams: Vec::new(),
+    };
+    let answer = QuotaAnswer { knows_view: true, grants: Vec::new() };
+    let report = encode_frame(&PeerMessage::QuotaReport { report });
+    let grants = encode_frame(&PeerMessage::QuotaGrants { answer });
+    assert_eq!((report[1], grants[1]), (features + 1, features + 2));
+    // Each scheduler sends one to each other one every 400 ms.
+    assert!(report.len() <= 80, "an idle report of {} bytes", report.len());
+    println!("an idle report has {} bytes, its answer {}", report.len(), grants.len());
+}
+
 #[test]
 fn records_are_written_as_the_landed_build_does() {
     let batch = JournalBatch {
--- a/src/tests/lost_links.rs
+++ b/src/tests/lost_links.rs
@@ -15,9 +15,9 @@
 };
 use crate::entry::{
     ChannelError, EntryBackends, EntryHost, EntryRequest, EntryResponse, EntrySettings,
-    ExpiryBounds, ObjectStore, RequestKind, RouteLimits, RouteTable, RouteTarget, SendGuard,
-    ServiceConfig, ServiceRoute, UpstreamBody, UpstreamChannel, UpstreamRecord, UpstreamRequest,
-    UpstreamResponse, host_reach::ReachEvidence, pooled_upstream::LeaseOutcome,
+    ExpiryBounds, ObjectStore, QuotaTolerance, RequestKind, RouteLimits, RouteTable, RouteTarget,
+    SendGuard, ServiceConfig, ServiceRoute, UpstreamBody, UpstreamChannel, UpstreamRecord,
+    UpstreamRequest, UpstreamResponse, host_reach::ReachEvidence, pooled_upstream::LeaseOutcome,
 };
 use crate::gateway::{EntryNode, SchedulerStarter};
 
@@ -166,6 +166,7 @@
                 memory_bytes: None,
                 store_value_bytes: None,
                 expiry: ExpiryBounds::default(),
+                quota_tolerance: QuotaTolerance::default(),
             };
             let backends = EntryBackends {
                 store: Arc::clone(&store) as Arc<dyn ObjectStore>,
--- a/src/tests/retained_records.rs
+++ b/src/tests/retained_records.rs
@@ -14,8 +14,8 @@
 use crate::{
     entry::{
         EntryBackends, EntryHost, EntryRefusal, EntryRequest, EntryResponse, EntrySettings,
-        ExpiryBounds, ObjectStore, RelayedBody, RequestKind, RouteLimits, RouteTable, RouteTarget,
-        ServiceConfig, ServiceRoute, StreamItem, UpstreamChannel,
+        ExpiryBounds, ObjectStore, QuotaTolerance, RelayedBody, RequestKind, RouteLimits,
+        RouteTable, RouteTarget, ServiceConfig, ServiceRoute, StreamItem, UpstreamChannel,
         budget_ledger::{ReserveOutcome, SpendNote},
         chain_recorder::ChainRecorder,
         turn_locator::TurnSearch,
@@ -79,6 +79,7 @@
         memory_bytes: None,
         store_value_bytes: None,
         expiry: ExpiryBounds::default(),
+        quota_tolerance: QuotaTolerance::default(),
     }
 }
 
--- a/src/tests/teams.rs
+++ b/src/tests/teams.rs
@@ -27,7 +27,7 @@
     KeyDigest::from_key(key).expect("a key that a team can have")
 }
 
-fn terms(name: &str, keys: &[&str]) -> TeamTerms {
+pub(super) fn terms(name: &str, keys: &[&str]) -> TeamTerms {
     let team = Team { name: name.into(), priority: None, quota: None };
     TeamTerms { team, keys: keys.iter().map(|it| digest(it)).collect() }
 }
@@ -132,14 +132,14 @@
     table.with_teams(TeamDirectory::new(all_terms).expect("valid teams"))
 }
 
-struct TeamHost {
-    host: Arc<EntryHost>,
+pub(super) struct TeamHost {
+    pub(super) host: Arc<EntryHost>,
     channel: Arc<ScriptedChannel>,
     store: Arc<MemoryStore>,
 }
 
 impl TeamHost {
-    async fn start(responses: Vec<ScriptedResponse>) -> Self {
+    pub(super) async fn start(responses: Vec<ScriptedResponse>) -> Self {
         let store = Arc::new(MemoryStore::default());
         let channel = Arc::new(ScriptedChannel::new(responses));
         let table = team_routes(1, &[("red", &["r"]), ("blue", &["b"])]);
@@ -148,7 +148,12 @@
     }
 
     /// Runs a turn with a key, or with what a gateway of an older build states of it. Returns the refusal if there is one.
-    async fn run(&self, key: ClientKey, id: &str, previous: Option<&str>) -> Option<EntryRefusal> {
+    pub(super) async fn run(
+        &self,
+        key: ClientKey,
+        id: &str,
+        previous: Option<&str>,
+    ) -> Option<EntryRefusal> {
         run_request(&self.host, request(key, id, previous)).await
     }
 
@@ -158,7 +163,7 @@
     }
 }
 
-fn key(text: &str) -> ClientKey {
+pub(super) fn key(text: &str) -> ClientKey {
     ClientKey::Digest(digest(text))
 }
 
@@ -175,7 +180,7 @@
     request
 }
 
-fn stream() -> ScriptedResponse {
+pub(super) fn stream() -> ScriptedResponse {
     ScriptedResponse::Stream { chunks: vec!["data: out\n\n"], is_complete: true }
 }
 
