--- a/src/tests/quota_walk.rs
+++ b/src/tests/quota_walk.rs
@@ -181,6 +181,25 @@
     assert!(broken.is_empty(), "windows beyond the limit: {broken:?}");
 }
 
+/// Guards against two owners of one team that both get the time of the hosts which reach both.
+#[test]
+fn quota_with_two_owners() {
+    for owner in 0..6 {
+        let mut model = QuotaModel::new(7, 6, &[limit(100.0, 50)]);
+        let begin = model.now + Duration::from_secs(3);
+        let end = begin + Duration::from_secs(12);
+        let hosts: Vec<usize> = (0..6).collect();
+        schedule_load(&mut model, 0, &hosts, 750.0, (begin, end), false);
+        let lost = |it: usize| [(owner, (owner + it) % 6), ((owner + it) % 6, owner)];
+        let links = (1..4).flat_map(lost).collect();
+        model.schedule(begin, ModelEvent::CutLinks { links });
+        model.run_until(end);
+        let fullest = model.teams[0].worst_window(&model.tolerance, Duration::ZERO);
+        println!("host {owner} and three others can't reach each other: {fullest:.3}");
+        assert!(fullest <= 1.0, "{fullest}");
+    }
+}
+
 /// Teams whose quotas are tested together, each with its load as a part of the quota, and whether one host gets all of it.
 const TEAMS: [(f64, u32, f64, bool); 8] = [
     (655.0, 655, 0.5, false),
