State the bucket after the grant in refusals; bound Retry-After of requests refused together

Callers saw `Retry-After` of up to 76 s when many requests were refused by one answer, and the line of a refusal showed the bucket before that answer had emptied it (`bucket 10.0 of 10.0`).

Cause: each further request of an answer was told a time later by one token, without a bound; figures were taken first.

Change: the spread is at most 5 s, as for requests that are refused without asking; figures are those after the grant.

Measured: 200 requests at once to a team with 10/s and burst 30: at most 5.4 s, and buckets of 0.0 to -1.0.

--- a/src/entry/quotas/owned_team.rs
+++ b/src/entry/quotas/owned_team.rs
@@ -225,6 +225,8 @@
         let for_reserve = self.reserve_of(report.reserve, left, &totals, owner.tolerance);
         self.level -= f64::from(for_reserve);
         grant.granted = for_waiting + for_reserve;
+        grant.figures.level = self.level;
+        grant.figures.held = totals.held.saturating_add(grant.granted);
 
         if let Some(account) = self.accounts.get_mut(name) {
             account.held = account.held.saturating_add(grant.granted).saturating_sub(grant.taken);
--- a/src/entry/quotas/quota_allowance.rs
+++ b/src/entry/quotas/quota_allowance.rs
@@ -33,7 +33,7 @@
 const MAX_REFUSAL_TIME: Duration = Duration::from_mins(1);
 
 /// Longest time by which a refused request is told a later time than the first one. The load may well have ended by then.
-const MAX_RETRY_SPREAD: Duration = Duration::from_secs(5);
+pub(super) const MAX_RETRY_SPREAD: Duration = Duration::from_secs(5);
 
 /// Largest number of requests that are refused together and counted for later ones.
 const MAX_RETRY_COUNT: u32 = 1_000;
--- a/src/entry/quotas/team_grant.rs
+++ b/src/entry/quotas/team_grant.rs
@@ -32,16 +32,16 @@
 /// What decided about a grant. It is written to the log with each refusal, so that a refusal can be explained later.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Display, PartialEq, Serialize)]
 #[display(
-    "{rate_per_s}/s burst {burst}, bucket {level:.1} of {capacity:.1}, {held} held by schedulers, {heard} of {known} heard"
+    "{rate_per_s}/s burst {burst}, bucket {level:.1} of {capacity:.1}, {held} held or just granted, {heard} of {known} heard"
 )]
 pub(crate) struct QuotaFigures {
     pub(crate) rate_per_s: f64,
     pub(crate) burst: u32,
-    /// Tokens in the owner's bucket.
+    /// Tokens in the owner's bucket after the grant.
     pub(crate) level: f64,
     /// Tokens that the bucket and all allowances may hold together.
     pub(crate) capacity: f64,
-    /// Tokens that schedulers hold, by their last reports.
+    /// Tokens that schedulers hold, by their last reports, with those of the grant.
     pub(crate) held: u32,
     /// Schedulers that the owner hears.
     pub(crate) heard: u32,
--- a/src/entry/quotas/waiting_requests.rs
+++ b/src/entry/quotas/waiting_requests.rs
@@ -4,7 +4,7 @@
 
 use tokio::sync::oneshot;
 
-use crate::entry::quotas::quota_allowance::WaitOutcome;
+use crate::entry::quotas::quota_allowance::{MAX_RETRY_SPREAD, WaitOutcome};
 
 /// What a waiting request is told: that it has a token, or when it would get one.
 pub(super) type WaitResult = Result<(), Duration>;
@@ -39,7 +39,8 @@
         }
         for place in 0..outcome.refused {
             if let Some((_, sender)) = self.requests.pop_front() {
-                let _ = sender.send(Err(outcome.retry_after + outcome.retry_step * place));
+                let later = (outcome.retry_step * place).min(MAX_RETRY_SPREAD);
+                let _ = sender.send(Err(outcome.retry_after + later));
             }
         }
         unused
