--- a/src/entry.rs
+++ b/src/entry.rs
@@ -44,6 +44,7 @@
 pub(crate) mod pooled_upstream;
 pub(crate) mod presumed_crashes;
 pub(crate) mod prompt_cache;
+pub(crate) mod quotas;
 mod reach_prober;
 pub(crate) mod recent_spends;
 pub(crate) mod record_readings;
@@ -93,6 +94,7 @@
         StoredObject, WatchBatch, WriteOutcome,
     },
     placement_pool::PlacementPool,
+    quotas::QuotaTolerance,
     retirement_keeper::{RetirementKeeper, RetirementRequest},
     route_table::{RequestKind, RouteLimits, RouteTable, RouteTarget, ServiceConfig, ServiceRoute},
     run_record::PossibleRuns,
--- a/src/entry/dispatching/placement_denial.rs
+++ b/src/entry/dispatching/placement_denial.rs
@@ -8,7 +8,8 @@
 use crate::entry::{dispatching::NamedNumbers, placement_request::PlacementRefusal};
 
 /// Texts of refusals that a requester passes on to its client, as a dispatcher's pool states them.
-const KNOWN_REASONS: [&str; 5] = [
+const KNOWN_REASONS: [&str; 6] = [
+    "the new program would not end in time",
     "no upstream became free in time",
     "the queue is too long",
     "no upstream of the service may take the request",
--- a/src/entry/entry_metrics.rs
+++ b/src/entry/entry_metrics.rs
@@ -43,6 +43,7 @@
     served_placements: Counter<u64>,
     slow_starts: Gauge<u64>,
     full_memories: Gauge<u64>,
+    quota_decisions: Counter<u64>,
 }
 
 impl EntryMetrics {
@@ -163,6 +164,10 @@
                     "Upstreams that have just started or failed and get few requests.",
                 )
                 .build(),
+            quota_decisions: counter(
+                "ragwortknot.entry.quota.decisions",
+                "Requests of teams with a quota, and failed reports to quota owners, by result.",
+            ),
             registry,
         })
     }
@@ -191,6 +196,11 @@
         self.store_calls.add(1, &[KeyValue::new("call", call), KeyValue::new("result", result)]);
     }
 
+    /// Counts a decision on a request of a team with a quota. Teams are not told apart, since there may be 20,000.
+    pub(crate) fn count_quota_decision(&self, result: &'static str) {
+        self.quota_decisions.add(1, &[KeyValue::new("result", result)]);
+    }
+
     pub(crate) fn count_tokens(&self, tokens: u64) {
         self.tokens.add(tokens, &[]);
     }
--- a/src/entry/entry_settings.rs
+++ b/src/entry/entry_settings.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
-use crate::entry::{ExpiryBounds, ObjectStore, UpstreamChannel};
+use crate::entry::{ExpiryBounds, ObjectStore, QuotaTolerance, UpstreamChannel};
 
 /// Settings of an entry host.
 #[derive(Clone, Debug)]
@@ -25,6 +25,8 @@
     pub expiry: ExpiryBounds,
     /// Whether one host of a region places the requests of all its schedulers. See docs/design/dispatching.md.
     pub region_dispatch: bool,
+    /// What the platform tolerates beyond a team's quota.
+    pub quota_tolerance: QuotaTolerance,
 }
 
 impl EntrySettings {
--- a/src/entry/peer_mesh.rs
+++ b/src/entry/peer_mesh.rs
@@ -21,6 +21,7 @@
         mesh_peer::{MeshIdentity, MeshPeer},
         mesh_state::MeshState,
         peer_contact::{DroppedPeer, PeerContact},
+        quotas::quota_owner::QuotaOwner,
         run_lives::RunLives,
         segment_reader::SegmentReader,
         stream_versions::BegunStream,
@@ -90,6 +91,8 @@
     pub(super) started_at: Instant,
     pub(super) journal: OnceLock<Arc<TurnJournal>>,
     pub(super) segments: OnceLock<Arc<SegmentReader>>,
+    /// Quotas of the teams of which this host is the quota owner.
+    pub(super) quota_owner: OnceLock<Arc<Mutex<QuotaOwner>>>,
     pub(super) connector: MeshConnector,
     pub(super) state: MeshState,
     /// Whether this host has loaded the recorded spends and turns, so that it may respond to other hosts' queries for
@@ -133,6 +136,7 @@
             started_at: Instant::now(),
             journal: OnceLock::new(),
             segments: OnceLock::new(),
+            quota_owner: OnceLock::new(),
             connector: MeshConnector::new(transport),
             state,
             has_loaded_records: AtomicBool::new(false),
@@ -162,6 +166,11 @@
         let _ = self.segments.set(segments);
     }
 
+    /// Sets what answers other schedulers' reports on quotas.
+    pub(crate) fn set_quota_owner(&self, owner: Arc<Mutex<QuotaOwner>>) {
+        let _ = self.quota_owner.set(owner);
+    }
+
     /// Adds a peer, or replaces it if its address has changed.
     pub(crate) fn add_peer(&self, host: Arc<str>, address: SocketAddr, region: Arc<str>) {
         if host == self.identity.host || self.has_peer(&host, address) {
--- a/src/membership/peer_message.rs
+++ b/src/membership/peer_message.rs
@@ -17,6 +17,7 @@
             placement_grant::PlacementGrant, placement_query::PlacementQuery,
         },
         host_reach::LostServices,
+        quotas::{QuotaAnswer, QuotaReport},
         record_readings::ReadingAges,
         segment_reader::SegmentSummary,
         stream_versions::{BegunStream, StreamOrigin},
@@ -300,6 +301,15 @@
     PlacementRefused(PlacementDenial),
     /// Dispatching: the lease of the granted slot has ended.
     PlacementEnded(PlacementEnd),
+    /// Entry: what the sender holds and needs of the teams whose quota owner the receiver is. The response is
+    /// [`PeerMessage::QuotaGrants`], or `Refused` from a build that knows no quotas.
+    QuotaReport {
+        report: QuotaReport,
+    },
+    /// Entry: changes of the allowances of the teams that the report has named.
+    QuotaGrants {
+        answer: QuotaAnswer,
+    },
 }
 
 impl PeerMessage {
--- a/src/tests/entry_metrics.rs
+++ b/src/tests/entry_metrics.rs
@@ -45,6 +45,7 @@
     metrics.count_served_placement("granted");
     metrics.record_slow_starts(0);
     metrics.record_full_memories(0);
+    metrics.count_quota_decision("allowance");
 
     let text = metrics.text().expect("failed to encode the metrics");
     let help = text.lines().filter_map(|line| line.strip_prefix("# HELP "));
--- a/src/tests/entry_node.rs
+++ b/src/tests/entry_node.rs
@@ -14,8 +14,8 @@
     IdlePolicy, NodeMetrics, PeerMessage, PeerTransport, QuicTransport,
     entry::{
         EntryBackends, EntryHost, EntryRefusal, EntryRequest, EntryResponse, EntrySettings,
-        ExpiryBounds, HostRegistry, ObjectStore, PossibleRuns, ProgramContext, RequestKind,
-        RouteLimits, RouteTable, ServiceRoute, UpstreamChannel,
+        ExpiryBounds, HostRegistry, ObjectStore, PossibleRuns, ProgramContext, QuotaTolerance,
+        RequestKind, RouteLimits, RouteTable, ServiceRoute, UpstreamChannel,
     },
     gateway::{EntryNode, ForwardedRequest, SchedulerStarter},
 };
@@ -96,6 +96,7 @@
         store_value_bytes: None,
         expiry: ExpiryBounds::default(),
         region_dispatch: true,
+        quota_tolerance: QuotaTolerance::default(),
     };
     let backends = EntryBackends {
         store: Arc::clone(store) as Arc<dyn ObjectStore>,
--- a/src/tests/lost_links.rs
+++ b/src/tests/lost_links.rs
@@ -15,9 +15,9 @@
 };
 use crate::entry::{
     ChannelError, EntryBackends, EntryHost, EntryRequest, EntryResponse, EntrySettings,
-    ExpiryBounds, ObjectStore, RequestKind, RouteLimits, RouteTable, RouteTarget, SendGuard,
-    ServiceConfig, ServiceRoute, UpstreamBody, UpstreamChannel, UpstreamRecord, UpstreamRequest,
-    UpstreamResponse, host_reach::ReachEvidence, pooled_upstream::LeaseOutcome,
+    ExpiryBounds, ObjectStore, QuotaTolerance, RequestKind, RouteLimits, RouteTable, RouteTarget,
+    SendGuard, ServiceConfig, ServiceRoute, UpstreamBody, UpstreamChannel, UpstreamRecord,
+    UpstreamRequest, UpstreamResponse, host_reach::ReachEvidence, pooled_upstream::LeaseOutcome,
 };
 use crate::gateway::{EntryNode, SchedulerStarter};
 
@@ -174,6 +174,7 @@
                 store_value_bytes: None,
                 expiry: ExpiryBounds::default(),
                 region_dispatch: true,
+                quota_tolerance: QuotaTolerance::default(),
             };
             let backends = EntryBackends {
                 store: Arc::clone(&store) as Arc<dyn ObjectStore>,
