Findings of a review: dispatchers that know less, hosts that restore, failing upstreams, quotas after a loss

Records are merged before they are marked as merged. Teams without reporting hosts are forgotten. Metrics of placements are a type of their own.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -35,6 +35,7 @@
 mod peer_contact;
 mod peer_features;
 pub(crate) mod peer_mesh;
+mod placement_metrics;
 pub(crate) mod placement_pool;
 pub(crate) mod placement_request;
 mod pool_listing;
--- a/src/entry/dispatching/placement_denial.rs
+++ b/src/entry/dispatching/placement_denial.rs
@@ -5,15 +5,18 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Duration;
 
-use crate::entry::{dispatching::NamedNumbers, placement_request::PlacementRefusal};
+use crate::entry::{
+    dispatching::NamedNumbers,
+    placement_request::{NO_UPSTREAM, NO_USABLE_UPSTREAM, PlacementRefusal},
+};
 
 /// Texts of refusals that a requester passes on to its client, as a dispatcher's pool states them.
 const KNOWN_REASONS: [&str; 6] = [
     "the new program would not end in time",
     "no upstream became free in time",
     "the queue is too long",
-    "no upstream of the service may take the request",
-    "the service has no upstream",
+    NO_USABLE_UPSTREAM,
+    NO_UPSTREAM,
     "no upstream is free now",
 ];
 
--- a/src/entry/dispatching/region_dispatch.rs
+++ b/src/entry/dispatching/region_dispatch.rs
@@ -22,7 +22,7 @@
         entry_metrics::EntryMetrics,
         peer_mesh::PeerMesh,
         placement_pool::MIN_RETRY_AFTER,
-        placement_request::{PlacementRefusal, PlacementRequest},
+        placement_request::{NO_UPSTREAM, NO_USABLE_UPSTREAM, PlacementRefusal, PlacementRequest},
         pooled_upstream::LeaseOutcome,
         upstream_lease::UpstreamLease,
     },
@@ -78,6 +78,7 @@
         &self,
         mut request: DispatchRequest,
     ) -> Result<UpstreamLease, PlacementRefusal> {
+        let excluded = request.placement.excluded.clone();
         let mut failed: Vec<Arc<str>> = Vec::new();
         let mut unusable_grants = 0;
 
@@ -126,6 +127,12 @@
                     );
                     return Ok(lease);
                 }
+                // The dispatcher may have heard less of the upstreams than this host, such as just after its start.
+                DispatcherAnswer::Refused(refusal)
+                    if matches!(refusal.reason, NO_UPSTREAM | NO_USABLE_UPSTREAM) =>
+                {
+                    break;
+                }
                 DispatcherAnswer::Refused(refusal) => {
                     self.metrics.count_dispatch("refused");
                     return Err(refusal);
@@ -148,6 +155,7 @@
             waited_ms = request.waiting_since.elapsed().as_millis() as u64;
             "no dispatcher places the request, so this host does"
         );
+        request.placement.excluded = excluded;
         self.place_here(request).await
     }
 
@@ -252,6 +260,7 @@
                     if let Some(lease) = self.try_own_share(&request.placement) {
                         return DispatcherAnswer::Taken(lease);
                     }
+                    has_paused = false;
                     silent_at = Instant::now() + QUEUED_SILENCE_LIMIT;
                 }
                 PeerMessage::PlacementGranted(grant) => {
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -247,9 +247,10 @@
             biased;
             has_records = &mut peers => if !has_records { store.await? },
             result = &mut store => {
-                // The rest of the answers tells of upstreams that leave.
-                let _ = peers.await;
-                result?;
+                // The rest of the answers tells of upstreams that leave, and may have the records.
+                if !peers.await {
+                    result?;
+                }
             }
         }
 
@@ -421,6 +422,17 @@
         is_started && !self.is_draining() && !self.is_cut_off()
     }
 
+    /// Whether the turns and budgets of earlier runs are known.
+    pub(crate) fn is_restored(&self) -> bool {
+        *self.is_restored.borrow()
+    }
+
+    /// Waits until the turns and budgets of earlier runs are known.
+    pub(crate) async fn wait_until_loaded(&self) {
+        let mut restored = self.is_restored.subscribe();
+        let _ = restored.wait_for(|is_restored| *is_restored).await;
+    }
+
     /// Whether the host has been asked to drain.
     pub fn is_draining(&self) -> bool {
         self.budgets.mesh.is_draining()
@@ -588,7 +600,7 @@
             Err(error) => return EntryResponse::not_run(BUFFERS_RETRY_AFTER, error.to_string()),
         };
 
-        let token = match self.acquire_quota(&request, team.as_ref(), deadline).await {
+        let token = match self.acquire_quota(team.as_ref(), deadline).await {
             Ok(token) => token,
             Err(response) => return response,
         };
@@ -615,16 +627,15 @@
         response
     }
 
-    /// Counts a request against its team's quota; `None` without a quota. A request that may have run through another host
-    /// was counted there.
+    /// Counts a request against its team's quota; `None` without a quota. A request that may have run through another host is
+    /// counted again, as that host may have been lost before it counted it.
     async fn acquire_quota(
         &self,
-        request: &EntryRequest,
         team: Option<&Arc<Team>>,
         deadline: Instant,
     ) -> Result<Option<QuotaToken>, EntryResponse> {
         let quota = team.and_then(|team| team.quota.map(|quota| (team, quota)));
-        let Some((team, quota)) = quota.filter(|_| request.possible_runs.count() == 0) else {
+        let Some((team, quota)) = quota else {
             return Ok(None);
         };
 
--- a/src/entry/entry_metrics.rs
+++ b/src/entry/entry_metrics.rs
@@ -8,10 +8,12 @@
     metrics::{Counter, Gauge, Histogram},
 };
 
-use crate::process::metrics_registry::MetricsRegistry;
+use crate::{
+    entry::placement_metrics::PlacementMetrics, process::metrics_registry::MetricsRegistry,
+};
 
 /// Bucket boundaries of the latency histograms, in seconds.
-const LATENCY_BOUNDS_S: [f64; 12] =
+pub(super) const LATENCY_BOUNDS_S: [f64; 12] =
     [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 1.0, 2.0, 3.0, 5.0];
 
 /// Instruments of one entry host's metrics, and the registry that exports them.
@@ -31,19 +33,14 @@
     history_bytes: Gauge<u64>,
     offers: Counter<u64>,
     forwarded_requests: Counter<u64>,
-    placement_refusals: Counter<u64>,
     broken_streams: Counter<u64>,
     is_scheduler: Gauge<u64>,
     schedulers: Gauge<u64>,
     lost_services: Gauge<u64>,
     key_checks: Counter<u64>,
     teams: Gauge<u64>,
-    dispatches: Counter<u64>,
-    dispatch_time: Histogram<f64>,
-    served_placements: Counter<u64>,
-    slow_starts: Gauge<u64>,
-    full_memories: Gauge<u64>,
     quota_decisions: Counter<u64>,
+    placements: PlacementMetrics,
 }
 
 impl EntryMetrics {
@@ -114,10 +111,6 @@
                 "ragwortknot.entry.forwarded",
                 "Forwarded requests that a scheduler has accepted, by outcome.",
             ),
-            placement_refusals: counter(
-                "ragwortknot.entry.placement.refusals",
-                "Requests that got no place at an upstream, by reason.",
-            ),
             broken_streams: counter(
                 "ragwortknot.entry.streams.broken",
                 "Streams to clients that were closed before their end, by cause.",
@@ -142,32 +135,11 @@
                 .u64_gauge("ragwortknot.entry.teams")
                 .with_description("Teams of the configuration in force.")
                 .build(),
-            dispatches: counter(
-                "ragwortknot.entry.dispatches",
-                "Queries to the region's dispatchers, by result.",
-            ),
-            dispatch_time: latency(
-                "ragwortknot.entry.dispatch",
-                "Time from a query to a dispatcher to its grant, with the wait in its queue.",
-            ),
-            served_placements: counter(
-                "ragwortknot.entry.placements.served",
-                "Queries of other schedulers that this host has served as a dispatcher, by result.",
-            ),
-            full_memories: meter
-                .u64_gauge("ragwortknot.entry.memory.full")
-                .with_description("Upstreams whose memory this host's requests nearly fill.")
-                .build(),
-            slow_starts: meter
-                .u64_gauge("ragwortknot.entry.slow.starts")
-                .with_description(
-                    "Upstreams that have just started or failed and get few requests.",
-                )
-                .build(),
             quota_decisions: counter(
                 "ragwortknot.entry.quota.decisions",
                 "Requests of teams with a quota, and failed reports to quota owners, by result.",
             ),
+            placements: PlacementMetrics::new(&registry),
             registry,
         })
     }
@@ -217,7 +189,7 @@
 
     /// Counts a request that got no place at an upstream. The reasons are texts of the code, so they are few.
     pub(crate) fn count_placement_refusal(&self, reason: &'static str) {
-        self.placement_refusals.add(1, &[KeyValue::new("reason", reason)]);
+        self.placements.placement_refusals.add(1, &[KeyValue::new("reason", reason)]);
     }
 
     /// Counts a stream that this host closes before its end. The client then has an incomplete response.
@@ -227,16 +199,16 @@
 
     /// Counts a query to a dispatcher, or the reason for which none was sent.
     pub(crate) fn count_dispatch(&self, result: &'static str) {
-        self.dispatches.add(1, &[KeyValue::new("result", result)]);
+        self.placements.dispatches.add(1, &[KeyValue::new("result", result)]);
     }
 
     pub(crate) fn record_dispatch_time(&self, time: Duration) {
-        self.dispatch_time.record(time.as_secs_f64(), &[]);
+        self.placements.dispatch_time.record(time.as_secs_f64(), &[]);
     }
 
     /// Counts a query of another scheduler.
     pub(crate) fn count_served_placement(&self, result: &'static str) {
-        self.served_placements.add(1, &[KeyValue::new("result", result)]);
+        self.placements.served_placements.add(1, &[KeyValue::new("result", result)]);
     }
 
     pub(crate) fn record_role(&self, is_scheduler: bool) {
@@ -262,11 +234,11 @@
     }
 
     pub(crate) fn record_slow_starts(&self, count: usize) {
-        self.slow_starts.record(count as u64, &[]);
+        self.placements.slow_starts.record(count as u64, &[]);
     }
 
     pub(crate) fn record_full_memories(&self, count: usize) {
-        self.full_memories.record(count as u64, &[]);
+        self.placements.full_memories.record(count as u64, &[]);
     }
 
     pub(crate) fn record_history_bytes(&self, bytes: usize) {
--- a/src/entry/placement_pool.rs
+++ b/src/entry/placement_pool.rs
@@ -301,7 +301,7 @@
         // An upstream in backoff, one that may have left, or one that has not answered since it failed, is better than none.
         let rank = |key: &UpstreamKey| {
             let upstream = &state.upstreams[*key];
-            let is_risky = !request.may_repeat && upstream.is_unproven();
+            let is_risky = !request.may_repeat && upstream.is_unproven(now);
             (
                 // More requests than its memory holds end an upstream, with all requests on it.
                 upstream.is_memory_exceeded_by(now, request.memory_tokens()),
--- a/src/entry/placement_request.rs
+++ b/src/entry/placement_request.rs
@@ -62,6 +62,12 @@
     }
 }
 
+/// Reason of a refusal by a host that knows no upstream of the service.
+pub(crate) const NO_UPSTREAM: &str = "the service has no upstream";
+
+/// Reason of a refusal by a host that knows no upstream which may take the request.
+pub(crate) const NO_USABLE_UPSTREAM: &str = "no upstream of the service may take the request";
+
 /// Why no slot was granted, and when to retry.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) struct PlacementRefusal {
--- a/src/entry/pool_state.rs
+++ b/src/entry/pool_state.rs
@@ -16,7 +16,7 @@
         UpstreamRecord,
         admission::{admission_state::AdmissionState, admission_ticket::AdmissionTicket},
         placement_pool::MIN_RETRY_AFTER,
-        placement_request::{PlacementRefusal, PlacementRequest},
+        placement_request::{NO_UPSTREAM, NO_USABLE_UPSTREAM, PlacementRefusal, PlacementRequest},
         pooled_upstream::PooledUpstream,
         upstream_departures::UpstreamDepartures,
         upstream_load::{
@@ -193,7 +193,7 @@
     ) -> Result<(), PlacementRefusal> {
         let Some(pool) = self.services.get(&request.service) else {
             let retry_after = Duration::from_millis(500);
-            return Err(PlacementRefusal { reason: "the service has no upstream", retry_after });
+            return Err(PlacementRefusal { reason: NO_UPSTREAM, retry_after });
         };
 
         let lease_time = pool.mean_lease_time.as_secs_f64();
@@ -211,7 +211,7 @@
 
         if requests_per_second == 0.0 {
             let retry_after = Duration::from_millis(300);
-            let reason = "no upstream of the service may take the request";
+            let reason = NO_USABLE_UPSTREAM;
             return Err(PlacementRefusal { reason, retry_after });
         }
 
--- a/src/entry/pooled_upstream.rs
+++ b/src/entry/pooled_upstream.rs
@@ -191,8 +191,8 @@
     }
 
     /// Whether the upstream has failed and not answered since.
-    pub(crate) fn is_unproven(&self) -> bool {
-        self.pace.is_some_and(|it| it.is_unproven())
+    pub(crate) fn is_unproven(&self, now: Instant) -> bool {
+        self.pace.is_some_and(|it| it.is_unproven(now))
     }
 
     /// Begins slow start.
--- a/src/entry/quotas/owned_team.rs
+++ b/src/entry/quotas/owned_team.rs
@@ -95,13 +95,14 @@
         }
     }
 
-    /// Whether the bucket is full and nothing is held, so that a new state would come to the same.
+    /// Whether the bucket is full and nothing is held, so that a new state would come to the same, or another host owns the team.
     pub(super) fn is_forgettable(&mut self, now: Instant, owner: &OwnerState<'_>) -> bool {
         if now.duration_since(self.last_report_at) < FORGET_TIME {
             return false;
         }
         let totals = self.accrue(now, owner);
-        totals.heard > 0 && totals.held == 0 && self.level + 1.0 >= totals.capacity
+        // Where no scheduler has chosen this host any more, another one owns the team, and all allowances of old are void.
+        totals.heard == 0 || totals.held == 0 && self.level + 1.0 >= totals.capacity
     }
 
     /// Forgets which candidates make this host the owner, when candidates are forgotten or added.
--- a/src/entry/request_runner.rs
+++ b/src/entry/request_runner.rs
@@ -429,9 +429,16 @@
         }
 
         self.context.metrics.count_attempt(&self.routed.service.name, "answered");
-        self.context.crashes.lock().clear(self.routed.fingerprint);
         let departure = lease.departure(&response);
-        lease.finish(LeaseOutcome::Answered);
+
+        // An upstream that fails at once has free slots all the time, so its failures must not pass for fast answers.
+        if status.is_server_error() {
+            lease.finish(LeaseOutcome::Failed);
+        } else {
+            self.context.crashes.lock().clear(self.routed.fingerprint);
+            lease.finish(LeaseOutcome::Answered);
+        }
+
         let body = RelayedBody::Whole(body.freeze());
         let headers = response.headers;
         AttemptResult::Response(RelayedResponse { status, headers, body, departure })
--- a/src/entry/turn_locator.rs
+++ b/src/entry/turn_locator.rs
@@ -313,10 +313,11 @@
         };
 
         let entry = CatalogEntry::new(&index);
-        self.catalog.lock().insert(&object.name, entry.clone());
-        listing.add(entry);
         self.ledger.lock().merge_recorded(&index.writer, &index.spends);
         self.index.lock().merge(index.batches);
+        // Last, as another reading takes an index of the catalog for merged.
+        self.catalog.lock().insert(&object.name, entry.clone());
+        listing.add(entry);
     }
 
     /// Reads the batches of a writer's open segment: turns at the host that reads it for all, or here if that one does not
@@ -354,18 +355,15 @@
             return;
         }
 
-        index.mark_read(&batch.name, batch.revision);
-
-        if batch.number <= position.last_number {
-            return;
-        }
+        if batch.number > position.last_number {
+            self.ledger.lock().merge_recorded(&batch.writer, &batch.spends);
 
-        for turn in &batch.turns {
-            index.insert(&batch.name, Arc::clone(turn));
+            for turn in &batch.turns {
+                index.insert(&batch.name, Arc::clone(turn));
+            }
         }
 
-        drop(index);
-        self.ledger.lock().merge_recorded(&batch.writer, &batch.spends);
+        index.mark_read(&batch.name, batch.revision);
     }
 }
 
--- a/src/entry/upstream_load/pace_window.rs
+++ b/src/entry/upstream_load/pace_window.rs
@@ -59,15 +59,17 @@
         if self.closed_until.is_some_and(|until| now < until) { 0 } else { self.limit }
     }
 
-    /// Whether the upstream has failed and not answered since. Then it is tried with a request whose loss does least harm.
-    pub(crate) fn is_unproven(&self) -> bool {
-        self.cause == PaceCause::Recovering && !self.is_proven
+    /// Whether the upstream has failed lately and not answered since. Then it is tried with a request whose loss does least
+    /// harm. A service may have no such requests, so the state ends with time.
+    pub(crate) fn is_unproven(&self, now: Instant) -> bool {
+        let is_recent = now.saturating_duration_since(self.shrunk_at) < MAX_PACE_TIME;
+        self.cause == PaceCause::Recovering && !self.is_proven && is_recent
     }
 
     /// Whether the upstream may have as many requests as it has slots.
     pub(crate) fn is_over(&self, now: Instant, slots: u32) -> bool {
         let has_waited = now.saturating_duration_since(self.begun_at) >= MAX_PACE_TIME;
-        self.limit >= slots.max(1) || (has_waited && !self.is_unproven())
+        self.limit >= slots.max(1) || (has_waited && !self.is_unproven(now))
     }
 
     /// Records an answer to a request that was granted at `granted_at`.
--- a/src/gateway/entry_node.rs
+++ b/src/gateway/entry_node.rs
@@ -132,7 +132,12 @@
             }
 
             if should_schedule(&self.settings.host, &region, &schedulers) {
-                self.become_scheduler();
+                let host = self.become_scheduler();
+                // Until it has read the records, this host's clients are served by other schedulers.
+                tokio::select! {
+                    () = self.follow_schedulers_forever() => (),
+                    () = host.wait_until_loaded() => (),
+                }
                 return self.probe_suspects_forever().await;
             }
 
@@ -158,7 +163,7 @@
         }
     }
 
-    fn become_scheduler(&self) {
+    fn become_scheduler(&self) -> Arc<EntryHost> {
         log::info!(processor_share = self.settings.processor_share; "becoming a scheduler");
         self.metrics.record_role(true);
         let metrics = Arc::clone(&self.metrics);
@@ -171,7 +176,8 @@
             host.drain();
         }
 
-        let _ = self.host.set(host);
+        let _ = self.host.set(Arc::clone(&host));
+        host
     }
 
     /// Keeps the list of schedulers up to date while this host waits for larger ones to become schedulers.
@@ -273,12 +279,17 @@
     /// Whether new clients should be sent here.
     pub fn is_ready(&self) -> bool {
         let is_serving = match self.host.get() {
-            Some(host) => host.is_ready(),
-            None => self.forwarder.directory.is_in_contact(),
+            Some(host) => host.is_ready() || (!host.is_restored() && self.is_in_contact()),
+            None => self.is_in_contact(),
         };
         is_serving && !self.is_draining()
     }
 
+    /// Whether a scheduler has answered this host's questions for the list of schedulers lately.
+    pub(super) fn is_in_contact(&self) -> bool {
+        self.forwarder.directory.is_in_contact()
+    }
+
     /// Whether this host has become a scheduler.
     pub fn is_scheduler(&self) -> bool {
         self.host.get().is_some()
--- a/src/gateway/request_handler.rs
+++ b/src/gateway/request_handler.rs
@@ -31,8 +31,8 @@
         };
 
         // A gateway that becomes a scheduler goes on as a gateway until it has read the records.
-        if !host.is_ready()
-            && self.forwarder.directory.is_in_contact()
+        if !host.is_restored()
+            && self.is_in_contact()
             && let Some(response) = self.forward_to_schedulers(&request).await
         {
             return response;
@@ -60,7 +60,8 @@
 
     /// Forwards a request to a scheduler of this region; `None` if none takes it.
     async fn forward_to_schedulers(&self, request: &EntryRequest) -> Option<EntryResponse> {
-        let candidates = self.forwarder.directory.candidates(routing_key(request), None);
+        let mut candidates = self.forwarder.directory.candidates(routing_key(request), None);
+        candidates.retain(|it| it.host != self.settings.host);
         self.forwarder.forward(request, &candidates).await
     }
 
