Server errors of an upstream keep further requests away from it: a test

Guards against an upstream that fails at once and gets most requests. A node counts as a scheduler only once it has read the records, which the test of owners with an older configuration waits for.

--- a/src/gateway/entry_node.rs
+++ b/src/gateway/entry_node.rs
@@ -290,9 +290,9 @@
         self.forwarder.directory.is_in_contact()
     }
 
-    /// Whether this host has become a scheduler.
+    /// Whether this host serves as a scheduler. Until it has read the records, it serves as a gateway.
     pub fn is_scheduler(&self) -> bool {
-        self.host.get().is_some()
+        self.host.get().is_some_and(|it| it.is_restored())
     }
 
     /// Whether the host has been asked to drain.
--- a/src/tests/entry_runner.rs
+++ b/src/tests/entry_runner.rs
@@ -256,6 +256,28 @@
     assert_eq!(upstreams.len(), 3, "an upstream got the request twice");
 }
 
+/// Guards against an upstream that fails at once and gets most requests, since it has free slots all the time.
+#[tokio::test(start_paused = true)]
+async fn runner_avoids_upstream_that_answers_with_server_errors() {
+    let pool = pool();
+    ["u1", "u2"].iter().for_each(|id| pool.upsert(upstream(id, "service", 4)));
+    let status = StatusCode::INTERNAL_SERVER_ERROR;
+    let failed = || ScriptedResponse::Whole { status, has_not_run: false, is_signed: true };
+    let channel = Arc::new(ScriptedChannel::new(vec![failed(), failed(), OK]));
+
+    for expected in ["500", "500", "200"] {
+        let response = runner(&pool, &channel, RequestKind::AtMostOnce).run().await;
+        let EntryResponse::Relayed(response) = response else {
+            panic!("expected a relayed response, received {response:?}");
+        };
+        assert_eq!(response.status.as_str(), expected);
+    }
+
+    let upstreams: Vec<Arc<str>> = channel.requests().into_iter().map(|(it, _)| it).collect();
+    assert_eq!(upstreams[0], upstreams[1]);
+    assert_ne!(upstreams[1], upstreams[2], "a failing upstream got a third request");
+}
+
 #[tokio::test(start_paused = true)]
 async fn runner_answers_not_run_when_every_upstream_rejects() {
     let result = run_request(RequestKind::AtMostOnce, vec![FULL; 4]).await;
