Hosts without a role forward requests, but are not ready for new clients

Cause: a host that waits for larger ones was ready as a gateway. Change: it forwards what arrives, and is ready once it has its role, as before.

--- a/src/gateway/entry_node.rs
+++ b/src/gateway/entry_node.rs
@@ -61,6 +61,8 @@
     /// The scheduler, once this host has become one.
     pub(crate) host: OnceLock<Arc<EntryHost>>,
     is_draining: AtomicBool,
+    /// Whether this host has decided to be a gateway or a scheduler. Until then it only forwards the requests that arrive.
+    has_role: AtomicBool,
     /// When this host ends, once that is known.
     pub(super) stops_at: OnceLock<Instant>,
     metrics: Arc<EntryMetrics>,
@@ -97,6 +99,7 @@
             forwarder,
             host: OnceLock::new(),
             is_draining: AtomicBool::new(false),
+            has_role: AtomicBool::new(false),
             stops_at: OnceLock::new(),
             metrics,
         });
@@ -141,6 +144,7 @@
                 return self.probe_suspects_forever().await;
             }
 
+            self.has_role.store(true, Ordering::Relaxed);
             log::info!(schedulers = schedulers.len(); "serving as a gateway");
             self.forwarder.directory.set_schedulers(schedulers.clone());
             self.follow_schedulers(&region).await;
@@ -279,8 +283,8 @@
     /// Whether new clients should be sent here.
     pub fn is_ready(&self) -> bool {
         let is_serving = match self.host.get() {
-            Some(host) => host.is_ready() || (!host.is_restored() && self.is_in_contact()),
-            None => self.is_in_contact(),
+            Some(host) => host.is_ready(),
+            None => self.has_role.load(Ordering::Relaxed) && self.is_in_contact(),
         };
         is_serving && !self.is_draining()
     }
