Switch region dispatch, admission, upstream load and slow start off one by one

Operators could switch off region dispatch only, so nobody could tell at a deployment which of the other features helped or did harm, and the effect of slow start on callers could not be measured apart. With all on, nothing changes.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -18,6 +18,7 @@
 mod entry_settings;
 pub(crate) mod event_framer;
 mod expiry_bounds;
+mod feature_switches;
 mod follow_gap;
 pub(crate) mod host_reach;
 pub(crate) mod host_registry;
@@ -88,6 +89,7 @@
     entry_response::{EntryRefusal, EntryResponse, RelayedBody, RelayedResponse, StreamItem},
     entry_settings::{EntryBackends, EntrySettings},
     expiry_bounds::ExpiryBounds,
+    feature_switches::{FeatureSwitches, HostFeature},
     follow_gap::FollowGap,
     kind_follower::{KindFollower, KindListing, ObjectListener},
     object_store::{
--- a/src/entry/admission/pool_admission.rs
+++ b/src/entry/admission/pool_admission.rs
@@ -8,7 +8,7 @@
     admission_state::AdmissionState, admission_ticket::AdmissionTicket, queue_view::QueueView,
 };
 use crate::entry::{
-    UpstreamRecord,
+    HostFeature, UpstreamRecord,
     placement_request::{PlacementRefusal, PlacementRequest},
     pool_state::{PoolState, QueuePosition},
     upstream_departures::UpstreamDepartures,
@@ -20,14 +20,15 @@
 const MIN_SLOT_SHARE: f64 = 0.125;
 
 impl PoolState {
-    /// Admission control of a service; `None` for services without a prompt cache.
+    /// Admission control of a service; `None` for services without a prompt cache, and if it is switched off.
     fn admission(&mut self, service: &str) -> Option<&mut AdmissionState> {
         let has_cache = self.cache_capacities.get(service).is_some_and(|tokens| *tokens > 0);
-        self.services.get_mut(service).filter(|_| has_cache).map(|pool| &mut pool.admission)
+        let is_on = has_cache && self.switches.is_on(HostFeature::Admission);
+        self.services.get_mut(service).filter(|_| is_on).map(|pool| &mut pool.admission)
     }
 
     /// Records that a request has arrived. The returned ticket belongs to its lease.
-    pub(in crate::entry) fn record_arrival(
+    pub(crate) fn record_arrival(
         &mut self,
         now: Instant,
         request: &PlacementRequest,
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -15,9 +15,9 @@
     BackoffPolicy, PeerTransport,
     entry::{
         BudgetLedger, BufferBudget, BuffersFull, EntryBackends, EntryRefusal, EntryRequest,
-        EntryResponse, EntrySettings, KeyChecker, KindFollower, ObjectListener, PlacementPool,
-        RelayedBody, RouteTable, ServiceConfig, ServiceRoute, StoreError, StoreMonitor, Team,
-        TeamScope,
+        EntryResponse, EntrySettings, HostFeature, KeyChecker, KindFollower, ObjectListener,
+        PlacementPool, RelayedBody, RouteTable, ServiceConfig, ServiceRoute, StoreError,
+        StoreMonitor, Team, TeamScope,
         buffer_budget::BufferLease,
         chain_recorder::ChainRecorder,
         crash_guard::CRASH_LIMIT,
@@ -108,7 +108,8 @@
         let pool = Arc::new(
             PlacementPool::new(Arc::clone(&settings.data_centre), settings.regions.clone())
                 .with_expiry(settings.expiry)
-                .with_departures(Arc::clone(&network.departures)),
+                .with_departures(Arc::clone(&network.departures))
+                .with_switches(settings.switches),
         );
 
         let state = MeshState {
@@ -161,7 +162,7 @@
         let monitor = StoreMonitor::new(Arc::clone(&backends.store));
         tokio::spawn(monitor.clone().run());
 
-        let is_dispatching = settings.region_dispatch;
+        let is_dispatching = settings.switches.is_on(HostFeature::RegionDispatch);
         let runner_context = Arc::new(RunnerContext {
             keys: KeyChecker::new(&monitor, &metrics),
             dispatch: is_dispatching.then(|| RegionDispatch::new(&mesh, &pool, &metrics)),
--- a/src/entry/entry_settings.rs
+++ b/src/entry/entry_settings.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
-use crate::entry::{ExpiryBounds, ObjectStore, QuotaTolerance, UpstreamChannel};
+use crate::entry::{ExpiryBounds, FeatureSwitches, ObjectStore, QuotaTolerance, UpstreamChannel};
 
 /// Settings of an entry host.
 #[derive(Clone, Debug)]
@@ -23,8 +23,8 @@
     pub memory_bytes: Option<u64>,
     /// What the platform states of its upstreams' entries.
     pub expiry: ExpiryBounds,
-    /// Whether one host of a region places the requests of all its schedulers. See docs/design/dispatching.md.
-    pub region_dispatch: bool,
+    /// Optional parts that are in use.
+    pub switches: FeatureSwitches,
     /// What the platform tolerates beyond a team's quota.
     pub quota_tolerance: QuotaTolerance,
 }
--- a/src/entry/placement_pool.rs
+++ b/src/entry/placement_pool.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     entry::{
-        ExpiryBounds, UpstreamRecord,
+        ExpiryBounds, FeatureSwitches, HostFeature, UpstreamRecord,
         admission::admission_ticket::AdmissionTicket,
         host_reach::HostReach,
         placement_request::{PlacementRefusal, PlacementRequest},
@@ -63,7 +63,7 @@
     pub(super) data_centre: Arc<str>,
     regions: BTreeMap<Arc<str>, Arc<str>>,
     pub(super) expiry: ExpiryBounds,
-    pub(super) state: Mutex<PoolState>,
+    pub(crate) state: Mutex<PoolState>,
     /// Upstreams that leave, shared with the mesh. Lock order: after `state`.
     pub(super) departures: Arc<Mutex<UpstreamDepartures>>,
     /// Limits that upstreams have stated, shared with the mesh. Lock order: after `departures`.
@@ -98,6 +98,13 @@
         Self { departures, ..self }
     }
 
+    /// Sets which optional parts are in use.
+    #[must_use]
+    pub(crate) fn with_switches(self, switches: FeatureSwitches) -> Self {
+        self.state.lock().switches = switches;
+        self
+    }
+
     /// Limits that upstreams have stated.
     pub(crate) fn limits(&self) -> &Arc<Mutex<UpstreamLimits>> {
         &self.limits
@@ -299,12 +306,13 @@
         };
 
         // An upstream in backoff, one that may have left, or one that has not answered since it failed, is better than none.
+        let counts_memory = state.switches.is_on(HostFeature::UpstreamLoad);
         let rank = |key: &UpstreamKey| {
             let upstream = &state.upstreams[*key];
             let is_risky = !request.may_repeat && upstream.is_unproven(now);
             (
                 // More requests than its memory holds end an upstream, with all requests on it.
-                upstream.is_memory_exceeded_by(now, request.memory_tokens()),
+                counts_memory && upstream.is_memory_exceeded_by(now, request.memory_tokens()),
                 upstream.is_in_backoff(now) || is_risky,
                 upstream.kept_until.is_some(),
             )
@@ -354,7 +362,8 @@
         request: &PlacementRequest,
         departures: &UpstreamDepartures,
     ) -> PartPreference {
-        let Some(pool) = state.services.get(&request.service) else {
+        let is_on = state.switches.is_on(HostFeature::UpstreamLoad);
+        let Some(pool) = state.services.get(&request.service).filter(|_| is_on) else {
             return PartPreference::default();
         };
         let upstreams = pool
@@ -465,6 +474,9 @@
     pub(crate) fn record_load(&self, key: UpstreamKey, load: ReportedLoad) {
         let mut state = self.state.lock();
 
+        let uses_slowness = state.switches.is_on(HostFeature::UpstreamLoad);
+        let load = ReportedLoad { slowness: load.slowness.filter(|_| uses_slowness), ..load };
+
         if let Some(upstream) = state.upstreams.get_mut(key) {
             upstream.record_load(Instant::now(), load);
         }
--- a/src/entry/pool_listing.rs
+++ b/src/entry/pool_listing.rs
@@ -5,7 +5,7 @@
 use tokio::time::Instant;
 
 use crate::entry::{
-    FollowGap, PlacementPool, UpstreamPhase, UpstreamRecord,
+    FollowGap, HostFeature, PlacementPool, UpstreamPhase, UpstreamRecord,
     pool_state::{PoolState, UpstreamKey},
     pooled_upstream::PooledUpstream,
 };
@@ -101,7 +101,10 @@
             let cache_tokens = state.cache_capacities.get(&service).copied().unwrap_or(0);
             let id = Arc::clone(&record.id);
             log::info!(upstream:% = id, service:% = service, revision = record.revision, born_ms = record.started_at_ms, software_version:% = record.software_version, data_centre:% = record.data_centre; "an upstream is listed");
-            let key = state.upstreams.insert(PooledUpstream::new(record, cache_tokens));
+            let has_slow_start = state.switches.is_on(HostFeature::SlowStart);
+            let upstream =
+                PooledUpstream::new(record, cache_tokens).with_slow_start(has_slow_start);
+            let key = state.upstreams.insert(upstream);
             state.by_id.insert(id, key);
             state.services.entry(service).or_default().keys.push(key);
             Some(key)
--- a/src/entry/pool_pace.rs
+++ b/src/entry/pool_pace.rs
@@ -5,7 +5,7 @@
 use tokio::time::{Duration, Instant};
 
 use crate::entry::{
-    PlacementPool,
+    HostFeature, PlacementPool,
     pool_state::{PoolState, UpstreamKey},
     upstream_load::{granted_load::GrantedLoad, pace_window::PaceCause, start_cohort::StartCohort},
 };
@@ -108,6 +108,9 @@
         }
         times.record(time, prefill_ms);
 
+        if !self.switches.is_on(HostFeature::UpstreamLoad) {
+            return;
+        }
         if kind == AnswerKind::FirstEvent
             && granted.is_prefill_known
             && upstream.cache.has_capacity()
@@ -139,7 +142,8 @@
         let Some(pool) = self.services.get_mut(&upstream.record.service) else {
             return;
         };
-        if upstream.is_paced(now) || !upstream.cache.has_capacity() {
+        let is_learned = self.switches.is_on(HostFeature::UpstreamLoad);
+        if !is_learned || upstream.is_paced(now) || !upstream.cache.has_capacity() {
             return;
         }
         let load = f64::from(granted.requests);
--- a/src/entry/pool_state.rs
+++ b/src/entry/pool_state.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     entry::{
-        UpstreamRecord,
+        FeatureSwitches, UpstreamRecord,
         admission::{admission_state::AdmissionState, admission_ticket::AdmissionTicket},
         placement_pool::MIN_RETRY_AFTER,
         placement_request::{NO_UPSTREAM, NO_USABLE_UPSTREAM, PlacementRefusal, PlacementRequest},
@@ -106,10 +106,11 @@
 }
 
 #[derive(Debug, Default)]
-pub(super) struct PoolState {
-    pub(super) upstreams: SlotMap<UpstreamKey, PooledUpstream>,
-    pub(super) by_id: HashMap<Arc<str>, UpstreamKey>,
+pub(crate) struct PoolState {
+    pub(crate) upstreams: SlotMap<UpstreamKey, PooledUpstream>,
+    pub(crate) by_id: HashMap<Arc<str>, UpstreamKey>,
     pub(super) services: HashMap<Arc<str>, ServicePool>,
+    pub(super) switches: FeatureSwitches,
     /// Cache capacity of each upstream of a service, in tokens.
     pub(super) cache_capacities: HashMap<Arc<str>, u64>,
     pub(super) last_sequence: u64,
--- a/src/entry/pooled_upstream.rs
+++ b/src/entry/pooled_upstream.rs
@@ -73,6 +73,7 @@
     failures: u32,
     backoff_until: Option<Instant>,
     pace: Option<PaceWindow>,
+    has_slow_start: bool,
 }
 
 impl PooledUpstream {
@@ -93,9 +94,16 @@
             failures: 0,
             backoff_until: None,
             pace: None,
+            has_slow_start: true,
         }
     }
 
+    /// Sets whether the upstream gets few requests at first when it has just started or failed.
+    #[must_use]
+    pub(crate) fn with_slow_start(self, has_slow_start: bool) -> Self {
+        Self { has_slow_start, ..self }
+    }
+
     /// Applies a new entry. A restarted upstream has lost its cache, and its load report and failures no longer apply.
     pub(crate) fn update(&mut self, record: Arc<UpstreamRecord>) {
         if record.started_at_ms != self.record.started_at_ms {
@@ -197,6 +205,9 @@
 
     /// Begins slow start.
     pub(crate) fn begin_pace(&mut self, now: Instant, cause: PaceCause) {
+        if !self.has_slow_start {
+            return;
+        }
         log::info!(
             upstream:% = self.record.id, born_ms = self.record.started_at_ms, cause:? = cause, slots = self.record.slots;
             "slow start of an upstream begins"
--- a/src/tests/entry_node.rs
+++ b/src/tests/entry_node.rs
@@ -14,8 +14,8 @@
     IdlePolicy, NodeMetrics, PeerMessage, PeerTransport, QuicTransport,
     entry::{
         EntryBackends, EntryHost, EntryRefusal, EntryRequest, EntryResponse, EntrySettings,
-        ExpiryBounds, HostRegistry, ObjectStore, PossibleRuns, ProgramContext, QuotaTolerance,
-        RequestKind, RouteLimits, RouteTable, ServiceRoute, UpstreamChannel,
+        ExpiryBounds, FeatureSwitches, HostRegistry, ObjectStore, PossibleRuns, ProgramContext,
+        QuotaTolerance, RequestKind, RouteLimits, RouteTable, ServiceRoute, UpstreamChannel,
     },
     gateway::{EntryNode, ForwardedRequest, SchedulerStarter},
 };
@@ -95,7 +95,7 @@
         memory_bytes: None,
         store_value_bytes: None,
         expiry: ExpiryBounds::default(),
-        region_dispatch: true,
+        switches: FeatureSwitches::default(),
         quota_tolerance: QuotaTolerance::default(),
     };
     let backends = EntryBackends {
--- a/src/tests/lost_links.rs
+++ b/src/tests/lost_links.rs
@@ -15,9 +15,10 @@
 };
 use crate::entry::{
     ChannelError, EntryBackends, EntryHost, EntryRequest, EntryResponse, EntrySettings,
-    ExpiryBounds, ObjectStore, QuotaTolerance, RequestKind, RouteLimits, RouteTable, RouteTarget,
-    SendGuard, ServiceConfig, ServiceRoute, UpstreamBody, UpstreamChannel, UpstreamRecord,
-    UpstreamRequest, UpstreamResponse, host_reach::ReachEvidence, pooled_upstream::LeaseOutcome,
+    ExpiryBounds, FeatureSwitches, ObjectStore, QuotaTolerance, RequestKind, RouteLimits,
+    RouteTable, RouteTarget, SendGuard, ServiceConfig, ServiceRoute, UpstreamBody, UpstreamChannel,
+    UpstreamRecord, UpstreamRequest, UpstreamResponse, host_reach::ReachEvidence,
+    pooled_upstream::LeaseOutcome,
 };
 use crate::gateway::{EntryNode, SchedulerStarter};
 
@@ -173,7 +174,7 @@
                 memory_bytes: None,
                 store_value_bytes: None,
                 expiry: ExpiryBounds::default(),
-                region_dispatch: true,
+                switches: FeatureSwitches::default(),
                 quota_tolerance: QuotaTolerance::default(),
             };
             let backends = EntryBackends {
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -22,6 +22,7 @@
 mod entry_routes;
 mod entry_runner;
 mod entry_streams;
+mod feature_switches;
 mod frame_codec;
 mod gateway_forwarding;
 mod gateway_roles;
--- a/src/tests/retained_records.rs
+++ b/src/tests/retained_records.rs
@@ -14,8 +14,9 @@
 use crate::{
     entry::{
         EntryBackends, EntryHost, EntryRefusal, EntryRequest, EntryResponse, EntrySettings,
-        ExpiryBounds, ObjectStore, QuotaTolerance, RelayedBody, RequestKind, RouteLimits,
-        RouteTable, RouteTarget, ServiceConfig, ServiceRoute, StreamItem, UpstreamChannel,
+        ExpiryBounds, FeatureSwitches, ObjectStore, QuotaTolerance, RelayedBody, RequestKind,
+        RouteLimits, RouteTable, RouteTarget, ServiceConfig, ServiceRoute, StreamItem,
+        UpstreamChannel,
         budget_ledger::{ReserveOutcome, SpendNote},
         chain_recorder::ChainRecorder,
         turn_locator::TurnSearch,
@@ -79,7 +80,7 @@
         memory_bytes: None,
         store_value_bytes: None,
         expiry: ExpiryBounds::default(),
-        region_dispatch: true,
+        switches: FeatureSwitches::default(),
         quota_tolerance: QuotaTolerance::default(),
     }
 }
