--- a/src/entry/dispatching/placement_query.rs
+++ b/src/entry/dispatching/placement_query.rs
@@ -108,6 +108,8 @@
             prompt_parts: parts.map(|it| PromptPart { id: it.id, tokens: it.tokens }).collect(),
             prompt_tokens: self.prompt_tokens,
             completion_tokens: named_number(&self.numbers, COMPLETION_TOKENS).unwrap_or(0),
+            // Requests of services without a prompt cache are placed by their own hosts.
+            object: None,
             may_repeat: named_number(&self.numbers, MAY_REPEAT) == Some(1),
             software_version: self.software_version.clone(),
             excluded: self.excluded.clone(),
--- a/src/entry/dispatching/remote_grants.rs
+++ b/src/entry/dispatching/remote_grants.rs
@@ -44,6 +44,7 @@
             is_prefill_known: true,
             memory_tokens: request.memory_tokens(),
             requests: 0,
+            object_place: None,
         };
         upstream.record_grant(granted);
         // This host places requests by its own cache estimate once no dispatcher answers.
--- a/src/entry/entry_metrics.rs
+++ b/src/entry/entry_metrics.rs
@@ -9,7 +9,8 @@
 };
 
 use crate::{
-    entry::placement_metrics::PlacementMetrics, process::metrics_registry::MetricsRegistry,
+    entry::{object_affinity::object_gain::ObjectPlace, placement_metrics::PlacementMetrics},
+    process::metrics_registry::MetricsRegistry,
 };
 
 /// Bucket boundaries of the latency histograms, in seconds.
@@ -192,6 +193,16 @@
         self.placements.placement_refusals.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a placed request about an object.
+    pub(crate) fn count_object(&self, place: ObjectPlace) {
+        let place = match place {
+            ObjectPlace::Preferred => "preferred",
+            ObjectPlace::Next => "next",
+            ObjectPlace::Beside => "beside",
+        };
+        self.placements.object_placements.add(1, &[KeyValue::new("place", place)]);
+    }
+
     /// Counts a stream that this host closes before its end. The client then has an incomplete response.
     pub(crate) fn count_broken_stream(&self, cause: &'static str) {
         self.broken_streams.add(1, &[KeyValue::new("cause", cause)]);
--- a/src/entry/placement_metrics.rs
+++ b/src/entry/placement_metrics.rs
@@ -8,6 +8,7 @@
 #[derive(Debug)]
 pub(super) struct PlacementMetrics {
     pub(super) placement_refusals: Counter<u64>,
+    pub(super) object_placements: Counter<u64>,
     pub(super) dispatches: Counter<u64>,
     pub(super) dispatch_time: Histogram<f64>,
     pub(super) served_placements: Counter<u64>,
@@ -31,6 +32,10 @@
                 "ragwortknot.entry.placement.refusals",
                 "Requests that got no place at an upstream, by reason.",
             ),
+            object_placements: counter(
+                "ragwortknot.entry.object.placements",
+                "Requests about objects that were placed, by the upstream's place in the object's order.",
+            ),
             dispatches: counter(
                 "ragwortknot.entry.dispatches",
                 "Queries to the region's dispatchers, by result.",
--- a/src/entry/placement_pool.rs
+++ b/src/entry/placement_pool.rs
@@ -20,6 +20,7 @@
         ExpiryBounds, UpstreamRecord,
         admission::admission_ticket::AdmissionTicket,
         host_reach::HostReach,
+        object_affinity::object_preference::ObjectPreference,
         placement_request::{PlacementRefusal, PlacementRequest},
         pool_pace::AnswerKind,
         pool_state::{GrantedSlot, PoolState, QueuePosition, UpstreamKey, WaitingRequest},
@@ -310,11 +311,12 @@
             )
         };
         let preference = self.part_preference(state, now, request, &departures);
+        let objects = self.object_preference(state, now, request, &departures);
         let lease_time = state.services[&request.service].mean_lease_time;
         let local_host = Arc::clone(limits.local_host());
         let cost = |key: &UpstreamKey| {
             let upstream = &state.upstreams[*key];
-            let work_ms = self.cost_ms(*key, upstream, now, request, &preference);
+            let work_ms = self.cost_ms(*key, upstream, now, request, &preference, objects.as_ref());
             work_ms + slowness_cost_ms(upstream, now, lease_time) + spread_ms(upstream, &local_host)
         };
         let (_, _, key) = keys
@@ -336,10 +338,14 @@
             is_prefill_known,
             memory_tokens: request.memory_tokens(),
             requests: 0,
+            object_place: objects.as_ref().map(|it| it.place(key)),
         };
         upstream.record_grant(granted);
         let record = Arc::clone(&upstream.record);
         let slot = GrantedSlot { key, record, cached_tokens, granted };
+        if let Some((object, pool)) = request.object.zip(state.services.get_mut(&request.service)) {
+            pool.record_object(now, object);
+        }
         if has_cache && let Some(pool) = state.services.get_mut(&request.service) {
             pool.demand.record(now, &request.prompt_parts);
         }
@@ -375,6 +381,7 @@
         now: Instant,
         request: &PlacementRequest,
         preference: &PartPreference,
+        objects: Option<&ObjectPreference>,
     ) -> f64 {
         let load = f64::from(upstream.load(now));
         let believed_tokens = preference.believed_tokens(key, upstream.load_share(now));
@@ -382,8 +389,13 @@
         let read_tokens = request.prompt_tokens.saturating_sub(cached_tokens.max(believed_tokens))
             + preference.displaced_tokens(key, cached_tokens);
         let costs = &upstream.costs;
-        let work_ms = costs.prefill_ms(read_tokens) + load * costs.concurrency_ms();
-        work_ms * upstream.slowness(now) + self.network_cost_ms(&upstream.record.data_centre)
+        let slowness = upstream.slowness(now);
+        let (concurrency_ms, missed_ms) = objects.map_or((costs.concurrency_ms(), 0.0), |it| {
+            let concurrency_ms = it.concurrency_ms(costs.concurrency_ms(), upstream.record.slots);
+            (concurrency_ms, it.missed_ms(key, upstream.load_share(now), slowness))
+        });
+        let work_ms = costs.prefill_ms(read_tokens) + load * concurrency_ms;
+        work_ms * slowness + missed_ms + self.network_cost_ms(&upstream.record.data_centre)
     }
 
     fn network_cost_ms(&self, data_centre: &Arc<str>) -> f64 {
@@ -509,6 +521,7 @@
                 let kind = AnswerKind::Whole;
                 state.record_answer_time(now, key, kind, end.granted, lease_time);
             }
+            state.record_object_time(now, key, end.granted, lease_time);
         }
         if end.outcome == LeaseOutcome::Answered
             && let Some(pool) = state.services.get_mut(&service)
--- a/src/entry/placement_request.rs
+++ b/src/entry/placement_request.rs
@@ -5,7 +5,8 @@
 use tokio::time::{Duration, Instant};
 
 use crate::entry::{
-    PromptPart, pooled_upstream::PooledUpstream, upstream_load::memory_account::MemoryAccount,
+    PromptPart, object_affinity::object_key::ObjectKey, pooled_upstream::PooledUpstream,
+    upstream_load::memory_account::MemoryAccount,
 };
 
 /// A request for a slot on an upstream of a service.
@@ -32,6 +33,8 @@
     pub(crate) prompt_tokens: u64,
     /// Largest number of tokens in the response; 0 if not stated.
     pub(crate) completion_tokens: u64,
+    /// What the request is about, if its route keeps requests about one object together.
+    pub(crate) object: Option<ObjectKey>,
     /// Whether the request may be sent again after it may have run, so that its loss does little harm.
     pub(crate) may_repeat: bool,
     /// Software version of the upstream, if the request goes on with a stream that one has begun.
--- a/src/entry/pool_pace.rs
+++ b/src/entry/pool_pace.rs
@@ -103,6 +103,11 @@
         let prefill_ms = upstream.costs.prefill_ms(granted.uncached_tokens);
 
         if upstream.is_paced(now) {
+            // It has handled hardly any object, whereas most of the measured answers were of preferred upstreams.
+            let lease_ms = pool.mean_lease_time.as_secs_f64() * 1_000.0;
+            let missed_ms =
+                granted.object_place.map_or(0.0, |_| pool.object_gain.gain_ms(lease_ms));
+            let prefill_ms = prefill_ms + missed_ms;
             upstream.record_speed(now, granted.granted_at, times.speed(time, prefill_ms));
             return;
         }
--- a/src/entry/pool_state.rs
+++ b/src/entry/pool_state.rs
@@ -15,6 +15,7 @@
     entry::{
         UpstreamRecord,
         admission::{admission_state::AdmissionState, admission_ticket::AdmissionTicket},
+        object_affinity::object_gain::ObjectGain,
         placement_pool::MIN_RETRY_AFTER,
         placement_request::{NO_UPSTREAM, NO_USABLE_UPSTREAM, PlacementRefusal, PlacementRequest},
         pooled_upstream::PooledUpstream,
@@ -87,6 +88,9 @@
     pub(super) answer_times: AnswerTimes,
     /// Costs at the service's upstreams taken together.
     pub(super) costs: RequestCosts,
+    /// Objects of the requests that this host has placed.
+    pub(super) object_demand: PartDemand,
+    pub(super) object_gain: ObjectGain,
 }
 
 impl Default for ServicePool {
@@ -101,6 +105,8 @@
             first_event_times: AnswerTimes::default(),
             answer_times: AnswerTimes::default(),
             costs: RequestCosts::default(),
+            object_demand: PartDemand::default(),
+            object_gain: ObjectGain::default(),
         }
     }
 }
--- a/src/entry/request_runner.rs
+++ b/src/entry/request_runner.rs
@@ -246,12 +246,13 @@
         self.context.check_key(&self.routed)?;
         self.context.check_crashes(self.routed.fingerprint)?;
         self.context.metrics.record_queue_time(queued_at.elapsed());
+        lease.granted.object_place.inspect(|it| self.context.metrics.count_object(*it));
 
         log::info!(
             request:% = self.routed.request.id, program:% = self.routed.program_id(), team = self.routed.team.as_ref().map_or("", |it| &it.name),
             route:% = self.routed.route.name, upstream:% = lease.record.id, entry_revision = lease.record.revision,
             data_centre:% = lease.record.data_centre, software_version:% = lease.record.software_version, waited_ms = queued_at.elapsed().as_millis() as u64,
-            cached_tokens = lease.cached_tokens, prompt_tokens = self.routed.request.prompt_tokens,
+            object_place:? = lease.granted.object_place, cached_tokens = lease.cached_tokens, prompt_tokens = self.routed.request.prompt_tokens,
             dispatcher:% = lease.dispatcher(), attempts = self.record.possible_runs(), resumed_request:? = self.routed.request.resumed_request;
             "placed"
         );
--- a/src/entry/route_table.rs
+++ b/src/entry/route_table.rs
@@ -67,6 +67,8 @@
     pub attempt_limit: u32,
     /// Time for which finished turns can be continued; `None` if the route keeps no history.
     pub history_retention: Option<Duration>,
+    /// Name of the cookie that names the object of a request, if requests about one object are kept together.
+    pub object_cookie: Option<Arc<str>>,
     /// Services to which requests are sent.
     pub targets: Vec<RouteTarget>,
 }
--- a/src/entry/routed_request.rs
+++ b/src/entry/routed_request.rs
@@ -7,7 +7,8 @@
 
 use crate::entry::{
     EntryRequest, ServiceConfig, ServiceRoute, Team, TeamScope, UpstreamRequest,
-    buffer_budget::BufferLease, placement_request::PlacementRequest, turn_history::HistoryTurn,
+    buffer_budget::BufferLease, object_affinity::object_key::ObjectKey,
+    placement_request::PlacementRequest, turn_history::HistoryTurn,
 };
 
 /// A request with its route, its service and its deadline.
@@ -47,6 +48,13 @@
         self.team.as_ref().map(|it| Arc::clone(&it.name))
     }
 
+    /// What the request is about. Requests of a service with a prompt cache are placed by the parts of their prompts.
+    fn object(&self) -> Option<ObjectKey> {
+        let cookie =
+            self.route.object_cookie.as_ref().filter(|_| self.service.cache_tokens == 0)?;
+        ObjectKey::from_cookies(&self.request.headers, cookie)
+    }
+
     /// The request as the placement pool sees it. `excluded` lists upstreams that must not get it.
     pub(crate) fn placement_request(&self, excluded: &[Arc<str>]) -> PlacementRequest {
         let program = self.request.program.as_ref().filter(|it| it.finish_by.is_some());
@@ -65,6 +73,7 @@
             prompt_parts: self.request.prompt_parts.clone(),
             prompt_tokens: self.request.prompt_tokens,
             completion_tokens: self.request.max_completion_tokens,
+            object: self.object(),
             may_repeat: self.route.kind.is_retryable(),
             software_version: self.software_version.clone(),
             excluded: excluded.to_vec(),
--- a/src/entry/upstream_lease.rs
+++ b/src/entry/upstream_lease.rs
@@ -28,7 +28,7 @@
     pub(crate) record: Arc<UpstreamRecord>,
     /// Tokens of the prompt that the upstream should have cached.
     pub(crate) cached_tokens: u64,
-    pub(super) granted: GrantedLoad,
+    pub(crate) granted: GrantedLoad,
     /// Time from the grant to the first event of a stream.
     pub(super) first_event_time: Option<Duration>,
     /// What admission control learns from the lease's end, if the request takes part.
--- a/src/entry/upstream_load/granted_load.rs
+++ b/src/entry/upstream_load/granted_load.rs
@@ -2,7 +2,7 @@
 
 use tokio::time::{Duration, Instant};
 
-use crate::entry::pooled_upstream::LeaseOutcome;
+use crate::entry::{object_affinity::object_gain::ObjectPlace, pooled_upstream::LeaseOutcome};
 
 /// What a granted request puts on its upstream, as known at the grant.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -17,6 +17,8 @@
     /// Requests on the upstream with this one, at the first event: the load report of the response has just come then, so
     /// that those of other hosts are well known.
     pub(crate) requests: u32,
+    /// Place of the upstream in the order of the request's object, if it has one.
+    pub(crate) object_place: Option<ObjectPlace>,
 }
 
 /// How a lease has ended.
--- a/src/entry/upstream_load/part_demand.rs
+++ b/src/entry/upstream_load/part_demand.rs
@@ -65,6 +65,13 @@
         if self.total > 0.0 { (weight / self.total).min(1.0) } else { 0.0 }
     }
 
+    /// Requests that begin with a part, weighted by age; 1 for one that is placed now.
+    pub(crate) fn requests(&self, now: Instant, part: u64) -> f64 {
+        let age = now.saturating_duration_since(self.base.unwrap_or(now));
+        let weight = self.parts.get(&part).map_or(0.0, |it| it.weight);
+        weight / (age.as_secs_f64() / HALF_LIFE.as_secs_f64()).exp2()
+    }
+
     /// Whether prompts of several sessions begin with a part, as far as this host has seen.
     pub(crate) fn is_shared(&self, part: u64) -> bool {
         self.parts.get(&part).is_some_and(|it| it.is_shared)
--- a/src/tests/admission_bench.rs
+++ b/src/tests/admission_bench.rs
@@ -299,6 +299,7 @@
             prompt_parts: Vec::new(),
             prompt_tokens: 1_000,
             completion_tokens: 0,
+            object: None,
             may_repeat: false,
             software_version: None,
             excluded: Vec::new(),
--- a/src/tests/admission_pools.rs
+++ b/src/tests/admission_pools.rs
@@ -37,6 +37,7 @@
         prompt_parts: Vec::new(),
         prompt_tokens: 1_000,
         completion_tokens: 0,
+        object: None,
         may_repeat: false,
         software_version: None,
         excluded: Vec::new(),
--- a/src/tests/admission_rules.rs
+++ b/src/tests/admission_rules.rs
@@ -38,6 +38,7 @@
         prompt_parts: Vec::new(),
         prompt_tokens: 1_000,
         completion_tokens: 0,
+        object: None,
         may_repeat: false,
         software_version: None,
         excluded: Vec::new(),
--- a/src/tests/dispatching.rs
+++ b/src/tests/dispatching.rs
@@ -303,6 +303,7 @@
             deadline,
             prompt_parts: vec![PromptPart { id: 7, tokens: 100 }],
             completion_tokens: 0,
+            object: None,
             may_repeat: false,
             prompt_tokens: 100,
             software_version: None,
--- a/src/tests/entry_node.rs
+++ b/src/tests/entry_node.rs
@@ -67,6 +67,7 @@
         priority: 0,
         attempt_limit: 1,
         history_retention: None,
+        object_cookie: None,
         targets: Vec::new(),
     };
     RouteTable::new(version, RouteLimits::default(), vec![route], Vec::new())
--- a/src/tests/entry_placement.rs
+++ b/src/tests/entry_placement.rs
@@ -43,6 +43,7 @@
         prompt_parts: Vec::new(),
         prompt_tokens: 1_000,
         completion_tokens: 0,
+        object: None,
         may_repeat: true,
         software_version: None,
         excluded: Vec::new(),
--- a/src/tests/entry_routes.rs
+++ b/src/tests/entry_routes.rs
@@ -24,6 +24,7 @@
         priority: 0,
         attempt_limit: 2,
         history_retention: None,
+        object_cookie: None,
         targets: targets
             .iter()
             .map(|(service, weight)| RouteTarget { service: (*service).into(), weight: *weight })
--- a/src/tests/entry_runner.rs
+++ b/src/tests/entry_runner.rs
@@ -178,6 +178,7 @@
         priority: 0,
         attempt_limit: 2,
         history_retention: None,
+        object_cookie: None,
         targets: vec![RouteTarget { service: "service".into(), weight: 1.0 }],
     };
     let service = ServiceConfig {
@@ -384,6 +385,7 @@
         prompt_parts: Vec::new(),
         prompt_tokens: 0,
         completion_tokens: 0,
+        object: None,
         may_repeat: true,
         software_version: None,
         excluded: excluded.iter().map(|it| Arc::from(*it)).collect(),
--- a/src/tests/gateway_forwarding.rs
+++ b/src/tests/gateway_forwarding.rs
@@ -8,7 +8,7 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use hyper::{HeaderMap, Method};
+use hyper::{HeaderMap, Method, header, header::HeaderValue};
 use parking_lot::Mutex;
 use tokio::{
     sync::mpsc,
@@ -403,7 +403,10 @@
 
 #[tokio::test(start_paused = true)]
 async fn forwarded_request_keeps_what_the_client_sent() {
-    let original = request();
+    let mut original = request();
+    for cookie in ["a=b", "Object=o-1"] {
+        original.headers.append(header::COOKIE, HeaderValue::from_static(cookie));
+    }
     let encoded = ForwardedRequest::encode(&original, Instant::now());
     let decoded = encoded.decode(Instant::now()).expect("a valid request");
     assert_eq!((&decoded.id, &decoded.method), (&original.id, &original.method));
--- a/src/tests/lost_links.rs
+++ b/src/tests/lost_links.rs
@@ -130,6 +130,7 @@
             priority: 0,
             attempt_limit: 2,
             history_retention: None,
+            object_cookie: None,
             targets: vec![RouteTarget { service: "service".into(), weight: 1.0 }],
         };
         let service = ServiceConfig {
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -37,6 +37,7 @@
 mod membership;
 mod memory_platform;
 mod mesh_connector;
+mod object_affinity;
 mod peer_mesh;
 mod policy_bench;
 mod polling;
--- a/src/tests/retained_records.rs
+++ b/src/tests/retained_records.rs
@@ -58,6 +58,7 @@
         priority: 0,
         attempt_limit: 1,
         history_retention: Some(RETENTION),
+        object_cookie: None,
         targets: vec![target],
     };
     let service = ServiceConfig {
--- a/src/tests/upstream_departures.rs
+++ b/src/tests/upstream_departures.rs
@@ -191,6 +191,7 @@
         prompt_parts: Vec::new(),
         prompt_tokens: 1_000,
         completion_tokens: 0,
+        object: None,
         may_repeat: true,
         software_version: None,
         excluded: Vec::new(),
--- a/src/tests/upstream_limits.rs
+++ b/src/tests/upstream_limits.rs
@@ -38,6 +38,7 @@
         prompt_parts: Vec::new(),
         prompt_tokens: 0,
         completion_tokens: 0,
+        object: None,
         may_repeat: true,
         software_version: None,
         excluded: Vec::new(),
