--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -38,6 +38,7 @@
 mod memory_platform;
 mod mesh_connector;
 mod object_affinity;
+mod object_affinity_bench;
 mod peer_mesh;
 mod policy_bench;
 mod polling;
