Steps of the wall clock no longer end programs or refuse their turns

Callers of the own interface got "the program's deadline has passed", and the log stated the end of the program for ever, when the clock of the shard's owner was ahead for a moment. Decisions now use a clock that is set once, at the start of the process, and then follows the monotonic one. The wall clock only dates log lines and configurations.

--- a/src/interface/caller_api.rs
+++ b/src/interface/caller_api.rs
@@ -17,7 +17,7 @@
     CreateRequest, HostPhase, InFlightGuard, ModelKind, ModelName, Node, Problem, ProblemKind,
     ProgramAnswer, ProgramEvent, ProgramId, ProgramOperation, ProgramRequest, ShardId, TeamName,
     TurnRequest,
-    basics::unix_clock::unix_millis,
+    basics::steady_clock::steady_millis,
     interface::{
         answer_body::{PROGRAM_HEADER, answer_response},
         answer_stream::stream_response,
@@ -165,7 +165,7 @@
         }
 
         let parent = create_body.parent.as_deref().map(parse_program).transpose()?;
-        let deadline_ms = create_body.deadline_s.map(|seconds| unix_millis() + seconds * 1_000);
+        let deadline_ms = create_body.deadline_s.map(|seconds| steady_millis() + seconds * 1_000);
 
         let terms = CreateRequest {
             model: create_body.model,
--- a/src/programs/call_runner.rs
+++ b/src/programs/call_runner.rs
@@ -11,7 +11,7 @@
     CallAnswer, CallRecord, CallRequest, CallState, CommitOutcome, LogRecord, ModelKind, ModelName,
     OwnedProgram, Problem, ProblemKind, ProgramAnswer, ProgramEntry, ProgramId, ProgramService,
     SlotAdmission, UpstreamError,
-    basics::unix_clock::unix_millis,
+    basics::steady_clock::steady_millis,
     programs::program_service::{PLATFORM_RETRY_AFTER_S, deposed_problem},
 };
 
@@ -117,7 +117,7 @@
             fingerprint,
             is_repeatable: call.is_repeatable,
             state: CallState::Intended,
-            at_ms: unix_millis(),
+            at_ms: steady_millis(),
         };
 
         match call.is_repeatable {
@@ -154,7 +154,7 @@
         let mut attempt = 1;
 
         let response = loop {
-            let permit = self.acquire(call, unix_millis()).await?;
+            let permit = self.acquire(call, steady_millis()).await?;
 
             match self.send(call, permit).await {
                 Ok(response) => break response,
@@ -246,7 +246,7 @@
     }
 
     fn settled_record(&self, number: u32, state: CallState) -> LogRecord {
-        LogRecord::CallSettled { program: self.program.id, number, state, at_ms: unix_millis() }
+        LogRecord::CallSettled { program: self.program.id, number, state, at_ms: steady_millis() }
     }
 
     /// Logs the final state of a call, unless it has one already.
--- a/src/programs/prepared_turn.rs
+++ b/src/programs/prepared_turn.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     ModelName, ModelTerms, Problem, ProblemKind, Program, ProgramLimits, TurnRequest, TurnRunner,
-    basics::unix_clock::unix_millis, programs::program_service::PLATFORM_RETRY_AFTER_S,
+    basics::steady_clock::steady_millis, programs::program_service::PLATFORM_RETRY_AFTER_S,
 };
 
 /// Tokens that a message may take in addition to its text.
@@ -85,7 +85,7 @@
         let body = self.request_body(&turn, &history, terms, &model)?;
         let deadline_ms = self.program.read(|program| program.terms.deadline_ms)?;
 
-        if deadline_ms.is_some_and(|deadline_ms| deadline_ms <= unix_millis()) {
+        if deadline_ms.is_some_and(|deadline_ms| deadline_ms <= steady_millis()) {
             let detail = "the program's deadline has passed";
             return Err(Problem::not_run(ProblemKind::DeadlinePassed, detail));
         }
@@ -98,7 +98,7 @@
             tokens,
             limits,
             started: Instant::now(),
-            started_ms: unix_millis(),
+            started_ms: steady_millis(),
             deadline_ms,
         })
     }
--- a/src/programs/program_service.rs
+++ b/src/programs/program_service.rs
@@ -11,7 +11,7 @@
     ProblemKind, Program, ProgramAnswer, ProgramEvent, ProgramHistory, ProgramId, ProgramOperation,
     ProgramRequest, ProgramStatus, ProgramTerms, ReceiptSealer, RequestOutcome, RetryBudget,
     ShardOwner, ShardState, ShardTable, TeamName, TurnRunner, UpstreamClient,
-    basics::unix_clock::unix_millis,
+    basics::steady_clock::steady_millis,
 };
 
 /// Sender of the events of one answer. The channel is bounded, so that a slow reader can't make memory grow.
@@ -278,7 +278,7 @@
             first_chunk_tokens: config.document.limits.chunk_tokens,
             deadline_ms: create.deadline_ms,
             parent: create.parent,
-            created_ms: unix_millis(),
+            created_ms: steady_millis(),
         })
     }
 
@@ -318,7 +318,7 @@
 
             collect_open(state, program.id, &mut ended);
             let mut records = Self::running_spend_records(program, state, &ended);
-            let at_ms = unix_millis();
+            let at_ms = steady_millis();
             records.push(LogRecord::ProgramEnded { program: program.id, reason, at_ms });
             Ok(records)
         })?;
@@ -326,7 +326,7 @@
         log::info!(program:% = program.id, reason:% = reason; "program ended");
 
         for terms in ended {
-            let age_ms = unix_millis().saturating_sub(terms.created_ms);
+            let age_ms = steady_millis().saturating_sub(terms.created_ms);
             self.metrics.record_program(Duration::from_millis(age_ms));
             let cells = Arc::clone(&self.cells);
             tokio::spawn(async move { cells.end_programs(&terms.model, vec![terms.id]).await });
--- a/src/programs/turn_runner.rs
+++ b/src/programs/turn_runner.rs
@@ -16,7 +16,7 @@
     FinishedAttempt, LogRecord, OwnedProgram, PreparedTurn, Problem, ProblemKind, ProgramAnswer,
     ProgramEntry, ProgramService, RefusalReason, SlotAdmission, TokenUsage, TurnAnswer,
     TurnReceipt, TurnRecord, TurnRequest, UpstreamError, UpstreamName,
-    basics::unix_clock::unix_millis,
+    basics::steady_clock::steady_millis,
     programs::program_service::{PLATFORM_RETRY_AFTER_S, deposed_problem},
 };
 
@@ -146,7 +146,7 @@
             answer: finished.message,
             finish_reason: finished.finish_reason,
             usage: finished.usage,
-            at_ms: unix_millis(),
+            at_ms: steady_millis(),
         };
 
         let ticket = self.submit_turn(&prepared, &record)?;
--- a/src/state/program_sweeper.rs
+++ b/src/state/program_sweeper.rs
@@ -6,7 +6,7 @@
 use crate::{
     ClusterView, DispatcherTable, EndReason, HostTarget, LogRecord, OwnedProgram, PeerMessage,
     PeerTransport, Program, ProgramId, ProgramLimits, ProgramService, ShardOwner, UpstreamClient,
-    basics::unix_clock::unix_millis, membership::peer_transport::peer_call,
+    basics::steady_clock::steady_millis, membership::peer_transport::peer_call,
 };
 
 /// Time between two sweeps of the programs.
@@ -44,7 +44,7 @@
 
     fn sweep_shard(&self, owner: &Arc<ShardOwner>) {
         let limits = self.service.config.state().document.limits;
-        let now_ms = unix_millis();
+        let now_ms = steady_millis();
 
         let due: Vec<OwnedProgram> = owner.read(|state| {
             state
@@ -154,7 +154,11 @@
 }
 
 /// Returns the limit that a program has reached, if any. A program with open children is not idle.
-fn end_reason(program: &Program, limits: &ProgramLimits, now_ms: u64) -> Option<EndReason> {
+pub(crate) fn end_reason(
+    program: &Program,
+    limits: &ProgramLimits,
+    now_ms: u64,
+) -> Option<EndReason> {
     if program.terms.deadline_ms.is_some_and(|deadline_ms| deadline_ms <= now_ms) {
         return Some(EndReason::Deadline);
     }
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -8,6 +8,7 @@
 mod buffer_budget;
 mod cell_dispatcher;
 mod cell_queue;
+mod clock_steps;
 mod cluster_view;
 mod config_model;
 mod crash_counts;
--- a/src/tests/program_outcomes.rs
+++ b/src/tests/program_outcomes.rs
@@ -8,6 +8,7 @@
 use tokio::time::Instant;
 
 use super::{
+    clock_steps::STEPS_MS,
     memory_platform::FaultRates,
     program_fakes::{
         FakeHost, LARGE_BUDGET, PROGRAM, broken, call, call_request, memory_platform, not_sent,
@@ -17,7 +18,9 @@
 use crate::{
     CallRunner, LogRecord, OwnedProgram, ProblemKind, ProgramAnswer, ProgramOperation,
     RefusalReason, RequestOutcome, TurnRequest, UpstreamError,
-    programs::slot_admission::ADMISSION_TIMEOUT,
+    basics::{steady_clock::steady_millis, unix_clock::clock_step::STEP_MS},
+    programs::{program_request::CreateRequest, slot_admission::ADMISSION_TIMEOUT},
+    state::program_sweeper::end_reason,
 };
 
 /// Budget for one attempt of a turn, and not for two.
@@ -394,3 +397,27 @@
     assert_eq!(problem.kind, ProblemKind::UnknownProgram);
     assert_ne!(problem.outcome, RequestOutcome::NotRun);
 }
+
+/// Guards against a program that ends before its deadline or its limits, which its log would state for ever.
+#[tokio::test]
+async fn programs_keep_their_limits_over_steps() {
+    let host = FakeHost::claim(&memory_platform(), 1).await;
+    let deadline_ms = Some(steady_millis() + 10_000);
+    let create =
+        CreateRequest { model: "llm".into(), budget_tokens: 100_000, deadline_ms, parent: None };
+    host.serve(ProgramOperation::Create(create)).await;
+    let mut last_ms = 0;
+    for (number, step_ms) in (1..).zip(STEPS_MS) {
+        STEP_MS.set(step_ms);
+        let answer = host.serve(turn(number)).await;
+        assert!(matches!(answer, ProgramAnswer::Turn(_)), "step {step_ms}: {answer:?}");
+        let limits = host.service.config.state().document.limits;
+        let (active_ms, end) = host.owner.read(|state| {
+            let program = state.program(PROGRAM).expect("a program");
+            (program.active_ms, end_reason(program, &limits, steady_millis()))
+        });
+        assert!((last_ms.max(steady_millis() - 5_000)..=steady_millis()).contains(&active_ms));
+        assert_eq!(end, None, "step {step_ms}");
+        last_ms = active_ms;
+    }
+}
