Steps of the wall clock no longer stop the own interface's dispatcher

After a step back, an upstream with a limit got no request until the clock had caught up, as its bucket filled by the wall clock. After a step forward, queued requests were refused as too late. A request of a host whose clock is ahead waited behind all that came after it; it now counts as queued no later than it arrives.

dispatcher_keeps_the_rate_of_an_upstream_over_steps, dispatcher_keeps_deadlines_over_steps and dispatcher_takes_no_request_for_one_that_comes_later failed before and pass.

--- a/src/dispatch/cell_dispatcher.rs
+++ b/src/dispatch/cell_dispatcher.rs
@@ -8,7 +8,7 @@
 use crate::{
     CellDecision, CellEvent, CellId, CellPolicy, CellQueue, CellRefusal, CellReport, CellRequest,
     CellResult, CrashNote, DecisionJournal, JournalItem, NodeMetrics, ProgramId, TicketNumber,
-    UpstreamName, UpstreamTerms, basics::unix_clock::unix_millis,
+    UpstreamName, UpstreamTerms, basics::steady_clock::steady_millis,
 };
 
 /// Outcome of a request that was submitted to a dispatcher.
@@ -76,7 +76,7 @@
         term: &str,
         metrics: Arc<NodeMetrics>,
     ) -> Self {
-        let journal = DecisionJournal::begin(cell.clone(), term, unix_millis(), policy);
+        let journal = DecisionJournal::begin(cell.clone(), term, steady_millis(), policy);
 
         let state = DispatcherState {
             queue: CellQueue::new(policy),
@@ -95,7 +95,9 @@
     }
 
     /// Adds a request to the queue. A retired dispatcher answers [`DispatchOutcome::Moved`] at once.
-    pub(crate) fn submit(self: &Arc<Self>, request: CellRequest) -> DispatchTicket {
+    pub(crate) fn submit(self: &Arc<Self>, mut request: CellRequest) -> DispatchTicket {
+        // The clock of the request's host may be ahead of this one's.
+        request.queued_ms = request.queued_ms.min(steady_millis());
         let (sender, outcome) = oneshot::channel();
         let mut state = self.state.lock();
         let ticket = state.next_ticket;
@@ -120,7 +122,7 @@
     /// Refuses requests past their deadline, makes the decisions that depend on elapsed time alone, and records the
     /// queue's metrics.
     pub(crate) fn tick(&self) {
-        let now_ms = unix_millis();
+        let now_ms = steady_millis();
         let mut state = self.state.lock();
 
         if state.queue.waiting() > 0 {
@@ -186,7 +188,7 @@
     }
 
     pub(crate) fn status(&self) -> CellStatus {
-        let now_ms = unix_millis();
+        let now_ms = steady_millis();
         let state = self.state.lock();
         let queue = &state.queue;
 
@@ -211,7 +213,7 @@
     }
 
     fn apply_event(&self, state: &mut DispatcherState, event: CellEvent) {
-        let now_ms = unix_millis();
+        let now_ms = steady_millis();
         state.queue.handle(now_ms, &event);
         state.journal.write(now_ms, JournalItem::Event(event));
         self.deliver_decisions(state, now_ms);
