Suspected hosts keep their time to answer when the wall clock is stepped

A step forward declared each suspect dead at once, so that its shards were taken over; a step back made the others wait for a dead host for as long. The time now comes from the process's steady clock. suspects_keep_their_time_over_steps failed before.

--- a/src/membership/membership_service.rs
+++ b/src/membership/membership_service.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     ClusterView, ConfigSpreader, HostName, HostPhase, MemberChange, MemberRumor, PeerError,
-    PeerMessage, PeerTransport, PlatformClient, ShardId, basics::unix_clock::unix_millis,
+    PeerMessage, PeerTransport, PlatformClient, ShardId, basics::steady_clock::steady_millis,
     membership::peer_transport::peer_call,
 };
 
@@ -62,7 +62,7 @@
     /// Declares suspects dead once their suspicion timeout has passed. The shard keeper calls this before each check of
     /// shard ownership, since a takeover waits for it.
     pub(crate) fn expire_suspects(&self) {
-        let changes = self.view.lock().expire_suspects(unix_millis());
+        let changes = self.view.lock().expire_suspects(steady_millis());
         self.handle_changes(changes);
     }
 
@@ -98,7 +98,7 @@
 
             match timeout(SYNC_TIMEOUT, peer_call(&*self.transport, peer.address, &request)).await {
                 Ok(Ok(PeerMessage::Members { config_number, rumors })) => {
-                    let changes = self.view.lock().merge_members(unix_millis(), &rumors);
+                    let changes = self.view.lock().merge_members(steady_millis(), &rumors);
                     self.handle_changes(changes);
 
                     if config_number > self.spreader.store.number() {
@@ -185,7 +185,7 @@
         }
 
         if !self.probe_indirectly(&host).await {
-            self.view.lock().record_probe_failure(unix_millis(), &host);
+            self.view.lock().record_probe_failure(steady_millis(), &host);
             // The connection may lead to a dead host or across a broken link. It must not delay the next probe, but requests
             // run on it until the host is declared dead.
             self.transport.retire(address);
@@ -229,7 +229,7 @@
     }
 
     fn merge_rumors(&self, rumors: &[MemberRumor]) {
-        let changes = self.view.lock().merge_rumors(unix_millis(), rumors);
+        let changes = self.view.lock().merge_rumors(steady_millis(), rumors);
         self.handle_changes(changes);
     }
 
--- a/src/tests/late_acks.rs
+++ b/src/tests/late_acks.rs
@@ -8,10 +8,14 @@
     time::{Duration, sleep},
 };
 
-use super::memory_platform::{FaultRates, MemoryPlatform};
+use super::{
+    clock_steps::STEPS_MS,
+    memory_platform::{FaultRates, MemoryPlatform},
+};
 use crate::{
     ClusterView, ConfigSpreader, ConfigStore, HostRecord, MemberStatus, MembershipService,
     MembershipTable, PeerError, PeerMessage, PeerStream, PeerTransport, PlatformClient, WriterId,
+    basics::{steady_clock::steady_millis, unix_clock::clock_step::STEP_MS},
 };
 
 const LATE_HOST: &str = "late";
@@ -72,7 +76,7 @@
     }
 }
 
-fn membership() -> Arc<MembershipService> {
+fn membership(suspicion_timeout_ms: u64) -> Arc<MembershipService> {
     let record = |name: &str, port| HostRecord {
         name: name.into(),
         region: "north".into(),
@@ -80,7 +84,7 @@
         is_leaving: false,
     };
     let local = record("one", 1);
-    let mut table = MembershipTable::new(&local, 1, SUSPICION_TIMEOUT_MS);
+    let mut table = MembershipTable::new(&local, 1, suspicion_timeout_ms);
     table.merge_hosts(&[local, record(LATE_HOST, 2)]);
     let view = ClusterView::new(table);
     let transport = Arc::new(LateTransport) as Arc<dyn PeerTransport>;
@@ -105,7 +109,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn probe_counts_an_answer_that_comes_after_its_time() {
-    let membership = membership();
+    let membership = membership(SUSPICION_TIMEOUT_MS);
     let status = || membership.view.lock().member(&LATE_HOST.into()).expect("a member").status();
     let probes = tokio::spawn(Arc::clone(&membership).run_probes());
 
@@ -117,3 +121,22 @@
     sleep(ANSWER_DELAY * 2).await;
     assert_eq!(status(), MemberStatus::Alive);
 }
+
+/// Guards against hosts that are declared dead, and whose shards are taken over, before they could answer, and against dead
+/// hosts that are waited for.
+#[tokio::test]
+async fn suspects_keep_their_time_over_steps() {
+    let host = LATE_HOST.into();
+    for (timeout_ms, expected) in [(20_000, MemberStatus::Suspect), (50, MemberStatus::Dead)] {
+        for step_ms in STEPS_MS {
+            STEP_MS.set(0);
+            let membership = membership(timeout_ms);
+            membership.view.lock().record_probe_failure(steady_millis(), &host);
+            STEP_MS.set(step_ms);
+            sleep(Duration::from_millis(100)).await;
+            membership.expire_suspects();
+            let status = membership.view.lock().member(&host).expect("a member").status();
+            assert_eq!(status, expected, "step {step_ms}, time to answer {timeout_ms} ms");
+        }
+    }
+}
