A host that restarts after its clock was set back is heard again

Incarnations are start times. The other hosts took all that such a run said of its phase and shards for older than what the run before had said, as long as they held that run for alive. A host that hears of an earlier run of itself with a later incarnation now takes the next one. The message of a starting host, which asks for all rumors, is enough. merge_rumors_accepts_a_restarted_host_whose_clock_was_set_back failed before.

--- a/src/membership/membership_table.rs
+++ b/src/membership/membership_table.rs
@@ -383,14 +383,18 @@
             .then_some(MemberChange::StaleConnection { address: entry.address })
     }
 
-    /// Refutes a rumor that this host is a suspect or dead, by a newer version of its own rumor.
+    /// Refutes a rumor that this host is a suspect or dead, and one of an earlier run whose clock was ahead of this run's, by a
+    /// newer version of its own rumor.
     fn refute(&mut self, rumor: &MemberRumor) {
         let sends_per_rumor = self.sends_per_rumor();
         let entry = self.members.get_mut(&self.local_host).expect("this host is a member");
         let local = entry.rumor.as_mut().expect("this host has a rumor about itself");
 
-        if rumor.version >= local.version && rumor.version.status != MemberStatus::Alive {
-            local.version.incarnation = local.version.incarnation.max(rumor.version.incarnation);
+        if rumor.version.incarnation > local.version.incarnation {
+            // The other hosts would take all that this run says for older than what the earlier one has said.
+            local.version.incarnation = rumor.version.incarnation + 1;
+            entry.sends_left = sends_per_rumor;
+        } else if rumor.version >= local.version && rumor.version.status != MemberStatus::Alive {
             local.version.revision = rumor.version.revision + 1;
             entry.sends_left = sends_per_rumor;
         }
--- a/src/tests/membership.rs
+++ b/src/tests/membership.rs
@@ -131,3 +131,31 @@
         assert_eq!(probed.len(), 20);
     }
 }
+
+/// Guards against a host whose clock was set back before its restart: the other hosts would take all that it says for older
+/// than what its last run has said.
+#[test]
+fn merge_rumors_accepts_a_restarted_host_whose_clock_was_set_back() {
+    for step in [-30_000_i64, 30_000] {
+        let start = 100_000_u64;
+        let mut last = table("two", 2, start);
+        let mut peer = table("one", 1, 10);
+        let hosts = [record("one", 1), record("two", 2)];
+        peer.merge_hosts(&hosts);
+        last.merge_hosts(&hosts);
+        last.update_local(HostPhase::Serving, vec![ShardId(4)]);
+        peer.merge_rumors(0, &last.all_rumors());
+
+        let mut next = table("two", 2, start.saturating_add_signed(step));
+        next.merge_hosts(&hosts);
+        next.merge_members(0, &peer.all_rumors());
+        next.update_local(HostPhase::Draining, Vec::new());
+        let changes = peer.merge_rumors(0, &next.all_rumors());
+        let name = HostName::from("two");
+        let member = peer.member(&name).expect("the host is in the table");
+        assert_eq!(member.phase(), HostPhase::Draining, "step {step}");
+        assert_eq!(peer.reported_owner(ShardId(4)), None, "step {step}");
+        let is_stale = |it: &MemberChange| matches!(it, MemberChange::StaleConnection { .. });
+        assert!(changes.iter().any(is_stale), "step {step}: {changes:?}");
+    }
+}
