Turns reserve tokens ahead while a host is silent

While a scheduler is silent each turn with a token budget waits for a comparison through the store: a write and two reads. A turn now reserves the tokens of up to two following turns in the same comparison, and what it leaves unspent stays reserved; the next turns begin without a call. Another host's question, a turn without room, or three seconds without a turn release these tokens. Records are read and reservations compared side by side.

Gaps in the guarantee that a review of the proof and a walk found are closed, each with a test: hosts that had asked each other and withdrawn asked neither again; a host that had granted by records was not asked before its first update; totals were lost with a message that another one had overtaken; a written total went at the end of a turn longer than 10 s, while others still reused older readings; the written total of an ended run was passed over before its records were read.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -4,6 +4,7 @@
 //! A deployment is connected through three traits: [`ObjectStore`], [`UpstreamChannel`] and [`ObjectListener`].
 
 pub(crate) mod admission;
+mod ahead_reservations;
 pub(crate) mod batch_index;
 pub(crate) mod budget_ledger;
 mod buffer_budget;
--- a/src/entry/budget_ledger.rs
+++ b/src/entry/budget_ledger.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
-use crate::entry::record_retention::RecordRetention;
+use crate::entry::{ahead_reservations::AheadTokens, record_retention::RecordRetention};
 
 /// Time for which an account is kept after its last use, as a multiple of the retention of turns. A program that has stopped
 /// may resume within that retention.
@@ -89,6 +89,10 @@
     reported: Option<u64>,
     /// The last total that it has reported itself.
     stated: u64,
+    /// Number of the message in which it has.
+    sequence: u64,
+    /// Whether the writer has asked for this host's total, as it was to spend tokens.
+    has_asked: bool,
     /// The writer's total in the store.
     recorded: u64,
     /// The same without headroom.
@@ -132,14 +136,18 @@
 
 /// Spend of one program, as far as this host knows it.
 #[derive(Debug)]
-struct ProgramAccount {
+pub(super) struct ProgramAccount {
     other_writers: HashMap<Arc<str>, WriterTotal>,
     /// Highest budget that a request to this host has given for the program.
-    budget: u64,
+    pub(super) budget: u64,
     /// Tokens spent by this host's finished turns.
     settled: u64,
-    /// Tokens reserved for this host's running turns, including those that they have spent.
-    reserved: u64,
+    /// Tokens reserved for this host's running turns, including those that they have spent, and ahead of the next ones.
+    pub(super) reserved: u64,
+    /// The part of these that belongs to no turn.
+    pub(super) ahead: AheadTokens,
+    /// When the reservation of a turn last ended.
+    last_turn_end: Option<Instant>,
     /// Tokens spent by this host's running turns.
     running_spent: u64,
     /// This writer's total in the store.
@@ -162,6 +170,8 @@
             budget: 0,
             settled: 0,
             reserved: 0,
+            ahead: AheadTokens::default(),
+            last_turn_end: None,
             running_spent: 0,
             recorded: 0,
             recorded_at: None,
@@ -177,6 +187,11 @@
         self.settled + self.reserved
     }
 
+    /// Whether turns run on this host, or are about to.
+    pub(super) fn has_running_turns(&self) -> bool {
+        self.reserved > self.ahead.tokens()
+    }
+
     /// Tokens that this writer has spent, without reservations.
     fn local_spent(&self) -> u64 {
         self.settled + self.running_spent
@@ -206,7 +221,7 @@
     }
 
     /// The total of all writers, with reservations.
-    fn total(&self) -> u64 {
+    pub(super) fn total(&self) -> u64 {
         self.local_total() + self.other_writers.values().map(|it| it.tokens()).sum::<u64>()
     }
 }
@@ -219,9 +234,9 @@
 /// Accounts of all programs that this host has served or heard of.
 #[derive(Debug, Default)]
 pub struct BudgetLedger {
-    accounts: HashMap<Arc<str>, ProgramAccount>,
+    pub(super) accounts: HashMap<Arc<str>, ProgramAccount>,
     /// Programs whose totals have changed since the last report to peers.
-    unreported: HashSet<Arc<str>>,
+    pub(super) unreported: HashSet<Arc<str>>,
     /// Programs whose spend is to be written with the next batch.
     unrecorded: HashSet<Arc<str>>,
     /// The writer of this run.
@@ -232,7 +247,7 @@
 
 impl BudgetLedger {
     /// Returns a program's account and marks it as used; opens one for a new program.
-    fn account(&mut self, program: &Arc<str>) -> &mut ProgramAccount {
+    pub(super) fn account(&mut self, program: &Arc<str>) -> &mut ProgramAccount {
         let now = Instant::now();
         let account =
             self.accounts.entry(Arc::clone(program)).or_insert_with(|| ProgramAccount::new(now));
@@ -277,7 +292,7 @@
     }
 
     /// Whether a budget leaves no room for `tokens` more by what is certain: the headroom in the record of a run that is only
-    /// silent may turn out to be unused. That of a run which is over never will.
+    /// silent may turn out to be unused, as may what this host has reserved ahead. That of a run which is over never will.
     pub(crate) fn is_exhausted(
         &self,
         program: &Arc<str>,
@@ -290,7 +305,8 @@
                 if is_over(writer) { total.tokens() } else { total.certain_tokens() }
             };
             let others = account.other_writers.iter().map(certain).sum::<u64>();
-            account.local_total() + others + tokens > budget
+            let local = account.local_total() - account.ahead.tokens();
+            local + others + tokens > budget
         })
     }
 
@@ -309,9 +325,10 @@
         })
     }
 
-    /// Whether turns of a program run on this host.
-    pub(crate) fn has_reservations(&self, program: &Arc<str>) -> bool {
-        self.accounts.get(program).is_some_and(|it| it.reserved > 0)
+    /// When a turn of a program last ran on this host: `now` if one does.
+    pub(crate) fn last_run(&self, program: &Arc<str>, now: Instant) -> Option<Instant> {
+        let account = self.accounts.get(program)?;
+        if account.has_running_turns() { Some(now) } else { account.last_turn_end }
     }
 
     /// Replaces what all other writers have written down as reserved.
@@ -358,13 +375,22 @@
         total.is_some_and(|it| it.tokens() > 0)
     }
 
-    /// Whether any run of `host` is known to have spent or reserved tokens of a program.
+    /// Records that a writer has asked for this host's total of a program.
+    pub(crate) fn record_question(&mut self, program: &Arc<str>, writer: &Arc<str>) {
+        let account = self.account(program);
+        account.other_writers.entry(Arc::clone(writer)).or_default().has_asked = true;
+    }
+
+    /// Whether any run of `host` is known to have spent or reserved tokens of a program, or may do so without another question
+    /// to this host, as it has asked once.
     pub(crate) fn has_tokens(&self, program: &Arc<str>, host: &str) -> bool {
         let Some(account) = self.accounts.get(program) else {
             return false;
         };
         let mut writers = account.other_writers.iter();
-        writers.any(|(writer, total)| total.tokens() > 0 && is_writer_of(host, writer))
+        writers.any(|(writer, total)| {
+            (total.tokens() > 0 || total.has_asked) && is_writer_of(host, writer)
+        })
     }
 
     /// Whether the ledger has a total of any run of `host` for a program. A writer's name begins with its host and a
@@ -387,13 +413,14 @@
         account.reserved = account.reserved.saturating_sub(reserved);
         account.running_spent = account.running_spent.saturating_sub(spent);
         account.settled += spent;
+        account.last_turn_end = Some(Instant::now());
         self.unreported.insert(Arc::clone(program));
         self.refresh_records(program);
     }
 
     /// Marks a program that is used for the next batch if the records of its totals may end before the program does: those of
     /// this writer, and those of the others, who may never record them again.
-    fn refresh_records(&mut self, program: &Arc<str>) {
+    pub(super) fn refresh_records(&mut self, program: &Arc<str>) {
         let refresh_before = self.refresh_before();
         let account = self.accounts.get(program);
 
@@ -542,6 +569,20 @@
             .collect()
     }
 
+    /// Merges totals from the message of a writer with the number `sequence`. Messages may overtake each other, so each total counts
+    /// unless a later message has told the one of the same program.
+    pub(crate) fn merge_message(&mut self, writer: &Arc<str>, sequence: u64, notes: &[SpendNote]) {
+        for note in notes {
+            let account = self.account(&note.program);
+            let total = account.other_writers.entry(Arc::clone(writer)).or_default();
+
+            if sequence >= total.sequence {
+                total.sequence = sequence;
+                self.merge_reported(writer, std::slice::from_ref(note));
+            }
+        }
+    }
+
     /// Merges totals that a writer has reported.
     pub(crate) fn merge_reported(&mut self, writer: &Arc<str>, notes: &[SpendNote]) {
         for note in notes {
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -305,6 +305,7 @@
             }
 
             self.refresh_retention();
+            self.budgets.ledger.lock().release_idle_ahead(Instant::now());
             self.budgets.ledger.lock().prune(Instant::now());
             self.context
                 .metrics
--- a/src/entry/mesh_answers.rs
+++ b/src/entry/mesh_answers.rs
@@ -46,10 +46,14 @@
             PeerMessage::SpendQuery { writer, sequence, note } => {
                 let program = Arc::clone(&note.program);
                 self.merge_reported_spends(&writer, sequence, &[note]);
+                let mut ledger = self.state.ledger.lock();
+                ledger.record_question(&program, &writer);
+                // What no turn uses must not refuse a turn of another host.
+                ledger.release_ahead(&program);
                 PeerMessage::Spend {
                     writer: Arc::clone(&self.identity.writer),
                     sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
-                    note: self.state.ledger.lock().local_note(&program),
+                    note: ledger.local_note(&program),
                 }
             }
             PeerMessage::KnowledgeQuery if self.has_loaded_records.load(Ordering::Relaxed) => {
--- a/src/entry/mesh_peer.rs
+++ b/src/entry/mesh_peer.rs
@@ -95,6 +95,11 @@
         self.heard_at.is_some() && self.failures == 0
     }
 
+    /// Whether the peer has sent no update since it last failed to acknowledge one. It may have gone by records meanwhile.
+    pub(crate) fn is_unheard_since_failure(&self) -> bool {
+        self.failures > 0 || (self.failed_at.is_some() && self.heard_at.is_none())
+    }
+
     /// Records that the peer has sent an update.
     pub(crate) fn record_update(&mut self) {
         self.heard_at = Some(Instant::now());
--- a/src/entry/mesh_queries.rs
+++ b/src/entry/mesh_queries.rs
@@ -162,8 +162,9 @@
     /// to all peers, so that each of them includes this host in its own exchanges from then on: clients keep
     /// connections to hosts of other regions long after their own region is back. All peers are queried as well while
     /// clients may fail over, and if the region has no other host. Where programs have owners, only peers that have spent
-    /// tokens, those that have not responded yet and those that do not respond are queried after the first exchange: any
-    /// other one would announce itself with its own first exchange.
+    /// tokens, those that have not responded yet and those that were silent and have sent no update since are queried after the first exchange: any
+    /// other one would announce itself with its own first exchange. One that has just become responsive may have gone by
+    /// records before, of which its first update tells.
     pub(crate) fn begin_exchange(&self, program: &Arc<str>, limit: Duration) -> SpendExchange<'_> {
         let peers: Vec<QueriedPeer> = {
             let mut ledger = self.state.ledger.lock();
@@ -179,7 +180,9 @@
                 .filter(|(host, peer)| {
                     let is_unannounced = ledger.is_unannounced(program, host);
                     if has_owners {
-                        is_unannounced || peer.failures > 0 || ledger.has_tokens(program, host)
+                        is_unannounced
+                            || peer.is_unheard_since_failure()
+                            || ledger.has_tokens(program, host)
                     } else {
                         is_unannounced
                             || queries_all
--- a/src/entry/peer_contact.rs
+++ b/src/entry/peer_contact.rs
@@ -71,6 +71,11 @@
         !self.peers.lock().is_empty() && self.contact.lock().since.is_none()
     }
 
+    /// Whether a peer does not acknowledge updates.
+    pub(crate) fn has_failing_peer(&self) -> bool {
+        self.peers.lock().values().any(|peer| peer.failures > 0)
+    }
+
     /// Since when other hosts could have been heard; `None` while no peer answers. The silence of a sole peer can't be told from
     /// a cut of this host.
     fn contact_since(&self, peers: &HashMap<Arc<str>, MeshPeer>) -> Option<Instant> {
--- a/src/entry/peer_mesh.rs
+++ b/src/entry/peer_mesh.rs
@@ -110,8 +110,6 @@
     pub(super) dropped: Mutex<Vec<DroppedPeer>>,
     /// Processor time that each registered host may use, in thousandths of a core.
     pub(super) processor_millis: Mutex<HashMap<Arc<str>, u32>>,
-    /// Highest sequence number received from each writer.
-    last_sequences: Mutex<HashMap<Arc<str>, u64>>,
     /// Sequence number of this host's next message with spends.
     pub(super) sequence: AtomicU64,
     /// Whether another host has removed this host's registry entry.
@@ -147,7 +145,6 @@
             contact: Mutex::new(PeerContact::new(Instant::now())),
             dropped: Mutex::default(),
             processor_millis: Mutex::default(),
-            last_sequences: Mutex::default(),
             sequence: AtomicU64::new(0),
             is_deregistered: AtomicBool::new(false),
             is_draining: AtomicBool::new(false),
@@ -465,7 +462,10 @@
         new_changes: MeshChanges,
     ) {
         let MeshChanges { notes, crashes, departures, limits, streams } = if is_synced {
-            new_changes
+            // Other messages may have told later totals since the changes were taken.
+            let ledger = self.state.ledger.lock();
+            let notes = new_changes.notes.iter().map(|it| ledger.local_note(&it.program));
+            MeshChanges { notes: notes.collect(), ..new_changes }
         } else {
             MeshChanges {
                 notes: self.state.ledger.lock().local_notes(),
@@ -543,23 +543,13 @@
         self.connector.retire(address);
     }
 
-    /// Merges the totals that a writer has reported, unless a newer message of that writer has already arrived.
-    pub(super) fn merge_reported_spends(
+    /// Merges the totals that a writer has reported in its message with the number `sequence`.
+    pub(crate) fn merge_reported_spends(
         &self,
         writer: &Arc<str>,
         sequence: u64,
         notes: &[SpendNote],
     ) {
-        let is_latest = {
-            let mut last_sequences = self.last_sequences.lock();
-            let last = last_sequences.entry(Arc::clone(writer)).or_insert(0);
-            let is_latest = sequence >= *last;
-            *last = sequence.max(*last);
-            is_latest
-        };
-
-        if is_latest {
-            self.state.ledger.lock().merge_reported(writer, notes);
-        }
+        self.state.ledger.lock().merge_message(writer, sequence, notes);
     }
 }
--- a/src/entry/turn_budget.rs
+++ b/src/entry/turn_budget.rs
@@ -90,14 +90,25 @@
         let late_at = started + LATE_RESPONSE_TIME;
         let reading_at =
             if exchange.has_failing_peers() || needs_reading { started } else { late_at };
+        // The records of ended runs are read while the responses of the peers are still under way.
+        let is_for_silent_peers = exchange.has_failing_peers() || !needs_reading;
         let is_waiting = AtomicBool::new(true);
         let mut reading = Box::pin(async {
             sleep_until(reading_at).await;
             let asked_at = Instant::now();
             let needed = self.mesh.last_run_end().max(self.mesh.last_drop());
-            let are_read = self.locator.read_spends(asked_at, needed).await;
-            // What silent hosts have reserved is not in their records.
-            let compares = has_reserved && (needs_dropped || is_waiting.load(Ordering::Relaxed));
+            let reading = self.locator.read_spends(asked_at, needed);
+            // What silent hosts have reserved is not in their records. Neither of the two needs the other's result, see
+            // docs/design/platform.md, "Reservations ahead".
+            let is_silent = || is_waiting.load(Ordering::Relaxed);
+            if has_reserved && (needs_dropped || (is_for_silent_peers && is_silent())) {
+                let (are_read, is_compared) =
+                    tokio::join!(reading, self.reservations.exchange(program));
+                return are_read && is_compared;
+            }
+
+            let are_read = reading.await;
+            let compares = has_reserved && (needs_dropped || is_silent());
             are_read && (!compares || self.reservations.exchange(program).await)
         });
         let mut is_reading_over = false;
@@ -212,6 +223,40 @@
     program: Arc<str>,
     reserved: u64,
     spent: u64,
+    /// Whether all other hosts were asked or compared for the reservation, so that what is left of it may serve the next turn.
+    is_compared: bool,
+}
+
+/// Tokens that are reserved ahead of the next turns and not confirmed yet. Dropping them releases them.
+#[derive(Debug)]
+struct UnconfirmedAhead {
+    ledger: Arc<Mutex<BudgetLedger>>,
+    program: Arc<str>,
+    id: u64,
+}
+
+impl UnconfirmedAhead {
+    /// Reserves tokens ahead of the turns that follow one of `tokens`, if there is room.
+    fn reserve(
+        context: &BudgetContext,
+        program: &Arc<str>,
+        budget: u64,
+        tokens: u64,
+    ) -> Option<Self> {
+        let id = context.ledger.lock().reserve_ahead(program, budget, tokens)?;
+        Some(Self { ledger: Arc::clone(&context.ledger), program: Arc::clone(program), id })
+    }
+
+    /// Keeps the tokens for the next turns.
+    fn keep(self) {
+        self.ledger.lock().keep_ahead(&self.program, self.id);
+    }
+}
+
+impl Drop for UnconfirmedAhead {
+    fn drop(&mut self) {
+        self.ledger.lock().release_pending_ahead(&self.program, self.id);
+    }
 }
 
 impl TurnBudget {
@@ -230,13 +275,28 @@
         let sharing_hosts = context.mesh.sharing_host_count().filter(|_| !is_forwarded);
         let host_count = sharing_hosts.unwrap_or(u64::MAX);
         let mut has_conflict = false;
+        let is_peer_silent = context.mesh.has_failing_peer();
+        let reservation_of = |is_compared| Self {
+            context: context.clone(),
+            program: Arc::clone(program),
+            reserved: tokens,
+            spent: 0,
+            is_compared,
+        };
+
+        if !is_peer_silent {
+            context.ledger.lock().release_ahead(program);
+        } else if context.ledger.lock().take_ahead(program, budget, tokens) {
+            return Ok(reservation_of(true));
+        }
 
         for attempt in 0..MAX_RESERVE_ATTEMPTS {
             if attempt > 0 {
                 CONFLICT_BACKOFF.sleep(attempt).await;
             }
 
-            let outcome = context.ledger.lock().reserve(program, budget, tokens, host_count);
+            let outcome =
+                context.ledger.lock().reserve_before_ahead(program, budget, tokens, host_count);
 
             if outcome == ReserveOutcome::OverBudget {
                 if attempt > 0 || context.confirm_spend(program, false, deadline).await.is_none() {
@@ -246,16 +306,14 @@
                 continue;
             }
 
-            let reservation = Self {
-                context: context.clone(),
-                program: Arc::clone(program),
-                reserved: tokens,
-                spent: 0,
-            };
-
             if outcome == ReserveOutcome::Confirmed {
-                return Ok(reservation);
+                return Ok(reservation_of(false));
             }
+            let mut reservation = reservation_of(false);
+            // Without a silent host the next turns don't cost a comparison. After a conflict the others need the room.
+            let ahead = (attempt == 0 && is_peer_silent)
+                .then(|| UnconfirmedAhead::reserve(context, program, budget, tokens))
+                .flatten();
             let Some(silent_hosts) = context.confirm_spend(program, true, deadline).await else {
                 return Err(BudgetRefusal::Unknown);
             };
@@ -266,6 +324,8 @@
                 (ledger.is_within(program, budget), is_within_written)
             };
             if is_within && is_within_written {
+                ahead.into_iter().for_each(UnconfirmedAhead::keep);
+                reservation.is_compared = true;
                 return Ok(reservation);
             }
             has_conflict = is_within;
@@ -323,6 +383,12 @@
 
 impl Drop for TurnBudget {
     fn drop(&mut self) {
-        self.context.ledger.lock().settle(&self.program, self.reserved, self.spent);
+        let mut ledger = self.context.ledger.lock();
+
+        if self.is_compared {
+            ledger.end_compared_turn(&self.program, self.reserved, self.spent);
+        } else {
+            ledger.settle(&self.program, self.reserved, self.spent);
+        }
     }
 }
--- a/src/entry/written_reservations.rs
+++ b/src/entry/written_reservations.rs
@@ -18,8 +18,8 @@
 /// Object kind of the written totals in the store. Each run of a host has one object, by its writer.
 pub(crate) const RESERVATION_KIND: &str = "spend-reservations";
 
-/// Time for which a total stays written after its last use, unless a turn of the program still runs. Readings of the records
-/// are reused for less.
+/// Time for which a total stays written after its last use and the end of the program's last turn here. Readings of the
+/// records are reused for less, so what a turn has spent is in any reading by which others go once its total is gone.
 const WRITTEN_TIME: Duration = Duration::from_secs(10);
 
 /// Time after a host has listed itself again in which others may not know of it yet. Until then they don't look for its total.
@@ -65,6 +65,17 @@
     is_complete: bool,
 }
 
+/// Whether a program's total has to stay written, which was last written for a turn at `written_for`.
+fn is_needed(
+    ledger: &BudgetLedger,
+    program: &Arc<str>,
+    written_for: Instant,
+    now: Instant,
+) -> bool {
+    let last_used = ledger.last_run(program, now).map_or(written_for, |at| at.max(written_for));
+    now.duration_since(last_used) < WRITTEN_TIME
+}
+
 /// Writes this run's totals and reads those of the others, in rounds that each serve all who wait.
 #[derive(Debug)]
 pub(crate) struct WrittenReservations {
@@ -165,9 +176,9 @@
             let now = Instant::now();
             let mut state = self.state.lock();
             let ledger = self.ledger.lock();
-            state.programs.retain(|program, needed_at| {
-                now.duration_since(*needed_at) < WRITTEN_TIME || ledger.has_reservations(program)
-            });
+            state
+                .programs
+                .retain(|program, needed_at| is_needed(&ledger, program, *needed_at, now));
             let mut notes: Vec<SpendNote> =
                 state.programs.keys().map(|program| ledger.local_note(program)).collect();
             notes.sort_by(|left, right| left.program.cmp(&right.program));
@@ -221,8 +232,9 @@
 
         while let Some(page) = pages.next().await? {
             for object in &page.items {
-                // A run that is over spends nothing more, and its records have what it has spent.
-                let is_over = self.mesh.proved_run_end(&object.name).is_some();
+                // A run that is over spends nothing more, and records that are read after its end have what it has spent.
+                let end = self.mesh.proved_run_end(&object.name);
+                let is_over = end.is_some_and(|end| self.mesh.state.readings.lock().covers(end));
                 if *object.name == *self.mesh.identity.writer || is_over {
                     continue;
                 }
@@ -263,10 +275,10 @@
         let now = Instant::now();
         let state = self.state.lock();
         let ledger = self.ledger.lock();
-        let is_needed = state.programs.iter().any(|(program, needed_at)| {
-            now.duration_since(*needed_at) < WRITTEN_TIME || ledger.has_reservations(program)
-        });
-        state.revision.filter(|_| !is_needed)
+        let mut programs = state.programs.iter();
+        let is_any_needed =
+            programs.any(|(program, needed_at)| is_needed(&ledger, program, *needed_at, now));
+        state.revision.filter(|_| !is_any_needed)
     }
 
     /// Removes the objects of earlier runs of this host.
--- a/src/tests/entry_fakes.rs
+++ b/src/tests/entry_fakes.rs
@@ -50,6 +50,10 @@
     revision: u64,
     fault: StoreFault,
     call_count: u64,
+    /// Calls by operation and kind.
+    calls: BTreeMap<(&'static str, String), u64>,
+    /// Largest number of objects on a page, if it is not [`MAX_PAGE_ITEMS`].
+    page_items: Option<usize>,
     page_delays: VecDeque<Duration>,
     watch_responses: VecDeque<Result<WatchBatch, StoreError>>,
 }
@@ -69,6 +73,16 @@
         self.state.lock().call_count
     }
 
+    /// Takes the calls since the last time, by operation and kind.
+    pub(super) fn take_calls(&self) -> BTreeMap<(&'static str, String), u64> {
+        std::mem::take(&mut self.state.lock().calls)
+    }
+
+    /// Sets the largest number of objects on a page.
+    pub(super) fn set_page_items(&self, items: usize) {
+        self.state.lock().page_items = Some(items);
+    }
+
     /// Lists a host in the registry.
     pub(super) fn list_host(&self, host: &str) {
         let content = RawValue::from_string("{}".to_owned()).expect("valid JSON");
@@ -90,13 +104,18 @@
     }
 
     /// Waits for the latency of a call and counts it. Returns the fault to apply, or an error if calls are refused.
-    async fn begin_call(&self) -> Result<StoreFault, StoreError> {
+    async fn begin_call(
+        &self,
+        operation: &'static str,
+        kind: &str,
+    ) -> Result<StoreFault, StoreError> {
         sleep(CALL_LATENCY).await;
         while self.state.lock().fault == StoreFault::Silent {
             sleep(CALL_LATENCY).await;
         }
         let mut state = self.state.lock();
         state.call_count += 1;
+        *state.calls.entry((operation, kind.to_owned())).or_default() += 1;
 
         match state.fault {
             StoreFault::Refusing => Err(StoreError::Refused { status: 503 }),
@@ -106,12 +125,13 @@
 
     async fn write(
         &self,
+        operation: &'static str,
         kind: &str,
         name: &str,
         content: Option<&RawValue>,
         change: impl FnOnce(&mut StoreState, Option<StoredObject>) -> WriteOutcome,
     ) -> Result<WriteOutcome, StoreError> {
-        let fault = self.begin_call().await?;
+        let fault = self.begin_call(operation, kind).await?;
 
         if content.is_some_and(|it| it.get().len() > MAX_VALUE_BYTES) {
             return Err(StoreError::Refused { status: 413 });
@@ -147,10 +167,11 @@
         after: Option<&str>,
         _freshness: ReadFreshness,
     ) -> Result<ObjectPage, StoreError> {
-        self.begin_call().await?;
+        self.begin_call("list", kind).await?;
         let delay = after.and_then(|_| self.state.lock().page_delays.pop_front());
         sleep(delay.unwrap_or_default()).await;
         let state = self.state.lock();
+        let page_items = state.page_items.unwrap_or(MAX_PAGE_ITEMS);
         let remaining: Vec<&StoredObject> = state
             .objects
             .iter()
@@ -159,14 +180,14 @@
             .collect();
 
         Ok(ObjectPage {
-            items: remaining.iter().take(MAX_PAGE_ITEMS).copied().cloned().collect(),
-            has_more: remaining.len() > MAX_PAGE_ITEMS,
+            items: remaining.iter().take(page_items).copied().cloned().collect(),
+            has_more: remaining.len() > page_items,
             store_revision: state.revision,
         })
     }
 
     async fn get(&self, kind: &str, name: &str) -> Result<Option<StoredObject>, StoreError> {
-        self.begin_call().await?;
+        self.begin_call("get", kind).await?;
         Ok(self.state.lock().objects.get(&(kind.to_owned(), name.into())).cloned())
     }
 
@@ -176,7 +197,7 @@
         name: &str,
         content: &RawValue,
     ) -> Result<WriteOutcome, StoreError> {
-        self.write(kind, name, Some(content), |state, current| match current {
+        self.write("create", kind, name, Some(content), |state, current| match current {
             Some(_) => WriteOutcome::Conflict,
             None => state.put(kind, name, content),
         })
@@ -190,7 +211,7 @@
         content: &RawValue,
         revision: u64,
     ) -> Result<WriteOutcome, StoreError> {
-        self.write(kind, name, Some(content), |state, current| match current {
+        self.write("replace", kind, name, Some(content), |state, current| match current {
             Some(object) if object.revision == revision => state.put(kind, name, content),
             _ => WriteOutcome::Conflict,
         })
@@ -199,12 +220,12 @@
 
     async fn replace_status(
         &self,
-        _kind: &str,
+        kind: &str,
         _name: &str,
         _status: &RawValue,
         _revision: u64,
     ) -> Result<WriteOutcome, StoreError> {
-        self.begin_call().await?;
+        self.begin_call("replace_status", kind).await?;
         Ok(WriteOutcome::Conflict)
     }
 
@@ -214,7 +235,7 @@
         name: &str,
         revision: u64,
     ) -> Result<WriteOutcome, StoreError> {
-        self.write(kind, name, None, |state, current| match current {
+        self.write("remove", kind, name, None, |state, current| match current {
             Some(object) if object.revision == revision => {
                 state.objects.remove(&(kind.to_owned(), name.into()));
                 WriteOutcome::Written { revision }
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -4,6 +4,7 @@
 mod admission_bench;
 mod admission_pools;
 mod admission_rules;
+mod ahead_reservations;
 mod broken_streams;
 mod buffer_budget;
 mod cell_dispatcher;
--- a/src/tests/silent_records.rs
+++ b/src/tests/silent_records.rs
@@ -42,9 +42,9 @@
 /// Transport to the hosts that answer.
 #[derive(Debug, Default)]
 pub(super) struct HostTransport {
-    hosts: Mutex<HashMap<SocketAddr, Arc<PeerMesh>>>,
+    pub(super) hosts: Mutex<HashMap<SocketAddr, Arc<PeerMesh>>>,
     /// Time that each answer takes.
-    delay: Mutex<Duration>,
+    pub(super) delay: Mutex<Duration>,
 }
 
 #[async_trait]
@@ -80,17 +80,17 @@
     }
 }
 
-fn host_of(writer: &str) -> &str {
+pub(super) fn host_of(writer: &str) -> &str {
     writer.split_once('.').map_or(writer, |(host, _)| host)
 }
 
 /// A run of a host.
 pub(super) struct HostRun {
-    address: SocketAddr,
-    mesh: Arc<PeerMesh>,
+    pub(super) address: SocketAddr,
+    pub(super) mesh: Arc<PeerMesh>,
     pub(super) journal: Arc<TurnJournal>,
     pub(super) locator: Arc<TurnLocator>,
-    reservations: Arc<WrittenReservations>,
+    pub(super) reservations: Arc<WrittenReservations>,
 }
 
 impl HostRun {
@@ -166,7 +166,7 @@
     }
 
     /// Reserves 50 tokens of a budget, for a request that another host may have forwarded.
-    async fn reserve_of(
+    pub(super) async fn reserve_of(
         &self,
         budget: u64,
         program: &Arc<str>,
@@ -474,7 +474,7 @@
 }
 
 /// Hosts that have heard each other, and then hear nobody any more: `run` and two others.
-async fn hosts_after_cut() -> (Arc<HostTransport>, [HostRun; 3]) {
+pub(super) async fn hosts_after_cut() -> (Arc<HostTransport>, [HostRun; 3]) {
     let (store, transport) = (Arc::new(MemoryStore::default()), Arc::<HostTransport>::default());
     let run = HostRun::start(&store, &transport, "run.1", 1);
     let others = [
@@ -564,7 +564,7 @@
 }
 
 /// Four hosts on these sides of a cut, of which each hears only those of its own side.
-async fn split_hosts(sides: [usize; 4]) -> (Arc<MemoryStore>, [HostRun; 4]) {
+pub(super) async fn split_hosts(sides: [usize; 4]) -> (Arc<MemoryStore>, [HostRun; 4]) {
     let store = Arc::new(MemoryStore::default());
     let transports = [Arc::<HostTransport>::default(), Arc::<HostTransport>::default()];
     let runs = [(0, "a.1", 1), (1, "b.1", 2), (2, "c.1", 3), (3, "d.1", 4)].map(
