--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -60,6 +60,7 @@
 mod shared_departures;
 mod shared_segments;
 mod silent_records;
+mod silent_scheduler_bench;
 mod small_parts;
 mod stop_policy;
 mod store_monitor;
