Bound what slow readers hold, and refuse early on an overloaded host

Callers saw: 100 clients that read nothing made a gateway grow beyond the 88 MB of the smallest host, the others' time to the first event rose to seconds, and their connections stayed for ever. Upstreams that abort an unread stream, or that nothing was read from, were taken for crashed.

Cause: the kernel's buffers and the window of a stream between hosts grow by themselves, nothing counts a stream that waits for its client, a gateway waits for a client beyond the deadline, and nobody notices anything while nothing can be written.

Change, on hosts whose settings state their memory or descriptors: socket buffers and the stream window are bounded; a stream that waits for its client is counted by team and in all, and ends if there is no room or after the idle timeout; a connection that can't be written to is reset then; requests leave a fifth of the buffers to responses; load_policy decides with hysteresis when a host is short of memory or descriptors, which makes it unready and refuses what it can't take.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -19,6 +19,7 @@
 pub(crate) mod event_framer;
 mod expiry_bounds;
 mod follow_gap;
+pub(crate) mod host_load;
 pub(crate) mod host_reach;
 pub(crate) mod host_registry;
 pub(crate) mod index_catalog;
@@ -89,6 +90,7 @@
     entry_settings::{EntryBackends, EntrySettings},
     expiry_bounds::ExpiryBounds,
     follow_gap::FollowGap,
+    host_load::{HostLoad, LoadLimits, LoadMonitor},
     kind_follower::{KindFollower, KindListing, ObjectListener},
     object_store::{
         ObjectChange, ObjectPage, ObjectStore, ReadFreshness, SILENCE_LIMIT, StoreError,
--- a/src/entry/buffer_budget.rs
+++ b/src/entry/buffer_budget.rs
@@ -8,6 +8,11 @@
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
+use parking_lot::Mutex;
+
+use crate::entry::host_load::{
+    LoadLimits, StalledStreams, StreamHolder, load_policy::BUFFERS_SHORT,
+};
 
 /// Bytes of each body that are not counted. Bodies up to this size are never turned away for the sake of large ones.
 const UNCOUNTED_BYTES: usize = 32 << 10;
@@ -33,7 +38,14 @@
 #[derive(Debug)]
 pub struct BufferBudget {
     capacity: usize,
+    /// Most bytes that are counted when a request's body is to grow, so that responses find room.
+    request_capacity: usize,
     used: AtomicUsize,
+    /// What a stream that has stalled holds; `None` if the host's memory is not limited.
+    stalled_stream_bytes: Option<usize>,
+    stalled: Mutex<StalledStreams>,
+    /// Streams that have stalled a moment ago. Most of them go on soon, so they are bounded apart from the others.
+    pending: Mutex<StalledStreams>,
 }
 
 impl Default for BufferBudget {
@@ -46,7 +58,17 @@
     /// Creates the budget of a host with `memory_bytes` of memory.
     pub fn new(memory_bytes: Option<u64>) -> Self {
         let part = memory_bytes.and_then(|it| usize::try_from(it / MEMORY_DIVISOR).ok());
-        Self { capacity: part.unwrap_or(DEFAULT_CAPACITY), used: AtomicUsize::new(0) }
+        let capacity = part.unwrap_or(DEFAULT_CAPACITY);
+        let request_capacity = part.map_or(capacity, |it| (it as f64 * BUFFERS_SHORT) as usize);
+        let limits = LoadLimits { memory_bytes, max_descriptors: None };
+        Self {
+            capacity,
+            request_capacity,
+            used: AtomicUsize::new(0),
+            stalled_stream_bytes: part.map(|_| limits.stalled_stream_bytes()),
+            stalled: Mutex::new(StalledStreams::new(capacity)),
+            pending: Mutex::new(StalledStreams::new(capacity)),
+        }
     }
 
     /// Bytes that are counted now.
@@ -61,7 +83,12 @@
 
     /// Begins to count a body.
     pub(crate) fn lease(self: &Arc<Self>) -> BufferLease {
-        BufferLease { budget: Arc::clone(self), counted: 0 }
+        BufferLease { budget: Arc::clone(self), counted: 0, limit: self.capacity }
+    }
+
+    /// Begins to count the body of a request, which leaves room for the responses of those that run.
+    pub(crate) fn lease_request(self: &Arc<Self>) -> BufferLease {
+        BufferLease { budget: Arc::clone(self), counted: 0, limit: self.request_capacity }
     }
 
     /// Begins to buffer a body.
@@ -69,6 +96,58 @@
         LeasedBuffer { bytes: Vec::new(), lease: self.lease() }
     }
 
+    /// Begins to buffer the body of a client's request.
+    pub fn buffer_request(self: &Arc<Self>) -> LeasedBuffer {
+        LeasedBuffer { bytes: Vec::new(), lease: self.lease_request() }
+    }
+
+    /// Fails if there is no room now for a request's body of this size.
+    pub fn check_request(&self, bytes: u64) -> Result<(), BuffersFull> {
+        let counted = bytes.saturating_sub(UNCOUNTED_BYTES as u64);
+        let has_room = counted == 0 || self.used() as u64 + counted <= self.request_capacity as u64;
+        if has_room { Ok(()) } else { Err(BuffersFull) }
+    }
+
+    /// Whether the host's memory is limited.
+    pub(crate) fn is_limited(&self) -> bool {
+        self.stalled_stream_bytes.is_some()
+    }
+
+    /// Bytes that are counted for streams that have stalled.
+    pub(crate) fn stalled_bytes(&self) -> usize {
+        self.stalled.lock().held()
+    }
+
+    /// Counts a stream that has just stalled, with `waiting` bytes that wait to be sent. Returns `None` if there is no room for it,
+    /// or if its holder has too many of them.
+    pub(crate) fn hold_pending(
+        self: &Arc<Self>,
+        holder: StreamHolder,
+        waiting: usize,
+    ) -> Option<StalledLease> {
+        let bytes = self.stalled_stream_bytes.unwrap_or_default() + waiting;
+        let has_room = self.pending.lock().take(holder, bytes);
+        has_room.then(|| StalledLease { budget: Arc::clone(self), holder, bytes, is_pending: true })
+    }
+
+    /// Counts a stream that has stalled for long. It then takes room from other bodies.
+    pub(crate) fn hold_stalled(
+        self: &Arc<Self>,
+        holder: StreamHolder,
+        waiting: usize,
+    ) -> Option<StalledLease> {
+        let bytes = self.stalled_stream_bytes.unwrap_or_default() + waiting;
+
+        if !self.stalled.lock().take(holder, bytes) {
+            return None;
+        }
+        if !self.take(bytes, self.request_capacity) {
+            self.stalled.lock().give_back(holder, bytes);
+            return None;
+        }
+        Some(StalledLease { budget: Arc::clone(self), holder, bytes, is_pending: false })
+    }
+
     /// Counts bytes that wait to be sent, until they are dropped. Small ones are not counted.
     pub(crate) fn count(self: &Arc<Self>, bytes: Bytes) -> Result<Bytes, BuffersFull> {
         if bytes.len() <= MAX_UNCOUNTED_PART {
@@ -80,8 +159,8 @@
         Ok(Bytes::from_owner(CountedBytes { bytes, _lease: lease }))
     }
 
-    fn take(&self, bytes: usize) -> bool {
-        let add = |used: usize| used.checked_add(bytes).filter(|it| *it <= self.capacity);
+    fn take(&self, bytes: usize, limit: usize) -> bool {
+        let add = |used: usize| used.checked_add(bytes).filter(|it| *it <= limit);
         self.used.fetch_update(Ordering::Relaxed, Ordering::Relaxed, add).is_ok()
     }
 }
@@ -91,6 +170,27 @@
 pub(crate) struct BufferLease {
     budget: Arc<BufferBudget>,
     counted: usize,
+    /// Most bytes of the budget that may be counted when this grows.
+    limit: usize,
+}
+
+/// What is counted for a stream whose client does not read, until this is dropped.
+#[derive(Debug)]
+pub(crate) struct StalledLease {
+    budget: Arc<BufferBudget>,
+    holder: StreamHolder,
+    bytes: usize,
+    is_pending: bool,
+}
+
+impl Drop for StalledLease {
+    fn drop(&mut self) {
+        if self.is_pending {
+            return self.budget.pending.lock().give_back(self.holder, self.bytes);
+        }
+        self.budget.used.fetch_sub(self.bytes, Ordering::Relaxed);
+        self.budget.stalled.lock().give_back(self.holder, self.bytes);
+    }
 }
 
 impl BufferLease {
@@ -98,7 +198,7 @@
     pub(crate) fn resize(&mut self, bytes: usize) -> Result<(), BuffersFull> {
         let counted = bytes.saturating_sub(UNCOUNTED_BYTES);
 
-        if counted > self.counted && !self.budget.take(counted - self.counted) {
+        if counted > self.counted && !self.budget.take(counted - self.counted, self.limit) {
             return Err(BuffersFull);
         }
         if counted < self.counted {
--- a/src/entry/crash_guard.rs
+++ b/src/entry/crash_guard.rs
@@ -108,6 +108,8 @@
     silence_limit: Duration,
     started_at: Instant,
     heard_at: Instant,
+    /// Whether nothing is read from the upstream, as the client does not read either.
+    is_paused: bool,
     is_over: bool,
 }
 
@@ -127,6 +129,7 @@
             silence_limit,
             started_at: Instant::now(),
             heard_at: Instant::now(),
+            is_paused: false,
             is_over: false,
         }
     }
@@ -137,6 +140,18 @@
         self.context.record_reach(&self.record, ReachEvidence::Heard);
     }
 
+    /// Stops to count the silence of the upstream while its stream waits for the client. It would count against the upstream
+    /// that this host does not read.
+    pub(super) fn pause(&mut self) {
+        self.is_paused = true;
+    }
+
+    /// Begins to count the silence of the upstream again.
+    pub(super) fn resume(&mut self) {
+        self.is_paused = false;
+        self.heard_at = Instant::now();
+    }
+
     /// Ends the attempt of an upstream that lives.
     pub(super) fn finish(mut self) {
         self.is_over = true;
@@ -201,7 +216,7 @@
     fn drop(&mut self) {
         let silence = self.heard_at.elapsed();
 
-        if self.is_over || silence < self.silence_limit {
+        if self.is_over || self.is_paused || silence < self.silence_limit {
             return;
         }
 
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -660,7 +660,7 @@
             return Ok(None);
         }
 
-        let mut lease = self.context.buffers.lease();
+        let mut lease = self.context.buffers.lease_request();
         lease.resize(chain_size(chain, input))?;
         Ok(Some(lease))
     }
--- a/src/entry/entry_metrics.rs
+++ b/src/entry/entry_metrics.rs
@@ -9,7 +9,11 @@
 };
 
 use crate::{
-    entry::placement_metrics::PlacementMetrics, process::metrics_registry::MetricsRegistry,
+    entry::{
+        host_load::{HostLoad, LoadMetrics},
+        placement_metrics::PlacementMetrics,
+    },
+    process::metrics_registry::MetricsRegistry,
 };
 
 /// Bucket boundaries of the latency histograms, in seconds.
@@ -41,6 +45,7 @@
     teams: Gauge<u64>,
     quota_decisions: Counter<u64>,
     placements: PlacementMetrics,
+    load: LoadMetrics,
 }
 
 impl EntryMetrics {
@@ -140,6 +145,7 @@
                 "Requests of teams with a quota, and failed reports to quota owners, by result.",
             ),
             placements: PlacementMetrics::new(&registry),
+            load: LoadMetrics::new(&registry),
             registry,
         })
     }
@@ -258,6 +264,11 @@
         self.request_time.record(time.as_secs_f64(), &[]);
     }
 
+    /// Records what the host is short of.
+    pub(crate) fn record_load(&self, load: HostLoad, lag: Duration, stalled_bytes: usize) {
+        self.load.record(load, lag, stalled_bytes);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub(crate) fn text(&self) -> Result<String> {
         self.registry.text()
--- a/src/entry/entry_settings.rs
+++ b/src/entry/entry_settings.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
-use crate::entry::{ExpiryBounds, ObjectStore, QuotaTolerance, UpstreamChannel};
+use crate::entry::{ExpiryBounds, LoadLimits, ObjectStore, QuotaTolerance, UpstreamChannel};
 
 /// Settings of an entry host.
 #[derive(Clone, Debug)]
@@ -21,6 +21,8 @@
     pub store_value_bytes: Option<usize>,
     /// Memory that the host may use, in bytes, if that is limited.
     pub memory_bytes: Option<u64>,
+    /// Number of file descriptors that the host may use, if that is limited.
+    pub max_descriptors: Option<usize>,
     /// What the platform states of its upstreams' entries.
     pub expiry: ExpiryBounds,
     /// Whether one host of a region places the requests of all its schedulers. See docs/design/dispatching.md.
@@ -30,6 +32,11 @@
 }
 
 impl EntrySettings {
+    /// Limits from which the bounds of buffers and connections follow.
+    pub fn load_limits(&self) -> LoadLimits {
+        LoadLimits { memory_bytes: self.memory_bytes, max_descriptors: self.max_descriptors }
+    }
+
     /// Region of the host; a data centre that is not in [`EntrySettings::regions`] is a region of its own.
     pub fn region(&self) -> Arc<str> {
         self.regions.get(&self.data_centre).unwrap_or(&self.data_centre).clone()
--- a/src/entry/routed_request.rs
+++ b/src/entry/routed_request.rs
@@ -7,7 +7,8 @@
 
 use crate::entry::{
     EntryRequest, ServiceConfig, ServiceRoute, Team, TeamScope, UpstreamRequest,
-    buffer_budget::BufferLease, placement_request::PlacementRequest, turn_history::HistoryTurn,
+    buffer_budget::BufferLease, host_load::StreamHolder, placement_request::PlacementRequest,
+    turn_history::HistoryTurn,
 };
 
 /// A request with its route, its service and its deadline.
@@ -43,6 +44,11 @@
         TeamScope::new(self.team.as_ref())
     }
 
+    /// Whose stream it is.
+    pub(crate) fn holder(&self) -> StreamHolder {
+        StreamHolder::new(&self.request, self.team.as_deref())
+    }
+
     fn team_name(&self) -> Option<Arc<str>> {
         self.team.as_ref().map(|it| Arc::clone(&it.name))
     }
--- a/src/entry/stream_relay.rs
+++ b/src/entry/stream_relay.rs
@@ -15,6 +15,7 @@
     crash_guard::AttemptWatch,
     entry_response::StreamItem,
     event_framer::{EventFramer, StreamEvent},
+    host_load::{SendEnd, StreamSender, stream_sender::STALL_GRACE},
     pooled_upstream::LeaseOutcome,
     request_runner::RunnerContext,
     routed_request::RoutedRequest,
@@ -43,6 +44,9 @@
 /// as such events.
 const MAX_EMPTY_EVENTS: u64 = 256;
 
+/// Time after a client has read again in which a break of its stream may go back to the time in which it did not.
+const STALL_MEMORY: Duration = Duration::from_secs(5);
+
 /// A stream from an upstream whose first event has arrived.
 #[derive(Debug)]
 pub(crate) struct StreamSource {
@@ -67,6 +71,8 @@
     DeadlineExceeded,
     /// This host has no room for more of the stream.
     BuffersFull,
+    /// The client has not read the stream.
+    Unread(SendEnd),
 }
 
 /// How a stream to a client has ended.
@@ -78,6 +84,7 @@
     ClientDisconnected,
     DeadlineExceeded,
     BuffersFull,
+    Unread(SendEnd),
 }
 
 /// Relays one stream to its client.
@@ -102,6 +109,8 @@
     events: u64,
     /// Number of events without data.
     empty_events: u64,
+    /// When the client last read again after it had read nothing for [`STALL_GRACE`].
+    stall_ended_at: Option<Instant>,
     /// Data of the events, each followed by a line feed; collected only if the route keeps history.
     output: LeasedBuffer,
 }
@@ -113,6 +122,7 @@
             has_consecutive_ids: None,
             events: 0,
             empty_events: 0,
+            stall_ended_at: None,
             output: buffers.buffer(),
         }
     }
@@ -125,6 +135,11 @@
         self.last_event_id = Some(id.into());
     }
 
+    /// Whether what arrives now may have been sent while the client, and so this host, did not read.
+    fn has_stalled_lately(&self) -> bool {
+        self.stall_ended_at.is_some_and(|at| at.elapsed() < STALL_MEMORY)
+    }
+
     /// Whether events are missing between the last one that was sent and one with an id.
     pub(super) fn has_gap_before(&self, id: Option<&str>) -> bool {
         match (&self.last_event_id, id) {
@@ -175,6 +190,14 @@
                     "broken off: the buffers of this host are full"
                 );
             }
+            RelayEnd::Unread(end) => {
+                self.context.metrics.count_broken_stream(end.cause());
+                log::warn!(
+                    request:% = self.routed.request.id, events = progress.events, stalled_bytes = self.context.buffers.stalled_bytes(),
+                    cause = end.cause();
+                    "broken off: the client does not read the stream"
+                );
+            }
             RelayEnd::DeadlineExceeded => {
                 self.context.metrics.count_broken_stream("deadline");
                 log::info!(request:% = self.routed.request.id, events = progress.events; "broken off: the deadline has passed");
@@ -194,6 +217,7 @@
                 SourceEnd::ClientDisconnected => return RelayEnd::ClientDisconnected,
                 SourceEnd::DeadlineExceeded => return RelayEnd::DeadlineExceeded,
                 SourceEnd::BuffersFull => return RelayEnd::BuffersFull,
+                SourceEnd::Unread(end) => return RelayEnd::Unread(end),
                 SourceEnd::Broken(reason) => {
                     log::warn!(
                         request:% = self.routed.request.id, upstream:% = upstream, events = progress.events,
@@ -243,7 +267,11 @@
             while let Some(event) = first_event.take().or_else(|| framer.next_event()) {
                 let has_data = event.data.is_some();
 
-                if let Err(end) = self.forward_event(event, progress).await {
+                watch.pause();
+                let forwarded = self.forward_event(event, progress).await;
+                watch.resume();
+
+                if let Err(end) = forwarded {
                     watch.finish();
                     lease.finish(LeaseOutcome::Cancelled);
                     return end;
@@ -281,6 +309,12 @@
                     lease.finish(LeaseOutcome::Failed);
                     return SourceEnd::Broken("the stream ended inside an event".into());
                 }
+                // Upstreams abort what is not read for long, which says nothing about them.
+                Ok(Err(error)) if progress.has_stalled_lately() => {
+                    watch.finish();
+                    lease.finish(LeaseOutcome::Cancelled);
+                    return SourceEnd::Broken(error.to_string().into());
+                }
                 Ok(Err(error)) => {
                     watch.finish_broken(&error.to_string());
                     lease.finish(LeaseOutcome::Failed);
@@ -355,17 +389,33 @@
         }
 
         let bytes = self.context.buffers.count(event.bytes).map_err(|_| SourceEnd::BuffersFull)?;
-        let sending = timeout_at(self.routed.deadline, self.sender.send(StreamItem::Bytes(bytes)));
 
-        match sending.await {
-            Ok(Ok(())) => Ok(()),
-            Ok(Err(_)) => Err(SourceEnd::ClientDisconnected),
-            Err(_) => Err(SourceEnd::DeadlineExceeded),
+        match self.stream_sender().send(StreamItem::Bytes(bytes)).await {
+            Ok(stall) => {
+                if stall >= STALL_GRACE {
+                    progress.stall_ended_at = Some(Instant::now());
+                }
+                Ok(())
+            }
+            Err(SendEnd::ClientDisconnected) => Err(SourceEnd::ClientDisconnected),
+            Err(SendEnd::DeadlineExceeded) => Err(SourceEnd::DeadlineExceeded),
+            Err(end) => Err(SourceEnd::Unread(end)),
+        }
+    }
+
+    fn stream_sender(&self) -> StreamSender {
+        StreamSender {
+            sender: self.sender.clone(),
+            buffers: Arc::clone(&self.context.buffers),
+            holder: self.routed.holder(),
+            deadline: self.routed.deadline,
+            idle_timeout: self.context.keys.routes.load().limits.idle_timeout,
         }
     }
 
     /// Records the turn if the route keeps history, and ends the response only once the turn and its chain are durable.
     async fn finish(self, progress: StreamProgress) {
+        let sender = self.stream_sender();
         let request = &self.routed.request;
         let spent_tokens = self.budget.as_ref().map_or(0, TurnBudget::spent);
 
@@ -403,6 +453,6 @@
             took_ms = request.received.elapsed().as_millis() as u64;
             "a stream is complete"
         );
-        let _ = self.sender.send(StreamItem::End).await;
+        let _ = sender.send(StreamItem::End).await;
     }
 }
--- a/src/gateway/entry_node.rs
+++ b/src/gateway/entry_node.rs
@@ -17,8 +17,8 @@
 use crate::{
     BackoffPolicy, PeerHandler, PeerMessage, PeerStream, PeerTransport,
     entry::{
-        BufferBudget, EntryBackends, EntryHost, EntrySettings, ReadFreshness, RouteLimits,
-        dispatching::placement_denial::PlacementDenial, entry_metrics::EntryMetrics,
+        BufferBudget, EntryBackends, EntryHost, EntrySettings, LoadMonitor, ReadFreshness,
+        RouteLimits, dispatching::placement_denial::PlacementDenial, entry_metrics::EntryMetrics,
         mesh_connector::MeshConnector,
     },
     gateway::{
@@ -67,6 +67,7 @@
     pub(super) stops_at: OnceLock<Instant>,
     metrics: Arc<EntryMetrics>,
     buffers: Arc<BufferBudget>,
+    load: Arc<LoadMonitor>,
 }
 
 impl EntryNode {
@@ -82,16 +83,20 @@
         let transport = Arc::clone(&network.transport) as Arc<dyn PeerTransport>;
         let metrics = Arc::new(EntryMetrics::new()?);
         metrics.record_role(false);
+        let buffers = Arc::new(BufferBudget::new(settings.memory_bytes));
         let forwarder = RequestForwarder {
             connector: Arc::new(MeshConnector::new(transport)),
             directory: Arc::new(SchedulerDirectory::new(settings.region())),
             metrics: Arc::clone(&metrics),
             departures: Arc::clone(&network.departures),
+            buffers: Arc::clone(&buffers),
         };
 
-        let buffers = Arc::new(BufferBudget::new(settings.memory_bytes));
+        let load =
+            LoadMonitor::new(settings.load_limits(), Arc::clone(&buffers), Arc::clone(&metrics));
         let node = Arc::new(Self {
             buffers,
+            load,
             settings,
             backends,
             network,
@@ -107,6 +112,7 @@
         let handler = Arc::clone(&node) as Arc<dyn PeerHandler>;
         tokio::spawn(Arc::clone(&node.network.transport).serve(handler));
         tokio::spawn(Arc::clone(&node).run_role());
+        tokio::spawn(Arc::clone(&node.load).run());
         Ok(node)
     }
 
@@ -275,6 +281,11 @@
         &self.buffers
     }
 
+    /// What the host is short of.
+    pub fn load(&self) -> &Arc<LoadMonitor> {
+        &self.load
+    }
+
     /// Limits on clients.
     pub fn limits(&self) -> RouteLimits {
         self.host.get().map_or_else(|| self.forwarder.directory.limits(), |it| it.routes().limits)
@@ -286,7 +297,7 @@
             Some(host) => host.is_ready(),
             None => self.has_role.load(Ordering::Relaxed) && self.is_in_contact(),
         };
-        is_serving && !self.is_draining()
+        is_serving && !self.is_draining() && self.load.load().takes_new_clients()
     }
 
     /// Whether a scheduler has answered this host's questions for the list of schedulers lately.
@@ -353,7 +364,7 @@
     async fn handle(self: Arc<Self>, first: PeerMessage, mut stream: Box<dyn PeerStream>) {
         let result = match (first, self.host.get()) {
             (PeerMessage::ForwardOffer { min_config_version, request }, Some(host)) => {
-                serve_offer(host, min_config_version, *request, stream.as_mut()).await
+                serve_offer(host, &self.load, min_config_version, *request, stream.as_mut()).await
             }
             (PeerMessage::ForwardOffer { .. }, None) => {
                 decline(stream.as_mut(), DeclineReason::NotScheduler).await
--- a/src/gateway/forward_server.rs
+++ b/src/gateway/forward_server.rs
@@ -6,7 +6,9 @@
 
 use crate::{
     PeerError, PeerMessage, PeerStream,
-    entry::{ClientKey, EntryHost, EntryRequest, EntryResponse, RelayedBody, StreamItem},
+    entry::{
+        ClientKey, EntryHost, EntryRequest, EntryResponse, LoadMonitor, RelayedBody, StreamItem,
+    },
     gateway::{DeclineReason, ForwardedHead, ForwardedRequest, forwarded_request::encode_headers},
 };
 
@@ -19,6 +21,7 @@
 /// has left, which cancels the request.
 pub(crate) async fn serve_offer(
     host: &Arc<EntryHost>,
+    load: &LoadMonitor,
     min_config_version: u64,
     request: ForwardedRequest,
     stream: &mut dyn PeerStream,
@@ -27,7 +30,7 @@
         return decline(stream, DeclineReason::Malformed).await;
     };
 
-    if let Some(reason) = decline_reason(host, min_config_version, &request) {
+    if let Some(reason) = decline_reason(host, load, min_config_version, &request) {
         return decline(stream, reason).await;
     }
 
@@ -88,6 +91,7 @@
 /// Why this host can't take a request now, if so.
 fn decline_reason(
     host: &EntryHost,
+    load: &LoadMonitor,
     min_config_version: u64,
     request: &EntryRequest,
 ) -> Option<DeclineReason> {
@@ -97,6 +101,10 @@
         Some(DeclineReason::Draining)
     } else if !host.is_ready() {
         Some(DeclineReason::NotReady)
+    } else if let Some(cause) = load.refusal_of_offer(request) {
+        log::info!(request:% = request.id; "declined: {cause}");
+        // Builds that know no reason of its own take this one the right way: they offer the request to another host.
+        Some(DeclineReason::NotReady)
     } else if host.routes().version < min_config_version {
         Some(DeclineReason::StaleConfig)
     } else if host.service_of(request).is_some_and(|service| reach.is_lost(&service)) {
--- a/src/gateway/forwarded_stream.rs
+++ b/src/gateway/forwarded_stream.rs
@@ -4,12 +4,16 @@
 
 use tokio::{
     sync::mpsc,
-    time::{Instant, sleep_until},
+    time::{Duration, Instant, sleep_until},
 };
 
 use crate::{
     PeerMessage, PeerStream,
-    entry::{StreamItem, entry_metrics::EntryMetrics},
+    entry::{
+        BufferBudget, StreamItem,
+        entry_metrics::EntryMetrics,
+        host_load::{SendEnd, StreamHolder, StreamSender},
+    },
     gateway::request_forwarder::unexpected_message,
 };
 
@@ -22,12 +26,24 @@
     /// When the client stops waiting.
     pub(crate) deadline: Instant,
     pub(crate) metrics: Arc<EntryMetrics>,
+    pub(crate) buffers: Arc<BufferBudget>,
+    pub(crate) holder: StreamHolder,
+    /// Longest time for which the client may read nothing.
+    pub(crate) idle_timeout: Duration,
 }
 
 impl ForwardedStream {
     /// Relays the body until its end, the deadline, or until the client has left. If the stream ends early, the sender is
     /// dropped without [`StreamItem::End`].
     pub(crate) async fn relay(mut self, sender: mpsc::Sender<StreamItem>) {
+        let stream_sender = StreamSender {
+            sender: sender.clone(),
+            buffers: Arc::clone(&self.buffers),
+            holder: self.holder,
+            deadline: self.deadline,
+            idle_timeout: self.idle_timeout,
+        };
+
         loop {
             let received = tokio::select! {
                 received = self.stream.receive() => received,
@@ -54,8 +70,15 @@
 
             let is_end = matches!(item, StreamItem::End);
 
-            if sender.send(item).await.is_err() || is_end {
-                return;
+            match stream_sender.send(item).await {
+                Ok(_) if is_end => return,
+                Ok(_) => (),
+                Err(SendEnd::ClientDisconnected) => return,
+                // The rest is lost, so that the client does not take the stream for complete.
+                Err(end) => {
+                    return self
+                        .report_break(end.cause(), "the client does not read it".to_owned());
+                }
             }
         }
     }
--- a/src/gateway/host_network.rs
+++ b/src/gateway/host_network.rs
@@ -38,6 +38,7 @@
             &keys.private_key,
             IdlePolicy::KeptAlive,
             Arc::new(NodeMetrics::new()?),
+            settings.load_limits().peer_window_bytes(),
         )?;
 
         let departures = Arc::new(Mutex::new(UpstreamDepartures::new(settings.expiry)));
--- a/src/gateway/request_forwarder.rs
+++ b/src/gateway/request_forwarder.rs
@@ -16,8 +16,8 @@
 use crate::{
     PeerError, PeerMessage, PeerStream,
     entry::{
-        EntryRefusal, EntryRequest, EntryResponse, RelayedBody, RelayedResponse,
-        entry_metrics::EntryMetrics, entry_response::MAX_BUFFERED_ITEMS,
+        BufferBudget, EntryRefusal, EntryRequest, EntryResponse, RelayedBody, RelayedResponse,
+        entry_metrics::EntryMetrics, entry_response::MAX_BUFFERED_ITEMS, host_load::StreamHolder,
         mesh_connector::MeshConnector, run_record::RunRecord,
         upstream_departures::UpstreamDepartures,
     },
@@ -31,6 +31,10 @@
 /// host that has used up its share of a core stands still for up to 100 ms.
 const OFFER_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Time to accept an offer from which on a scheduler counts as busy. Hosts with 0.12 of a core stand still for 100 ms in ordinary
+/// use, and two of those may follow on each other.
+const LATE_ACCEPTANCE: Duration = Duration::from_millis(250);
+
 /// Most schedulers to which one request is offered, apart from those that decline at once.
 const MAX_OFFERS: usize = 6;
 
@@ -66,6 +70,7 @@
     pub(crate) metrics: Arc<EntryMetrics>,
     /// Upstreams that leave, which this host's own placement shares if it is a scheduler.
     pub(crate) departures: Arc<Mutex<UpstreamDepartures>>,
+    pub(crate) buffers: Arc<BufferBudget>,
 }
 
 impl RequestForwarder {
@@ -94,13 +99,21 @@
             let (stream, is_retryable) = match self.offer(request, scheduler.address).await {
                 OfferOutcome::Accepted { stream, is_retryable } => {
                     self.metrics.count_offer("accepted");
+                    if offered_at.elapsed() >= LATE_ACCEPTANCE {
+                        self.directory.mark_busy(scheduler.address);
+                    }
                     (stream, is_retryable)
                 }
                 OfferOutcome::Declined(reason) => {
                     self.metrics.count_offer("declined");
                     declines += 1;
-                    if reason == DeclineReason::OutOfReach {
-                        self.directory.mark_out_of_reach(scheduler.address);
+                    match reason {
+                        DeclineReason::OutOfReach => {
+                            self.directory.mark_out_of_reach(scheduler.address);
+                        }
+                        // It may be overloaded, for which older builds have no reason of its own.
+                        DeclineReason::NotReady => self.directory.mark_busy(scheduler.address),
+                        _ => (),
                     }
                     log::info!(request:% = request.id, scheduler:% = scheduler.host; "a scheduler has declined a request: {reason}");
                     continue;
@@ -129,6 +142,9 @@
                 stream,
                 deadline: deadline + DEADLINE_SLACK,
                 metrics: Arc::clone(&self.metrics),
+                buffers: Arc::clone(&self.buffers),
+                holder: StreamHolder::new(request, None),
+                idle_timeout: self.directory.limits().idle_timeout,
             };
 
             match run(forwarded, &mut record).await {
--- a/src/gateway/request_handler.rs
+++ b/src/gateway/request_handler.rs
@@ -62,6 +62,10 @@
     async fn forward_to_schedulers(&self, request: &EntryRequest) -> Option<EntryResponse> {
         let mut candidates = self.forwarder.directory.candidates(routing_key(request), None);
         candidates.retain(|it| it.host != self.settings.host);
+        // The owner of a program has its history and its budget, so it stays first.
+        if request.program.is_none() {
+            self.forwarder.directory.put_busy_last(&mut candidates);
+        }
         self.forwarder.forward(request, &candidates).await
     }
 
--- a/src/gateway/scheduler_directory.rs
+++ b/src/gateway/scheduler_directory.rs
@@ -27,6 +27,8 @@
     suspects: HashSet<SocketAddr>,
     /// Schedulers that have declined a request since they do not reach a service, and when they last did so.
     declined: HashMap<SocketAddr, Instant>,
+    /// Schedulers that have declined a request as they were not ready or overloaded, or accepted one late, and when.
+    busy: HashMap<SocketAddr, Instant>,
     /// When a ready scheduler last responded.
     last_contact: Option<Instant>,
     limits: RouteLimits,
@@ -71,6 +73,7 @@
             let mut state = self.state.lock();
             state.suspects.retain(|it| addresses.contains(it));
             state.declined.retain(|it, _| addresses.contains(it));
+            state.busy.retain(|it, _| addresses.contains(it));
         }
         self.schedulers.store(Arc::new(schedulers));
     }
@@ -164,6 +167,30 @@
         self.state.lock().declined.insert(address, Instant::now());
     }
 
+    /// Records that a scheduler has declined a request as it was not ready or overloaded, or accepted one late.
+    pub(crate) fn mark_busy(&self, address: SocketAddr) {
+        self.state.lock().busy.insert(address, Instant::now());
+    }
+
+    /// Moves schedulers that are busy behind those that are not, for requests that any of them may serve. If half or more of
+    /// those of a region are busy, the order stays: the others would have no room for the load of all.
+    pub(crate) fn put_busy_last(&self, candidates: &mut [SchedulerEntry]) {
+        let state = self.state.lock();
+        let is_busy = |it: &SchedulerEntry| {
+            state.busy.get(&it.address).is_some_and(|at| at.elapsed() < DECLINE_MEMORY)
+        };
+        // Those of other regions, and those that do not respond, keep their place after the first ones.
+        let is_first = |it: &&SchedulerEntry| {
+            it.region == self.region && !it.is_draining && !state.suspects.contains(&it.address)
+        };
+        let first_count = candidates.iter().take_while(is_first).count();
+        let first = &mut candidates[..first_count];
+
+        if 2 * first.iter().filter(|it| is_busy(it)).count() < first_count {
+            first.sort_by_key(is_busy);
+        }
+    }
+
     /// Marks a scheduler that did not respond. Returns whether it was not marked before.
     pub(crate) fn mark_suspect(&self, address: SocketAddr) -> bool {
         self.state.lock().suspects.insert(address)
--- a/src/membership/quic_transport.rs
+++ b/src/membership/quic_transport.rs
@@ -100,13 +100,16 @@
 
 impl QuicTransport {
     /// Binds the endpoint. `reset_secret`, which all hosts share, is the key of stateless resets. It outlives the
-    /// process, so that a restarted host notifies its peers at once that their old connections no longer exist.
+    /// process, so that a restarted host notifies its peers at once that their old connections no longer exist. With a
+    /// `stream_window`, a peer sends no more than as many bytes on a stream before they are read. Streams of a connection share
+    /// no window, so one that is not read stops no other.
     pub(crate) fn bind(
         address: SocketAddr,
         keys: &KeyFiles,
         reset_secret: &str,
         idle_policy: IdlePolicy,
         metrics: Arc<NodeMetrics>,
+        stream_window: Option<u32>,
     ) -> Result<Self> {
         let provider = Arc::new(rustls::crypto::ring::default_provider());
         let roots = Arc::new(keys.trusted_roots()?);
@@ -128,7 +131,7 @@
             .with_client_auth_cert(keys.certificate_chain()?, keys.private_key()?)?;
         client.alpn_protocols = vec![ALPN_PROTOCOL.into()];
 
-        let transport = Arc::new(transport_config(idle_policy));
+        let transport = Arc::new(transport_config(idle_policy, stream_window));
         let mut server = ServerConfig::with_crypto(Arc::new(QuicServerConfig::try_from(server)?));
         server.transport_config(Arc::clone(&transport));
         let mut client = ClientConfig::new(Arc::new(QuicClientConfig::try_from(client)?));
@@ -270,8 +273,9 @@
     }
 }
 
-fn transport_config(idle_policy: IdlePolicy) -> TransportConfig {
+fn transport_config(idle_policy: IdlePolicy, stream_window: Option<u32>) -> TransportConfig {
     let mut config = TransportConfig::default();
+    stream_window.iter().for_each(|it| _ = config.stream_receive_window((*it).into()));
     config.max_concurrent_bidi_streams(INITIAL_STREAM_LIMIT.into());
     config.max_concurrent_uni_streams(VarInt::from_u32(0));
     config.max_idle_timeout(Some(
--- a/src/process/node_core.rs
+++ b/src/process/node_core.rs
@@ -44,6 +44,7 @@
             &settings.receipt_key,
             IdlePolicy::Probed,
             Arc::clone(metrics),
+            None,
         )?);
 
         let view = ClusterView::new(membership_table(settings, &quic)?);
--- a/src/tests/crash_counts.rs
+++ b/src/tests/crash_counts.rs
@@ -81,6 +81,30 @@
     assert_eq!(crashes.lock().crash_count(FINGERPRINT), 1);
 }
 
+/// Guards against an upstream that is taken for crashed since it has aborted a stream that its client did not read, or since nothing
+/// was read from it while the client did not read.
+#[tokio::test(start_paused = true)]
+async fn crash_count_excludes_stream_whose_client_does_not_read() {
+    for reads_again in [true, false] {
+        let crashes = Arc::default();
+        let stream =
+            ScriptedResponse::Stream { chunks: vec!["data: a\n\n"; 40], is_complete: false };
+        let channel = Arc::new(ScriptedChannel::new(vec![stream]));
+        let pool = pool();
+        pool.upsert(upstream("u1", "service", 4));
+        pool.upsert(upstream("u2", "service", 4));
+        let kind = RequestKind::Stream { can_resume: false };
+        let mut response = runner_with_crashes(&pool, &channel, kind, &crashes).run().await;
+        tokio::time::sleep(Duration::from_millis(1_900)).await;
+        if reads_again {
+            read_events(&mut response).await;
+        }
+        drop(response);
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        assert_eq!(crashes.lock().crash_count(FINGERPRINT), 0, "{reads_again}");
+    }
+}
+
 /// Requests of one host on several upstreams of a service, which share what the host knows.
 struct CrashHost {
     pool: Arc<PlacementPool>,
--- a/src/tests/lost_links.rs
+++ b/src/tests/lost_links.rs
@@ -171,6 +171,7 @@
                 peers_address: ([127, 0, 0, 1], 0).into(),
                 processor_share: 1.0,
                 memory_bytes: None,
+                max_descriptors: None,
                 store_value_bytes: None,
                 expiry: ExpiryBounds::default(),
                 region_dispatch: true,
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -25,6 +25,7 @@
 mod frame_codec;
 mod gateway_forwarding;
 mod gateway_roles;
+mod host_load;
 mod host_registry;
 mod http_upstream;
 mod journal_audit;
--- a/src/tests/refusal_statements.rs
+++ b/src/tests/refusal_statements.rs
@@ -134,6 +134,7 @@
         directory: Arc::new(SchedulerDirectory::new("north".into())),
         metrics: Arc::new(EntryMetrics::new().expect("metrics")),
         departures: Arc::default(),
+        buffers: Arc::default(),
     };
     let scheduler = SchedulerEntry {
         host: "one".into(),
