--- a/src/tests/entry_metrics.rs
+++ b/src/tests/entry_metrics.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use crate::entry::entry_metrics::EntryMetrics;
+use crate::entry::{HostLoad, entry_metrics::EntryMetrics};
 
 const DOCUMENTATION: &str = include_str!("../../docs/METRICS.md");
 const SECTION_HEADING: &str = "## Entry hosts";
@@ -46,6 +46,7 @@
     metrics.record_slow_starts(0);
     metrics.record_full_memories(0);
     metrics.count_quota_decision("allowance");
+    metrics.record_load(HostLoad::default(), time, 0);
 
     let text = metrics.text().expect("failed to encode the metrics");
     let help = text.lines().filter_map(|line| line.strip_prefix("# HELP "));
