Shortages begin only after half a second, and descriptors have three states

A burst after a pause of the host made it unready for a second at least. An upstream that ends a stream inside an event after its client did not read counts as little as one that resets the connection.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -90,7 +90,7 @@
     entry_settings::{EntryBackends, EntrySettings},
     expiry_bounds::ExpiryBounds,
     follow_gap::FollowGap,
-    host_load::{HostLoad, LoadLimits, LoadMonitor},
+    host_load::{DescriptorSupply, HostLoad, LoadLimits, LoadMonitor},
     kind_follower::{KindFollower, KindListing, ObjectListener},
     object_store::{
         ObjectChange, ObjectPage, ObjectStore, ReadFreshness, SILENCE_LIMIT, StoreError,
--- a/src/entry/host_load.rs
+++ b/src/entry/host_load.rs
@@ -11,7 +11,11 @@
 pub(crate) mod stalled_streams;
 pub(crate) mod stream_sender;
 
-pub use self::{load_limits::LoadLimits, load_monitor::LoadMonitor, load_policy::HostLoad};
+pub use self::{
+    load_limits::LoadLimits,
+    load_monitor::LoadMonitor,
+    load_policy::{DescriptorSupply, HostLoad},
+};
 pub(crate) use self::{
     load_metrics::LoadMetrics,
     load_policy::LoadPolicy,
--- a/src/entry/host_load/load_metrics.rs
+++ b/src/entry/host_load/load_metrics.rs
@@ -3,7 +3,10 @@
 use opentelemetry::{KeyValue, metrics::Gauge};
 use tokio::time::Duration;
 
-use crate::{entry::host_load::HostLoad, process::metrics_registry::MetricsRegistry};
+use crate::{
+    entry::host_load::{DescriptorSupply, HostLoad},
+    process::metrics_registry::MetricsRegistry,
+};
 
 /// Instruments of the host's load.
 #[derive(Debug)]
@@ -38,7 +41,7 @@
     pub(crate) fn record(&self, load: HostLoad, lag: Duration, stalled_bytes: usize) {
         let resources = [
             ("memory", load.is_memory_short),
-            ("descriptors", load.are_descriptors_short),
+            ("descriptors", load.descriptors > DescriptorSupply::Ample),
             ("processor", load.is_late),
         ];
 
--- a/src/entry/host_load/load_monitor.rs
+++ b/src/entry/host_load/load_monitor.rs
@@ -14,7 +14,7 @@
 use crate::entry::{
     BufferBudget, EntryRequest,
     entry_metrics::EntryMetrics,
-    host_load::{HostLoad, LoadLimits, LoadPolicy, LoadSample},
+    host_load::{DescriptorSupply, HostLoad, LoadLimits, LoadPolicy, LoadSample},
 };
 
 /// Time between two samples.
@@ -112,9 +112,7 @@
         let was = std::mem::replace(&mut state.load, load);
         drop(state);
 
-        if (was.is_memory_short, was.are_descriptors_short, was.are_descriptors_exhausted)
-            != (load.is_memory_short, load.are_descriptors_short, load.are_descriptors_exhausted)
-        {
+        if (was.is_memory_short, was.descriptors) != (load.is_memory_short, load.descriptors) {
             log::warn!(
                 buffers:? = sample.buffers, resident:? = sample.resident, descriptors:? = sample.descriptors,
                 stalled_bytes = self.buffers.stalled_bytes(), lag_ms = sample.lag.as_millis() as u64, load:?;
@@ -139,7 +137,8 @@
     pub fn open_connection(self: &Arc<Self>) -> (ConnectionGuard, bool) {
         self.connections.fetch_add(1, Ordering::Relaxed);
         let guard = ConnectionGuard { monitor: Arc::clone(self) };
-        let is_served = !self.limits.is_limited() || !self.update().are_descriptors_exhausted;
+        let is_served =
+            !self.limits.is_limited() || self.update().descriptors != DescriptorSupply::Exhausted;
         (guard, is_served)
     }
 
@@ -151,7 +150,7 @@
 
     /// Why a request of another host can't be taken, if so. That host offers it to others.
     pub(crate) fn refusal_of_offer(&self, request: &EntryRequest) -> Option<&'static str> {
-        if self.load().are_descriptors_exhausted {
+        if self.load().descriptors == DescriptorSupply::Exhausted {
             return Some("no descriptors are left");
         }
         self.refusal_of_body(request.body.len() as u64)
--- a/src/entry/host_load/load_policy.rs
+++ b/src/entry/host_load/load_policy.rs
@@ -32,6 +32,10 @@
 /// Part of the usable descriptors from which on none is given to a new connection.
 const DESCRIPTORS_EXHAUSTED: f64 = 0.97;
 
+/// Time for which a resource must have been above its upper mark until it is short. A burst after a pause of the host is over
+/// sooner, and what can't be taken at all is refused at any time.
+const ONSET_TIME: Duration = Duration::from_millis(500);
+
 /// Time for which a resource must have been below its lower mark until it is no longer short. The load balancer checks each
 /// second.
 const RECOVERY_TIME: Duration = Duration::from_secs(1);
@@ -39,15 +43,25 @@
 /// Lag from which on a host counts as late. One with 0.12 of a core has pauses of 100 ms in ordinary use.
 const LATE_LAG: Duration = Duration::from_millis(250);
 
+/// How many descriptors are left.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub enum DescriptorSupply {
+    /// Enough.
+    #[default]
+    Ample,
+    /// Few, so that new clients should go to other hosts.
+    Short,
+    /// None for further connections of clients.
+    Exhausted,
+}
+
 /// What a host is short of.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct HostLoad {
     /// Memory for buffers.
     pub is_memory_short: bool,
     /// Descriptors.
-    pub are_descriptors_short: bool,
-    /// Descriptors, so far that no connection can be opened.
-    pub are_descriptors_exhausted: bool,
+    pub descriptors: DescriptorSupply,
     /// Processor time.
     pub is_late: bool,
 }
@@ -55,7 +69,7 @@
 impl HostLoad {
     /// Whether new clients should be sent here. A late host takes them: to move clients costs processor time at all hosts.
     pub fn takes_new_clients(self) -> bool {
-        !self.is_memory_short && !self.are_descriptors_short
+        !self.is_memory_short && self.descriptors == DescriptorSupply::Ample
     }
 }
 
@@ -63,19 +77,19 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct ResourceState {
     is_short: bool,
-    /// Since when it has been below the lower mark.
-    relaxed_since: Option<Instant>,
+    /// Since when it has been above the upper mark, or below the lower one if it is short.
+    crossed_since: Option<Instant>,
 }
 
 impl ResourceState {
     fn update(&mut self, now: Instant, is_above: bool, is_below: bool) -> bool {
-        if is_above {
-            *self = Self { is_short: true, relaxed_since: None };
-        } else if !is_below {
-            self.relaxed_since = None;
-        } else if self.is_short {
-            let since = *self.relaxed_since.get_or_insert(now);
-            self.is_short = now.duration_since(since) < RECOVERY_TIME;
+        let (has_crossed, time) =
+            if self.is_short { (is_below, RECOVERY_TIME) } else { (is_above, ONSET_TIME) };
+
+        if !has_crossed {
+            self.crossed_since = None;
+        } else if now.duration_since(*self.crossed_since.get_or_insert(now)) >= time {
+            *self = Self { is_short: !self.is_short, crossed_since: None };
         }
         self.is_short
     }
@@ -99,14 +113,22 @@
         let is_below =
             buffers < BUFFERS_RELAXED && (!counts_resident || resident < RESIDENT_RELAXED);
 
+        let are_short = self.descriptors.update(
+            sample.taken_at,
+            descriptors >= DESCRIPTORS_SHORT,
+            descriptors < DESCRIPTORS_RELAXED,
+        );
+        let supply = if descriptors >= DESCRIPTORS_EXHAUSTED {
+            DescriptorSupply::Exhausted
+        } else if are_short {
+            DescriptorSupply::Short
+        } else {
+            DescriptorSupply::Ample
+        };
+
         HostLoad {
             is_memory_short: self.memory.update(sample.taken_at, is_above, is_below),
-            are_descriptors_short: self.descriptors.update(
-                sample.taken_at,
-                descriptors >= DESCRIPTORS_SHORT,
-                descriptors < DESCRIPTORS_RELAXED,
-            ),
-            are_descriptors_exhausted: descriptors >= DESCRIPTORS_EXHAUSTED,
+            descriptors: supply,
             is_late: sample.lag >= LATE_LAG,
         }
     }
--- a/src/entry/stream_relay.rs
+++ b/src/entry/stream_relay.rs
@@ -304,17 +304,19 @@
                     lease.finish(LeaseOutcome::Answered);
                     return SourceEnd::Complete;
                 }
+                // Upstreams abort what is not read for long, which says nothing about them.
+                Ok(result) if progress.has_stalled_lately() => {
+                    watch.finish();
+                    lease.finish(LeaseOutcome::Cancelled);
+                    let reason = result.err().map(|it| it.to_string());
+                    let reason = reason.unwrap_or_else(|| "it ended inside an event".to_owned());
+                    return SourceEnd::Broken(format!("{reason}, after it was not read").into());
+                }
                 Ok(Ok(None)) => {
                     watch.finish_broken("the stream ended inside an event");
                     lease.finish(LeaseOutcome::Failed);
                     return SourceEnd::Broken("the stream ended inside an event".into());
                 }
-                // Upstreams abort what is not read for long, which says nothing about them.
-                Ok(Err(error)) if progress.has_stalled_lately() => {
-                    watch.finish();
-                    lease.finish(LeaseOutcome::Cancelled);
-                    return SourceEnd::Broken(error.to_string().into());
-                }
                 Ok(Err(error)) => {
                     watch.finish_broken(&error.to_string());
                     lease.finish(LeaseOutcome::Failed);
