--- a/src/entry.rs
+++ b/src/entry.rs
@@ -21,6 +21,7 @@
 mod expiry_bounds;
 mod feature_switches;
 mod follow_gap;
+pub(crate) mod host_load;
 pub(crate) mod host_reach;
 pub(crate) mod host_registry;
 pub(crate) mod index_catalog;
@@ -94,6 +95,7 @@
     expiry_bounds::ExpiryBounds,
     feature_switches::{FeatureSwitches, HostFeature},
     follow_gap::FollowGap,
+    host_load::{DescriptorSupply, HostLoad, LoadLimits, LoadMonitor},
     kind_follower::{KindFollower, KindListing, ObjectListener},
     object_store::{
         ObjectChange, ObjectPage, ObjectStore, ReadFreshness, SILENCE_LIMIT, StoreError,
--- a/src/entry/entry_metrics.rs
+++ b/src/entry/entry_metrics.rs
@@ -9,7 +9,11 @@
 };
 
 use crate::{
-    entry::{object_affinity::object_gain::ObjectPlace, placement_metrics::PlacementMetrics},
+    entry::{
+        host_load::{HostLoad, LoadMetrics},
+        object_affinity::object_gain::ObjectPlace,
+        placement_metrics::PlacementMetrics,
+    },
     process::metrics_registry::MetricsRegistry,
 };
 
@@ -42,6 +46,7 @@
     teams: Gauge<u64>,
     quota_decisions: Counter<u64>,
     placements: PlacementMetrics,
+    load: LoadMetrics,
 }
 
 impl EntryMetrics {
@@ -141,6 +146,7 @@
                 "Requests of teams with a quota, and failed reports to quota owners, by result.",
             ),
             placements: PlacementMetrics::new(&registry),
+            load: LoadMetrics::new(&registry),
             registry,
         })
     }
@@ -269,6 +275,11 @@
         self.request_time.record(time.as_secs_f64(), &[]);
     }
 
+    /// Records what the host is short of.
+    pub(crate) fn record_load(&self, load: HostLoad, lag: Duration, stalled_bytes: usize) {
+        self.load.record(load, lag, stalled_bytes);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub(crate) fn text(&self) -> Result<String> {
         self.registry.text()
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -28,6 +28,7 @@
 mod frame_codec;
 mod gateway_forwarding;
 mod gateway_roles;
+mod host_load;
 mod host_registry;
 mod http_upstream;
 mod journal_audit;
