Explain tells where a request would be placed now, and why

Operators saw where requests had been placed only in the logs, and not why other upstreams were passed over.

The choice of an upstream, the decision on waiting, that on a quota's token and that on a budget's room are now functions without effects, which placement and explain both call; costs are a list of named terms. What an arrival changes is changed in a copy of its service's pool.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -18,6 +18,7 @@
 mod entry_settings;
 pub(crate) mod event_framer;
 mod expiry_bounds;
+pub(crate) mod explain;
 mod follow_gap;
 pub(crate) mod host_reach;
 pub(crate) mod host_registry;
@@ -61,6 +62,7 @@
 pub(crate) mod segment_queries;
 pub(crate) mod segment_reader;
 pub(crate) mod silent_records;
+pub(crate) mod slot_obstacle;
 mod store_monitor;
 mod stream_relay;
 mod stream_resume;
@@ -71,6 +73,7 @@
 pub(crate) mod turn_journal;
 pub(crate) mod turn_locator;
 mod upstream_channel;
+mod upstream_choice;
 pub(crate) mod upstream_departures;
 pub(crate) mod upstream_lease;
 pub(crate) mod upstream_limits;
@@ -88,6 +91,10 @@
     entry_response::{EntryRefusal, EntryResponse, RelayedBody, RelayedResponse, StreamItem},
     entry_settings::{EntryBackends, EntrySettings},
     expiry_bounds::ExpiryBounds,
+    explain::{
+        CandidateView, CostTerm, ExplainError, ExplainedDispatcher, ExplainedOutcome, Explanation,
+        ProgramExplanation, QueueForecast, QuotaExplanation,
+    },
     follow_gap::FollowGap,
     kind_follower::{KindFollower, KindListing, ObjectListener},
     object_store::{
--- a/src/entry/admission.rs
+++ b/src/entry/admission.rs
@@ -31,3 +31,5 @@
 mod retry_time;
 pub(crate) mod route_estimate;
 mod team_usage;
+pub(crate) mod wait_decision;
+pub(crate) mod wait_forecast;
--- a/src/entry/admission/admission_state.rs
+++ b/src/entry/admission/admission_state.rs
@@ -15,8 +15,9 @@
     queue_view::QueueView,
     retry_time::retry_time,
     team_usage::TeamUsage,
+    wait_decision::WaitDecision,
 };
-use crate::entry::placement_request::PlacementRequest;
+use crate::entry::{explain::ProgramExplanation, placement_request::PlacementRequest};
 
 /// Time constant of the counts of grants and refusals. It covers the turns of short programs.
 const RATE_TIME: Duration = Duration::from_secs(1);
@@ -79,6 +80,20 @@
 }
 
 impl AdmissionState {
+    /// A copy that decides on `requests` as this state does. Of programs it has only theirs, as there may be thousands.
+    pub(crate) fn copy_for<'a>(
+        &self,
+        now: Instant,
+        requests: impl Iterator<Item = &'a PlacementRequest>,
+    ) -> Self {
+        Self {
+            programs: self.programs.copy_for(now, requests),
+            teams: self.teams.clone(),
+            new_grants: self.new_grants.clone(),
+            ..*self
+        }
+    }
+
     /// Records that a request has arrived. The returned ticket belongs to its lease.
     pub(crate) fn record_arrival(
         &mut self,
@@ -93,6 +108,24 @@
         AdmissionTicket::new(now, request, estimate).map(Arc::new)
     }
 
+    /// What is known of a request's program, before the request counts.
+    pub(crate) fn program_explanation(
+        &self,
+        now: Instant,
+        request: &PlacementRequest,
+    ) -> ProgramExplanation {
+        let program = self.programs.view(now, request);
+        let left_ms = u64::try_from(program.time_left().as_millis()).unwrap_or(u64::MAX);
+        ProgramExplanation {
+            is_remembered: program.progress.is_some(),
+            is_under_way: program.is_under_way(),
+            answered_turns: program.progress.map_or(0, |it| it.answered),
+            expected_turns: Some(program.estimate.turns(program.first_left())),
+            time_left_ms: Some(left_ms),
+            ..ProgramExplanation::default()
+        }
+    }
+
     /// Place of a request in the queue.
     pub(crate) fn rank(
         &self,
@@ -145,14 +178,28 @@
         self.queued_since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
     }
 
-    /// Decides whether a request that finds no free slot may wait. A turn of a program under way always may, unless the
-    /// program earns nothing any more and the queue is too long for its client.
+    /// Decides whether a request that finds no free slot may wait, and counts its refusal.
     pub(crate) fn check(
         &mut self,
         now: Instant,
         request: &PlacementRequest,
         view: &QueueView,
     ) -> Result<(), AdmissionRefusal> {
+        let Some(refusal) = self.decide(now, request, view).refusal else {
+            return Ok(());
+        };
+        self.refusals.add(now);
+        Err(refusal)
+    }
+
+    /// Decides whether a request that finds no free slot may wait. A turn of a program under way always may, unless the
+    /// program earns nothing any more and the queue is too long for its client.
+    pub(crate) fn decide(
+        &self,
+        now: Instant,
+        request: &PlacementRequest,
+        view: &QueueView,
+    ) -> WaitDecision {
         let program = self.programs.view(now, request);
         let (time_left, first_left) = (program.time_left(), program.first_left());
         let estimate = program.estimate;
@@ -182,37 +229,41 @@
         let wait_limit = if is_expired { client_time } else { time_left.min(client_time) };
 
         let reason = match class {
-            _ if program.is_under_way() && !is_expired => return Ok(()),
-            _ if least_wait > wait_limit.mul_f64(MAX_WAIT_SHARE) => RefusalReason::QueueTooLong,
-            QueueClass::Expired => return Ok(()),
+            _ if program.is_under_way() && !is_expired => None,
+            _ if least_wait > wait_limit.mul_f64(MAX_WAIT_SHARE) => {
+                Some(RefusalReason::QueueTooLong)
+            }
+            QueueClass::Expired => None,
             _ if view.queue_age >= MIN_QUEUE_AGE
                 && expected_wait > allowed_wait
                 && view.longest_wait >= allowed_wait.mul_f64(MIN_WAIT_EVIDENCE) =>
             {
-                RefusalReason::NoChance
+                Some(RefusalReason::NoChance)
             }
-            _ => return Ok(()),
+            _ => None,
         };
 
-        // Those that were refused before come back as well.
-        let returning = self.refusals.value(now);
-        let return_time = self.expected_wait(
-            &program,
-            turns,
-            &QueueView { under_way_ahead: 0, new_ahead: returning as usize, ..*view },
-        );
-        let expected = expected_wait.saturating_sub(allowed_wait).saturating_add(return_time);
-        self.refusals.add(now);
-        Err(AdmissionRefusal {
-            reason,
-            retry_after: retry_time(expected, &request.request),
-            expected_wait,
-            allowed_wait,
-            time_left,
-            slack,
-            turns,
-            lease_excess,
-        })
+        let refusal = reason.map(|reason| {
+            // Those that were refused before come back as well.
+            let returning = self.refusals.value(now);
+            let return_time = self.expected_wait(
+                &program,
+                turns,
+                &QueueView { under_way_ahead: 0, new_ahead: returning as usize, ..*view },
+            );
+            let expected = expected_wait.saturating_sub(allowed_wait).saturating_add(return_time);
+            AdmissionRefusal {
+                reason,
+                retry_after: retry_time(expected, &request.request),
+                expected_wait,
+                allowed_wait,
+                time_left,
+                slack,
+                turns,
+                lease_excess,
+            }
+        });
+        WaitDecision { expected_wait, allowed_wait, refusal }
     }
 
     /// Records that a request has got a slot.
--- a/src/entry/admission/pool_admission.rs
+++ b/src/entry/admission/pool_admission.rs
@@ -5,10 +5,12 @@
 use tokio::time::{Duration, Instant};
 
 use super::{
-    admission_state::AdmissionState, admission_ticket::AdmissionTicket, queue_view::QueueView,
+    admission_state::AdmissionState, admission_ticket::AdmissionTicket, queue_rank::QueueRank,
+    queue_view::QueueView, wait_forecast::WaitForecast,
 };
 use crate::entry::{
     UpstreamRecord,
+    explain::ProgramExplanation,
     placement_request::{PlacementRefusal, PlacementRequest},
     pool_state::{PoolState, QueuePosition},
     upstream_departures::UpstreamDepartures,
@@ -22,8 +24,12 @@
 impl PoolState {
     /// Admission control of a service; `None` for services without a prompt cache.
     fn admission(&mut self, service: &str) -> Option<&mut AdmissionState> {
-        let has_cache = self.cache_capacities.get(service).is_some_and(|tokens| *tokens > 0);
-        self.services.get_mut(service).filter(|_| has_cache).map(|pool| &mut pool.admission)
+        let has_admission = self.has_admission(service);
+        self.services.get_mut(service).filter(|_| has_admission).map(|pool| &mut pool.admission)
+    }
+
+    fn has_admission(&self, service: &str) -> bool {
+        self.cache_capacities.get(service).is_some_and(|tokens| *tokens > 0)
     }
 
     /// Records that a request has arrived. The returned ticket belongs to its lease.
@@ -35,6 +41,17 @@
         self.admission(&request.service)?.record_arrival(now, request)
     }
 
+    /// What the pool knows of a request's program; `None` without admission control.
+    pub(in crate::entry) fn program_explanation(
+        &self,
+        now: Instant,
+        request: &PlacementRequest,
+    ) -> Option<ProgramExplanation> {
+        let pool = self.services.get(&request.service)?;
+        let has_admission = request.program.is_some() && self.has_admission(&request.service);
+        has_admission.then(|| pool.admission.program_explanation(now, request))
+    }
+
     /// Records that a request has got a slot.
     pub(in crate::entry) fn record_grant(&mut self, now: Instant, request: &PlacementRequest) {
         if let Some(admission) = self.admission(&request.service) {
@@ -77,25 +94,13 @@
         departures: &UpstreamDepartures,
         share: &dyn Fn(&UpstreamRecord) -> Option<RequestRate>,
     ) -> Result<(), PlacementRefusal> {
-        if request.program.is_none() || self.admission(&request.service).is_none() {
-            return self.check_expected_wait(now, request, departures, share);
-        }
-
-        let slots_per_s = self.slots_per_s(now, request, departures, share);
-        let Some(pool) = self.services.get_mut(&request.service).filter(|_| slots_per_s > 0.0)
-        else {
-            // No upstream may take the request, which is refused as any other.
-            return self.check_expected_wait(now, request, departures, share);
+        let Some((rank, view)) = self.queue_view(now, request, departures, share) else {
+            return self.check_expected_wait(now, request, departures, share).map(drop);
         };
-
-        let admission = &pool.admission;
-        let rank = admission.rank(now, request, u64::MAX);
-        let ranks = pool.waiting.iter().map(|(position, it)| {
-            let waited = it.ticket.as_ref().map_or(Duration::ZERO, |ticket| ticket.age(now));
-            (admission.rank(now, &it.request, position.sequence), waited)
-        });
-        let view = QueueView::new(rank, ranks, slots_per_s, admission.queue_age(now));
-        pool.admission.check(now, request, &view).map_err(|refusal| {
+        let Some(admission) = self.admission(&request.service) else {
+            return Ok(());
+        };
+        admission.check(now, request, &view).map_err(|refusal| {
             log::info!(
                 request:% = request.request, program = request.program.as_deref().unwrap_or_default(),
                 route:% = request.route, service:% = request.service, team = request.team.as_deref().unwrap_or_default(),
@@ -114,6 +119,63 @@
         })
     }
 
+    /// Forecasts what becomes of a request that finds no free slot, by the same decisions as [`PoolState::check_admission`].
+    pub(in crate::entry) fn forecast(
+        &self,
+        now: Instant,
+        request: &PlacementRequest,
+        departures: &UpstreamDepartures,
+        share: &dyn Fn(&UpstreamRecord) -> Option<RequestRate>,
+    ) -> WaitForecast {
+        let view = self.queue_view(now, request, departures, share);
+        let pool = self.services.get(&request.service);
+
+        let Some(((rank, view), pool)) = view.zip(pool) else {
+            let wait = self.check_expected_wait(now, request, departures, share);
+            return WaitForecast {
+                expected_wait: wait.as_ref().ok().copied(),
+                allowed_wait: None,
+                class: None,
+                refusal: wait.err(),
+            };
+        };
+
+        let decision = pool.admission.decide(now, request, &view);
+        let refusal = decision
+            .refusal
+            .map(|it| PlacementRefusal { reason: it.reason.text(), retry_after: it.retry_after });
+        WaitForecast {
+            expected_wait: Some(decision.expected_wait),
+            allowed_wait: Some(decision.allowed_wait),
+            class: Some(rank.class),
+            refusal,
+        }
+    }
+
+    /// Place and queue of a request that takes part in admission control; `None` for others, and if no upstream may take it, so
+    /// that it is refused as any other.
+    fn queue_view(
+        &self,
+        now: Instant,
+        request: &PlacementRequest,
+        departures: &UpstreamDepartures,
+        share: &dyn Fn(&UpstreamRecord) -> Option<RequestRate>,
+    ) -> Option<(QueueRank, QueueView)> {
+        if request.program.is_none() || !self.has_admission(&request.service) {
+            return None;
+        }
+
+        let slots_per_s = self.slots_per_s(now, request, departures, share);
+        let pool = self.services.get(&request.service).filter(|_| slots_per_s > 0.0)?;
+        let admission = &pool.admission;
+        let rank = admission.rank(now, request, u64::MAX);
+        let ranks = pool.waiting.iter().map(|(position, it)| {
+            let waited = it.ticket.as_ref().map_or(Duration::ZERO, |ticket| ticket.age(now));
+            (admission.rank(now, &it.request, position.sequence), waited)
+        });
+        Some((rank, QueueView::new(rank, ranks, slots_per_s, admission.queue_age(now))))
+    }
+
     /// Slots per second that become free for this host's queue. While no slot is free, those are the ones that this host fills
     /// itself; other hosts fill again what they free.
     fn slots_per_s(
--- a/src/entry/admission/program_progress.rs
+++ b/src/entry/admission/program_progress.rs
@@ -31,6 +31,12 @@
         self.first_left.and_then(|left| self.finish_by.checked_add(left))
     }
 
+    /// Whether the program has ended, by its finish time and by a silence of `retry_time`, and nothing was learned from it yet.
+    pub(super) fn has_news(&self, now: Instant, retry_time: Duration) -> bool {
+        let silence = now.saturating_duration_since(self.last_seen);
+        !self.is_learned && self.in_flight == 0 && silence >= retry_time && self.finish_by <= now
+    }
+
     /// Time that the program would have taken on idle upstreams, if an answered turn has ended.
     pub(super) fn idle_time(&self) -> Option<Duration> {
         let last_end = self.last_end.filter(|_| self.answered > 0)?;
--- a/src/entry/admission/program_table.rs
+++ b/src/entry/admission/program_table.rs
@@ -37,6 +37,26 @@
 }
 
 impl ProgramTable {
+    /// A copy with the programs of `requests`, and with those that the next request's arrival has to learn from.
+    pub(super) fn copy_for<'a>(
+        &self,
+        now: Instant,
+        requests: impl Iterator<Item = &'a PlacementRequest>,
+    ) -> Self {
+        let own = requests.filter_map(|request| {
+            let key = (request.team.clone(), Arc::clone(request.program.as_ref()?));
+            self.programs.get_key_value(&key)
+        });
+        let ended = self.programs.iter().filter(|(_, it)| it.has_news(now, RETRY_TIME));
+        // A sweep that is not due learns from none of them.
+        let ended = self.is_sweep_due(now).then_some(ended).into_iter().flatten();
+        Self {
+            programs: own.chain(ended).map(|(key, it)| (key.clone(), it.clone())).collect(),
+            estimates: self.estimates.clone(),
+            swept_at: self.swept_at,
+        }
+    }
+
     /// What is known of a request's program.
     pub(super) fn view<'a>(
         &'a self,
@@ -149,9 +169,13 @@
         }
     }
 
+    fn is_sweep_due(&self, now: Instant) -> bool {
+        self.swept_at.is_none_or(|at| now.saturating_duration_since(at) >= SWEEP_INTERVAL)
+    }
+
     /// Learns from programs that have ended, and forgets those that earn nothing any more.
     fn sweep(&mut self, now: Instant) {
-        if self.swept_at.is_some_and(|at| now.saturating_duration_since(at) < SWEEP_INTERVAL) {
+        if !self.is_sweep_due(now) {
             return;
         }
         self.swept_at = Some(now);
@@ -166,7 +190,7 @@
 
             // A late program that goes on would count with too few turns.
             let is_silent = silence >= RETRY_TIME;
-            if !progress.is_learned && is_silent && progress.finish_by <= now {
+            if progress.has_news(now, RETRY_TIME) {
                 progress.is_learned = true;
                 let times = progress.first_left.zip(progress.idle_time());
                 ended.extend(times.map(|(left, idle_time)| {
--- a/src/entry/admission/queue_rank.rs
+++ b/src/entry/admission/queue_rank.rs
@@ -1,19 +1,25 @@
 //! The order of the queue.
 
+use derive_more::Display;
 use tokio::time::Instant;
 
 /// Class of a waiting request; the first is served first.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Display, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) enum QueueClass {
     /// The program is under way and can end in time.
+    #[display("under way")]
     UnderWay,
     /// The program is new and can end in time.
+    #[display("new")]
     New,
     /// The program is under way and can't end in time, but perhaps within twice its time.
+    #[display("late")]
     Late,
     /// The program is new and can't end in time.
+    #[display("late and new")]
     LateNew,
     /// The program earns nothing any more.
+    #[display("expired")]
     Expired,
 }
 
--- a/src/entry/admission/team_usage.rs
+++ b/src/entry/admission/team_usage.rs
@@ -18,14 +18,14 @@
 /// Lower bounds, in fair shares, of the levels above 0. The first leaves room for the noise of small counts.
 const LEVEL_BOUNDS: [f64; 3] = [1.25, 2.5, 5.0];
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct TeamDemand {
     grants: DecayedCount,
     last_seen: Instant,
 }
 
 /// Recent grants of each team with demand. All teams have the same weight.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct TeamUsage {
     /// In a fixed order, so that sums don't depend on the process.
     teams: BTreeMap<Arc<str>, TeamDemand>,
--- a/src/entry/budget_ledger.rs
+++ b/src/entry/budget_ledger.rs
@@ -254,12 +254,13 @@
         self.refresh_records(program);
         let account = self.account(program);
         account.budget = account.budget.max(budget);
-        let total = account.total() + tokens;
 
-        if total > budget {
+        if !self.has_room(program, budget, tokens) {
             return ReserveOutcome::OverBudget;
         }
 
+        let account = self.account(program);
+        let total = account.total() + tokens;
         account.reserved += tokens;
         account.is_served = true;
         self.unreported.insert(Arc::clone(program));
@@ -448,6 +449,16 @@
         self.accounts.get(program).map_or(0, ProgramAccount::total)
     }
 
+    /// Highest budget that a request to this host has stated for a program; `None` if none has.
+    pub(crate) fn known_budget(&self, program: &Arc<str>) -> Option<u64> {
+        self.accounts.get(program).map(|it| it.budget).filter(|it| *it > 0)
+    }
+
+    /// Whether a budget leaves room for `tokens` more beside all that is spent or reserved, as far as this host has heard.
+    pub(crate) fn has_room(&self, program: &Arc<str>, budget: u64, tokens: u64) -> bool {
+        self.total(program) + tokens <= budget
+    }
+
     /// Whether none of a program's totals waits for the next batch. A batch that is being written does not count.
     pub(crate) fn is_recorded(&self, program: &Arc<str>) -> bool {
         !self.unrecorded.contains(program)
--- a/src/entry/dispatching/region_dispatch.rs
+++ b/src/entry/dispatching/region_dispatch.rs
@@ -160,7 +160,7 @@
     }
 
     /// Decides who is to be asked; `None` where no host dispatches for others.
-    fn choose(&self, service: &str, failed: &[Arc<str>]) -> Option<DispatcherChoice> {
+    pub(crate) fn choose(&self, service: &str, failed: &[Arc<str>]) -> Option<DispatcherChoice> {
         let candidates = self.mesh.dispatch_candidates(service)?;
         let suspects = self.suspects.lock();
         Some(choose_dispatcher(service, candidates, &suspects, failed, Instant::now()))
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -55,7 +55,11 @@
 const BUFFERS_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Time after which a client is asked to retry while this host is cut off. Other hosts may serve it at once.
-const CUT_OFF_RETRY_AFTER: Duration = Duration::from_millis(50);
+pub(super) const CUT_OFF_RETRY_AFTER: Duration = Duration::from_millis(50);
+
+/// Reason of the refusal of a turn whose history is to be kept, while this host is cut off.
+pub(super) const CUT_OFF_REASON: &str =
+    "this host reaches neither the store nor a host that could record the turn";
 
 /// Backoff between attempts to read the recorded turns and budgets.
 const RESTORE_BACKOFF: BackoffPolicy =
@@ -73,16 +77,16 @@
 /// A running entry host.
 #[derive(Debug)]
 pub struct EntryHost {
-    settings: EntrySettings,
+    pub(super) settings: EntrySettings,
     /// Follows the registry entries of the other entry hosts in the store.
     peers: KindFollower,
     monitor: StoreMonitor,
-    budgets: BudgetContext,
-    quotas: Arc<QuotaGate>,
+    pub(super) budgets: BudgetContext,
+    pub(super) quotas: Arc<QuotaGate>,
     versions: VersionFinder,
     registry: HostRegistry,
     crash_records: CrashRecords,
-    context: Arc<RunnerContext>,
+    pub(super) context: Arc<RunnerContext>,
     forwarded_requests: ForwardedRequests,
     /// Whether the turns and budgets of earlier runs have been loaded.
     is_restored: watch::Sender<bool>,
@@ -520,13 +524,7 @@
             return EntryResponse::not_run(refusal.retry_after, refusal.reason);
         }
 
-        let route_deadline = request.received + route.time_limit();
-        let with_margin = |client_deadline: Instant| {
-            client_deadline
-                .checked_sub(RESPONSE_MARGIN)
-                .map_or(route_deadline, |latest| latest.min(route_deadline))
-        };
-        let deadline = request.deadline.map_or(route_deadline, with_margin);
+        let deadline = response_deadline(&request, &route);
         self.run(request, route, team, service, fingerprint, deadline).await
     }
 
@@ -579,9 +577,7 @@
         }
 
         if route.history_retention.is_some() && self.is_cut_off() {
-            let reason =
-                "this host reaches neither the store nor a host that could record the turn";
-            return EntryResponse::not_run(CUT_OFF_RETRY_AFTER, reason);
+            return EntryResponse::not_run(CUT_OFF_RETRY_AFTER, CUT_OFF_REASON);
         }
 
         let chain = match self.find_chain(&request, scope, &route, deadline).await {
@@ -667,7 +663,7 @@
 
     /// Whether this host reaches neither the store nor another host, so that no turn can be recorded. While others are heard, the
     /// store is away for all of them, or one of them records.
-    fn is_cut_off(&self) -> bool {
+    pub(super) fn is_cut_off(&self) -> bool {
         self.monitor.answered_since().is_none() && self.budgets.mesh.hears_nobody()
     }
 
@@ -772,8 +768,19 @@
     }
 }
 
+/// Latest time of the final response.
+pub(super) fn response_deadline(request: &EntryRequest, route: &ServiceRoute) -> Instant {
+    let route_deadline = request.received + route.time_limit();
+    let with_margin = |client_deadline: Instant| {
+        client_deadline
+            .checked_sub(RESPONSE_MARGIN)
+            .map_or(route_deadline, |latest| latest.min(route_deadline))
+    };
+    request.deadline.map_or(route_deadline, with_margin)
+}
+
 /// Key by which a request is assigned to one of its route's targets.
-fn split_key(request: &EntryRequest) -> u64 {
+pub(super) fn split_key(request: &EntryRequest) -> u64 {
     let key = request.program.as_ref().map_or(&request.id, |it| &it.id);
     xxh3_64(key.as_bytes())
 }
--- a/src/entry/placement_pool.rs
+++ b/src/entry/placement_pool.rs
@@ -25,12 +25,14 @@
         pool_state::{GrantedSlot, PoolState, QueuePosition, UpstreamKey, WaitingRequest},
         pooled_upstream::{LeaseOutcome, PooledUpstream},
         upstream_channel::ReportedLoad,
+        upstream_choice::UpstreamChoice,
         upstream_departures::{UpstreamDeparture, UpstreamDepartures},
         upstream_lease::UpstreamLease,
         upstream_limits::UpstreamLimits,
         upstream_load::{
             granted_load::{GrantedLoad, LeaseEnd},
             part_preference::PartPreference,
+            placement_cost::PlacementCost,
         },
     },
     upstreams::rate_limit::RequestRate,
@@ -61,7 +63,7 @@
 #[derive(Debug)]
 pub struct PlacementPool {
     pub(super) data_centre: Arc<str>,
-    regions: BTreeMap<Arc<str>, Arc<str>>,
+    pub(super) regions: BTreeMap<Arc<str>, Arc<str>>,
     pub(super) expiry: ExpiryBounds,
     pub(super) state: Mutex<PoolState>,
     /// Upstreams that leave, shared with the mesh. Lock order: after `state`.
@@ -181,12 +183,7 @@
 
             self.check_admission(&mut state, now, &request)?;
             state.last_sequence += 1;
-            let position = QueuePosition {
-                priority: request.priority,
-                is_new: !request.is_continuation,
-                finish_by: request.finish_by,
-                sequence: state.last_sequence,
-            };
+            let position = QueuePosition::new(&request, state.last_sequence);
             let (slot_sender, receiver) = oneshot::channel();
             let pool = state.services.entry(Arc::clone(&service)).or_default();
             let waiting = WaitingRequest { request, slot_sender, ticket: ticket.clone() };
@@ -285,43 +282,11 @@
         now: Instant,
         request: &PlacementRequest,
     ) -> Option<GrantedSlot> {
-        let keys = &state.services.get(&request.service)?.keys;
-
-        let applies_pace = state.applies_pace(&request.service, now);
         let departures = self.departures.lock();
         let mut limits = self.limits.lock();
-        let eligible = |key: &&UpstreamKey| {
-            let upstream = &state.upstreams[**key];
-            state.is_open(upstream, now, &departures)
-                && request.may_use(upstream)
-                && upstream.has_room(now, applies_pace)
-                && limits.may_send(&upstream.record, self.region_of(&upstream.record), now)
-        };
-
-        // An upstream in backoff, one that may have left, or one that has not answered since it failed, is better than none.
-        let rank = |key: &UpstreamKey| {
-            let upstream = &state.upstreams[*key];
-            let is_risky = !request.may_repeat && upstream.is_unproven(now);
-            (
-                // More requests than its memory holds end an upstream, with all requests on it.
-                upstream.is_memory_exceeded_by(now, request.memory_tokens()),
-                upstream.is_in_backoff(now) || is_risky,
-                upstream.kept_until.is_some(),
-            )
-        };
-        let preference = self.part_preference(state, now, request, &departures);
-        let lease_time = state.services[&request.service].mean_lease_time;
-        let local_host = Arc::clone(limits.local_host());
-        let cost = |key: &UpstreamKey| {
-            let upstream = &state.upstreams[*key];
-            let work_ms = self.cost_ms(*key, upstream, now, request, &preference);
-            work_ms + slowness_cost_ms(upstream, now, lease_time) + spread_ms(upstream, &local_host)
-        };
-        let (_, _, key) = keys
-            .iter()
-            .filter(eligible)
-            .map(|key| (rank(key), cost(key), *key))
-            .min_by(|left, right| left.0.cmp(&right.0).then(left.1.total_cmp(&right.1)))?;
+        let choice = UpstreamChoice::new(self, state, now, request, &departures, &limits)?;
+        let key = choice.best()?;
+        let preference = choice.preference;
         drop(departures);
         let has_cache = state.upstreams[key].cache.has_capacity();
         let upstream = &mut state.upstreams[key];
@@ -347,7 +312,7 @@
     }
 
     /// Which open upstreams should have the first part of a request's prompt; none for a service without a prompt cache.
-    fn part_preference(
+    pub(super) fn part_preference(
         &self,
         state: &PoolState,
         now: Instant,
@@ -368,22 +333,31 @@
     }
 
     /// Cost of running a request on an upstream: prefill of the uncached tokens, load and network distance.
-    fn cost_ms(
+    pub(super) fn work_cost(
         &self,
         key: UpstreamKey,
         upstream: &PooledUpstream,
         now: Instant,
         request: &PlacementRequest,
         preference: &PartPreference,
-    ) -> f64 {
-        let load = f64::from(upstream.load(now));
+    ) -> PlacementCost {
+        let requests = f64::from(upstream.load(now));
         let believed_tokens = preference.believed_tokens(key, upstream.load_share(now));
         let cached_tokens = upstream.cached_tokens(&request.prompt_parts);
         let read_tokens = request.prompt_tokens.saturating_sub(cached_tokens.max(believed_tokens))
             + preference.displaced_tokens(key, cached_tokens);
         let costs = &upstream.costs;
-        let work_ms = costs.prefill_ms(read_tokens) + load * costs.concurrency_ms();
-        work_ms * upstream.slowness(now) + self.network_cost_ms(&upstream.record.data_centre)
+        let prefill = costs.prefill_ms(request.prompt_tokens.saturating_sub(cached_tokens));
+        let preference = costs.prefill_ms(read_tokens) - prefill;
+        let load = requests * costs.concurrency_ms();
+        PlacementCost {
+            prefill,
+            load,
+            distance: self.network_cost_ms(&upstream.record.data_centre),
+            slowness: (prefill + preference + load) * (upstream.slowness(now) - 1.0),
+            preference,
+            spread: 0.0,
+        }
     }
 
     fn network_cost_ms(&self, data_centre: &Arc<str>) -> f64 {
@@ -528,12 +502,16 @@
 
 /// Cost of a machine that is slower than usual for the rest of a request. One that is faster saves nothing here: all hosts
 /// that hear of it would choose it.
-fn slowness_cost_ms(upstream: &PooledUpstream, now: Instant, lease_time: Duration) -> f64 {
+pub(super) fn slowness_cost_ms(
+    upstream: &PooledUpstream,
+    now: Instant,
+    lease_time: Duration,
+) -> f64 {
     (upstream.slowness(now) - 1.0).max(0.0) * lease_time.as_secs_f64() * 1_000.0
 }
 
 /// Cost by which each host orders upstreams that are alike in another way; 0 for services without a prompt cache.
-fn spread_ms(upstream: &PooledUpstream, local_host: &Arc<str>) -> f64 {
+pub(super) fn spread_ms(upstream: &PooledUpstream, local_host: &Arc<str>) -> f64 {
     if !upstream.cache.has_capacity() {
         return 0.0;
     }
--- a/src/entry/placement_request.rs
+++ b/src/entry/placement_request.rs
@@ -5,7 +5,8 @@
 use tokio::time::{Duration, Instant};
 
 use crate::entry::{
-    PromptPart, pooled_upstream::PooledUpstream, upstream_load::memory_account::MemoryAccount,
+    PromptPart, pooled_upstream::PooledUpstream, slot_obstacle::SlotObstacle,
+    upstream_load::memory_account::MemoryAccount,
 };
 
 /// A request for a slot on an upstream of a service.
@@ -46,19 +47,25 @@
         self.prompt_tokens.saturating_add(self.completion_tokens)
     }
 
-    /// Whether the request may run on an upstream, if that is open for new requests. One that is larger than the upstream's
-    /// memory would end it.
+    /// Whether the request may run on an upstream, if that is open for new requests.
     pub(crate) fn may_use(&self, upstream: &PooledUpstream) -> bool {
-        let version = &upstream.record.software_version;
+        self.obstacle(upstream).is_none()
+    }
 
-        let fits = !MemoryAccount::default().is_exceeded_by(
-            self.memory_tokens(),
-            0,
-            upstream.cache.capacity_tokens(),
-        );
+    /// What keeps the request from an upstream at any load. A request that is larger than the upstream's memory would end it.
+    pub(crate) fn obstacle(&self, upstream: &PooledUpstream) -> Option<SlotObstacle> {
+        let version = &upstream.record.software_version;
+        let capacity = upstream.cache.capacity_tokens();
 
-        fits && !self.excluded.contains(&upstream.record.id)
-            && self.software_version.as_ref().is_none_or(|it| it == version)
+        if MemoryAccount::default().is_exceeded_by(self.memory_tokens(), 0, capacity) {
+            Some(SlotObstacle::TooLarge)
+        } else if self.excluded.contains(&upstream.record.id) {
+            Some(SlotObstacle::Excluded)
+        } else if self.software_version.as_ref().is_some_and(|it| it != version) {
+            Some(SlotObstacle::Version)
+        } else {
+            None
+        }
     }
 }
 
--- a/src/entry/pool_state.rs
+++ b/src/entry/pool_state.rs
@@ -54,6 +54,17 @@
     pub(super) sequence: u64,
 }
 
+impl QueuePosition {
+    pub(super) fn new(request: &PlacementRequest, sequence: u64) -> Self {
+        Self {
+            priority: request.priority,
+            is_new: !request.is_continuation,
+            finish_by: request.finish_by,
+            sequence,
+        }
+    }
+}
+
 #[derive(Debug)]
 pub(super) struct WaitingRequest {
     pub(super) request: PlacementRequest,
@@ -182,7 +193,7 @@
         }
     }
 
-    /// Refuses a request that can't be expected to get a slot in time. Admission control takes the place of this for requests
+    /// Returns the expected wait of a request, or refuses it if it can't be expected to get a slot in time. Admission control takes the place of this for requests
     /// of programs with a finish time, at services with a prompt cache.
     pub(super) fn check_expected_wait(
         &self,
@@ -190,7 +201,7 @@
         request: &PlacementRequest,
         departures: &UpstreamDepartures,
         share: &dyn Fn(&UpstreamRecord) -> Option<RequestRate>,
-    ) -> Result<(), PlacementRefusal> {
+    ) -> Result<Duration, PlacementRefusal> {
         let Some(pool) = self.services.get(&request.service) else {
             let retry_after = Duration::from_millis(500);
             return Err(PlacementRefusal { reason: NO_UPSTREAM, retry_after });
@@ -229,6 +240,6 @@
             return Err(PlacementRefusal { reason: "the queue is too long", retry_after });
         }
 
-        Ok(())
+        Ok(expected_wait)
     }
 }
--- a/src/entry/pooled_upstream.rs
+++ b/src/entry/pooled_upstream.rs
@@ -7,6 +7,7 @@
 use crate::entry::{
     PromptPart, UpstreamPhase, UpstreamRecord,
     prompt_cache::PromptCache,
+    slot_obstacle::SlotObstacle,
     upstream_channel::ReportedLoad,
     upstream_departures::UpstreamDepartures,
     upstream_load::{
@@ -96,6 +97,11 @@
         }
     }
 
+    /// A copy whose prompt cache knows of `parts` alone.
+    pub(crate) fn copy_for(&self, parts: &[PromptPart]) -> Self {
+        Self { record: Arc::clone(&self.record), cache: self.cache.copy_for(parts), ..*self }
+    }
+
     /// Applies a new entry. A restarted upstream has lost its cache, and its load report and failures no longer apply.
     pub(crate) fn update(&mut self, record: Arc<UpstreamRecord>) {
         if record.started_at_ms != self.record.started_at_ms {
@@ -180,9 +186,21 @@
 
     /// Whether the upstream may get another request: by its slots, and by its window if slow start holds at its service.
     pub(crate) fn has_room(&self, now: Instant, applies_pace: bool) -> bool {
+        self.room_obstacle(now, applies_pace).is_none()
+    }
+
+    /// What keeps the upstream from another request of any kind.
+    pub(crate) fn room_obstacle(&self, now: Instant, applies_pace: bool) -> Option<SlotObstacle> {
+        let load = self.load(now);
         let window = self.pace.filter(|it| applies_pace && !it.is_over(now, self.record.slots));
-        let slots = self.record.slots.max(1);
-        self.load(now) < window.map_or(slots, |it| it.limit(now).min(slots))
+
+        if load >= self.record.slots.max(1) {
+            Some(SlotObstacle::Full)
+        } else if window.is_some_and(|it| load >= it.limit(now)) {
+            Some(SlotObstacle::SlowStart)
+        } else {
+            None
+        }
     }
 
     /// Whether the upstream is in slow start.
--- a/src/entry/prompt_cache.rs
+++ b/src/entry/prompt_cache.rs
@@ -43,6 +43,22 @@
         *self = Self { capacity_tokens, ..Self::default() };
     }
 
+    /// A copy that knows of `parts` alone, if they are cached.
+    pub(crate) fn copy_for(&self, parts: &[PromptPart]) -> Self {
+        let mut copy = Self { capacity_tokens: self.capacity_tokens, ..Self::default() };
+        let cached = parts.iter().filter_map(|it| Some((it.id, *self.parts.get(&it.id)?)));
+
+        for (id, part) in cached {
+            if copy.parts.insert(id, part).is_none() {
+                copy.used_tokens += part.tokens;
+                copy.lru_order.insert(part.last_use, id);
+            }
+        }
+
+        copy.use_count = self.use_count;
+        copy
+    }
+
     /// Number of leading tokens of a prompt that are cached. Parts after one that is missing, or cached only partly, do
     /// not count.
     pub(crate) fn cached_tokens(&self, parts: &[PromptPart]) -> u64 {
--- a/src/entry/quotas/quota_allowance.rs
+++ b/src/entry/quotas/quota_allowance.rs
@@ -116,23 +116,34 @@
         self.arrivals = self.arrivals.saturating_add(1);
         self.last_arrival_at = now;
         self.expire(now);
+        let decision = self.decide(now);
 
-        if self.held > 0 {
-            self.held -= 1;
-            return TokenDecision::Granted;
+        match decision {
+            TokenDecision::Granted => self.held -= 1,
+            TokenDecision::Refused { retry_after } => self.end_retry(now + retry_after, 1),
+            TokenDecision::Waits => self.waiting += 1,
         }
+        decision
+    }
 
+    /// What the next request gets. Nothing changes.
+    pub(super) fn decide(&self, now: Instant) -> TokenDecision {
+        if self.held(now) > 0 {
+            return TokenDecision::Granted;
+        }
         match self.refused_until {
             Some(until) if now < until => {
-                TokenDecision::Refused { retry_after: self.reserve_retry(now, until, 1) }
-            }
-            _ => {
-                self.waiting += 1;
-                TokenDecision::Waits
+                TokenDecision::Refused { retry_after: self.first_retry(until).duration_since(now) }
             }
+            _ => TokenDecision::Waits,
         }
     }
 
+    /// Tokens that this host may spend.
+    pub(super) fn held(&self, now: Instant) -> u32 {
+        if now < self.valid_until { self.held } else { 0 }
+    }
+
     /// Takes back the token of a request that has not run. It is spent again only through the owner, which knows whether the
     /// bucket has been filled up meanwhile.
     pub(crate) fn give_back(&mut self) {
@@ -235,11 +246,20 @@
     /// Time after which the first of some refused requests would get a token. Those that are refused later are told later
     /// times, as otherwise all clients would come back for the same token.
     fn reserve_retry(&mut self, now: Instant, until: Instant, count: u32) -> Duration {
-        let first = self.next_retry.max(until).min(until + MAX_RETRY_SPREAD);
-        self.next_retry = first + self.token_interval() * count.min(MAX_RETRY_COUNT);
+        let first = self.first_retry(until);
+        self.end_retry(first, count);
         first.duration_since(now)
     }
 
+    fn first_retry(&self, until: Instant) -> Instant {
+        self.next_retry.max(until).min(until + MAX_RETRY_SPREAD)
+    }
+
+    /// Lets requests that are refused later be told later times than the `count` from `first` on.
+    fn end_retry(&mut self, first: Instant, count: u32) {
+        self.next_retry = first + self.token_interval() * count.min(MAX_RETRY_COUNT);
+    }
+
     /// Time in which one token accrues, by the owner's last answer.
     fn token_interval(&self) -> Duration {
         let part = f64::from(self.figures.heard) / f64::from(self.figures.known.max(1));
--- a/src/entry/quotas/quota_gate.rs
+++ b/src/entry/quotas/quota_gate.rs
@@ -18,6 +18,7 @@
 
 use crate::entry::{
     entry_metrics::EntryMetrics,
+    explain::QuotaExplanation,
     peer_mesh::PeerMesh,
     quotas::{
         QuotaLimit, QuotaRefusal, QuotaTolerance,
@@ -183,6 +184,11 @@
         }
     }
 
+    /// What this host holds of a team's quota, and what the owner has answered last. Nothing changes.
+    pub(crate) fn standing(&self, now: Instant, team: &str) -> QuotaExplanation {
+        self.state.lock().reporter.standing(now, team)
+    }
+
     fn token(self: &Arc<Self>, team: &Arc<str>, result: &'static str) -> QuotaToken {
         self.metrics.count_quota_decision(result);
         QuotaToken::new(Arc::clone(team), Arc::clone(self))
--- a/src/entry/quotas/quota_reporter.rs
+++ b/src/entry/quotas/quota_reporter.rs
@@ -14,11 +14,14 @@
 
 use tokio::time::{Duration, Instant};
 
-use crate::entry::quotas::{
-    QuotaAnswer, QuotaFigures, QuotaLimit, QuotaReport,
-    owner_link::OwnerLink,
-    quota_allowance::{QuotaAllowance, TokenDecision, WaitOutcome},
-    quota_view::QuotaView,
+use crate::entry::{
+    explain::QuotaExplanation,
+    quotas::{
+        QuotaAnswer, QuotaFigures, QuotaLimit, QuotaReport,
+        owner_link::OwnerLink,
+        quota_allowance::{QuotaAllowance, TokenDecision, WaitOutcome},
+        quota_view::QuotaView,
+    },
 };
 
 /// Time between two probes of an owner that has not answered.
@@ -161,6 +164,23 @@
         self.allowances.get(team).map(|it| it.figures(now)).unwrap_or_default()
     }
 
+    /// What this host holds of a team's quota, its owner, and the owner's last answer.
+    pub(super) fn standing(&self, now: Instant, team: &str) -> QuotaExplanation {
+        let (figures, age) = self.figures(now, team);
+        let allowance = self.allowances.get(team);
+        let decision = allowance.map_or(TokenDecision::Waits, |it| it.decide(now));
+        QuotaExplanation {
+            held: allowance.map_or(0, |it| it.held(now)),
+            retry_after_s: match decision {
+                TokenDecision::Refused { retry_after } => Some(retry_after.as_secs_f64()),
+                TokenDecision::Granted | TokenDecision::Waits => None,
+            },
+            owner: self.view.owner(team).cloned(),
+            answer_age_ms: age.map(|it| it.as_millis() as u64),
+            answer: age.map(|_| figures.to_string()).unwrap_or_default().into(),
+        }
+    }
+
     /// Reports that are to be sent now, each with its receiver.
     pub(crate) fn next_reports(&mut self, now: Instant) -> Vec<(Arc<str>, QuotaReport)> {
         self.allowances.retain(|_, it| !it.is_over(now));
--- a/src/entry/request_runner.rs
+++ b/src/entry/request_runner.rs
@@ -106,7 +106,7 @@
         }
     }
 
-    fn dispatch_of(&self, routed: &RoutedRequest) -> Option<&RegionDispatch> {
+    pub(super) fn dispatch_of(&self, routed: &RoutedRequest) -> Option<&RegionDispatch> {
         self.dispatch.as_ref().filter(|_| routed.service.cache_tokens > 0)
     }
 }
--- a/src/entry/route_table.rs
+++ b/src/entry/route_table.rs
@@ -198,6 +198,16 @@
         self.teams.team(digest)
     }
 
+    /// Team of a name.
+    pub(crate) fn team_named(&self, name: &str) -> Option<&Arc<Team>> {
+        self.teams.named(name)
+    }
+
+    /// Whether any route has a host name.
+    pub(crate) fn has_host(&self, host: &str) -> bool {
+        self.routes.contains_key(host)
+    }
+
     /// Returns the route of a host with the longest prefix of `path`.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<ServiceRoute>> {
         self.routes.get(host)?.iter().find(|route| path.starts_with(&*route.path_prefix))
--- a/src/entry/teams/team_directory.rs
+++ b/src/entry/teams/team_directory.rs
@@ -1,7 +1,7 @@
 //! The teams of a configuration by the digests of their keys.
 
 use std::{
-    collections::{HashMap, HashSet, hash_map::Entry},
+    collections::{HashMap, hash_map::Entry},
     sync::Arc,
 };
 
@@ -11,7 +11,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct TeamDirectory {
     teams_by_key: HashMap<KeyDigest, Arc<Team>>,
-    team_count: usize,
+    teams_by_name: HashMap<Arc<str>, Arc<Team>>,
     /// Whether any team has a quota.
     has_quotas: bool,
 }
@@ -23,11 +23,10 @@
     ///
     /// Returns the first field that is not valid; the version of the configuration must then not be put in force.
     pub fn new(terms: Vec<TeamTerms>) -> Result<Self, TeamError> {
-        let team_count = terms.len();
         let has_quotas = terms.iter().any(|it| it.team.quota.is_some());
         let key_count = terms.iter().map(|it| it.keys.len()).sum();
         let mut teams_by_key: HashMap<KeyDigest, Arc<Team>> = HashMap::with_capacity(key_count);
-        let mut names = HashSet::with_capacity(team_count);
+        let mut teams_by_name: HashMap<Arc<str>, Arc<Team>> = HashMap::with_capacity(terms.len());
 
         for (index, TeamTerms { team, keys }) in terms.into_iter().enumerate() {
             let name = &team.name;
@@ -39,11 +38,12 @@
             if team.quota.is_some_and(|it| !it.rate_per_s.is_finite() || it.rate_per_s < 0.0) {
                 return Err(TeamError::Rate { index });
             }
-            if !names.insert(Arc::clone(name)) {
+            if teams_by_name.contains_key(name) {
                 return Err(TeamError::RepeatedName { index, name: Arc::clone(name) });
             }
 
             let team = Arc::new(team);
+            teams_by_name.insert(Arc::clone(&team.name), Arc::clone(&team));
 
             for digest in keys {
                 match teams_by_key.entry(digest) {
@@ -58,7 +58,7 @@
             }
         }
 
-        Ok(Self { teams_by_key, team_count, has_quotas })
+        Ok(Self { teams_by_key, teams_by_name, has_quotas })
     }
 
     /// Team of a key.
@@ -66,6 +66,11 @@
         self.teams_by_key.get(digest)
     }
 
+    /// Team of a name.
+    pub(crate) fn named(&self, name: &str) -> Option<&Arc<Team>> {
+        self.teams_by_name.get(name)
+    }
+
     /// Whether any team has a quota, so that schedulers exchange reports.
     pub(crate) fn has_quotas(&self) -> bool {
         self.has_quotas
@@ -73,6 +78,6 @@
 
     /// Number of teams, with those that have no keys.
     pub(crate) fn team_count(&self) -> usize {
-        self.team_count
+        self.teams_by_name.len()
     }
 }
--- a/src/entry/upstream_limits.rs
+++ b/src/entry/upstream_limits.rs
@@ -39,7 +39,7 @@
 }
 
 /// Last statement of an upstream.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct StatedLimit {
     run: u64,
     rate: Option<RequestRate>,
@@ -49,7 +49,7 @@
 }
 
 /// The stated limits, and the hosts that share them.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct UpstreamLimits {
     /// Origin of the times in buckets.
     origin: Instant,
--- a/src/entry/upstream_load.rs
+++ b/src/entry/upstream_load.rs
@@ -19,6 +19,7 @@
 pub(crate) mod pace_window;
 pub(crate) mod part_demand;
 pub(crate) mod part_preference;
+pub(crate) mod placement_cost;
 pub(crate) mod request_costs;
 pub(crate) mod slowness_report;
 pub(crate) mod start_cohort;
--- a/src/gateway/entry_node.rs
+++ b/src/gateway/entry_node.rs
@@ -17,9 +17,9 @@
 use crate::{
     BackoffPolicy, PeerHandler, PeerMessage, PeerStream, PeerTransport,
     entry::{
-        BufferBudget, EntryBackends, EntryHost, EntrySettings, ReadFreshness, RouteLimits,
-        dispatching::placement_denial::PlacementDenial, entry_metrics::EntryMetrics,
-        mesh_connector::MeshConnector,
+        BufferBudget, EntryBackends, EntryHost, EntryRequest, EntrySettings, ExplainError,
+        Explanation, ReadFreshness, RouteLimits, dispatching::placement_denial::PlacementDenial,
+        entry_metrics::EntryMetrics, mesh_connector::MeshConnector,
     },
     gateway::{
         DeclineReason, HostNetwork, RequestForwarder, SchedulerDirectory, SchedulerEntry,
@@ -270,6 +270,20 @@
         }
     }
 
+    /// Explains what would become of a request of a team now, without running it.
+    pub fn explain(
+        &self,
+        request: EntryRequest,
+        team: Option<&str>,
+    ) -> Result<Explanation, ExplainError> {
+        let Some(host) = self.host.get() else {
+            let schedulers = self.forwarder.directory.scheduler_names();
+            let host = Arc::clone(&self.settings.host);
+            return Err(ExplainError::Gateway { host, schedulers });
+        };
+        host.explain(request, team)
+    }
+
     /// Memory for the bodies that this host buffers.
     pub fn buffers(&self) -> &Arc<BufferBudget> {
         &self.buffers
--- a/src/gateway/scheduler_directory.rs
+++ b/src/gateway/scheduler_directory.rs
@@ -79,6 +79,14 @@
         self.schedulers.load().len()
     }
 
+    /// Names of all known schedulers, in alphabetical order.
+    pub(crate) fn scheduler_names(&self) -> Vec<Arc<str>> {
+        let mut names: Vec<Arc<str>> =
+            self.schedulers.load().iter().map(|it| Arc::clone(&it.host)).collect();
+        names.sort();
+        names
+    }
+
     /// Schedulers in the order in which a request should be offered to them: responsive ones before those that did not
     /// respond, those that reach the service before others, and schedulers of this region before others. Within that the order
     /// depends on the key and on the schedulers' processor time alone, so that all hosts of a region choose the same scheduler
