Explain says whether its outcome needs a token of the quota's owner

A request of a team whose tokens lie at the quota owner was shown as placed, although the owner may refuse it. The outcome now states the condition.

--- a/src/entry/explain/explanation.rs
+++ b/src/entry/explain/explanation.rs
@@ -57,6 +57,8 @@
     pub team: Option<Arc<str>>,
     /// What would become of the request.
     pub outcome: ExplainedOutcome,
+    /// Whether the outcome holds only if the owner of the team's quota grants a token, which this host does not hold.
+    pub needs_token: bool,
     /// What the outcome depends on beyond what this host knows.
     pub notes: Vec<Arc<str>>,
     /// Who places the request, where one host does so for a region.
--- a/src/entry/explain/host_explanation.rs
+++ b/src/entry/explain/host_explanation.rs
@@ -53,7 +53,8 @@
             .map(|response| ("access", response))
             .or_else(|| self.explained_reach(&routed))
             .or_else(|| self.explained_budget(&routed, &mut notes))
-            .or_else(|| explained_token(quota.as_ref(), &mut notes));
+            .or_else(|| explained_token(quota.as_ref()));
+        let needs_token = rejection.is_none() && quota.as_ref().is_some_and(|it| it.held == 0);
         let is_dispatched = dispatcher.as_ref().is_some_and(|it| it.host.is_some() && !it.is_local);
 
         let outcome = match (rejection, pool.refusal, pool.upstream) {
@@ -78,6 +79,7 @@
             service: Arc::clone(&routed.service.name),
             team: routed.team.as_ref().map(|it| Arc::clone(&it.name)),
             outcome,
+            needs_token,
             notes,
             dispatcher,
             quota,
@@ -220,23 +222,12 @@
 }
 
 /// Rejection by the team's quota, as far as this host decides without its owner.
-fn explained_token(
-    quota: Option<&QuotaExplanation>,
-    notes: &mut Vec<Arc<str>>,
-) -> Option<(&'static str, EntryResponse)> {
-    let quota = quota?;
-
-    if let Some(retry_s) = quota.retry_after_s {
-        let retry_after = Duration::try_from_secs_f64(retry_s).unwrap_or(Duration::MAX);
-        let refusal = EntryRefusal::QuotaExceeded { retry_after };
-        let reason = "the quota of the team is used up";
-        return Some(("quota", EntryResponse::refused(refusal, reason)));
-    }
-    if quota.held == 0 {
-        let owner = quota.owner.as_deref().unwrap_or("none");
-        notes.push(format!("a token of the quota has to come from its owner, {owner}").into());
-    }
-    None
+fn explained_token(quota: Option<&QuotaExplanation>) -> Option<(&'static str, EntryResponse)> {
+    let retry_s = quota?.retry_after_s?;
+    let retry_after = Duration::try_from_secs_f64(retry_s).unwrap_or(Duration::MAX);
+    let refusal = EntryRefusal::QuotaExceeded { retry_after };
+    let reason = "the quota of the team is used up";
+    Some(("quota", EntryResponse::refused(refusal, reason)))
 }
 
 fn rejected(rule: &str, response: EntryResponse) -> ExplainedOutcome {
