--- a/src/tests/explain_hosts.rs
+++ b/src/tests/explain_hosts.rs
@@ -82,7 +82,7 @@
     assert!(matches!(outcome, ExplainedOutcome::Placed { .. }), "{outcome:?}");
 
     let mut last = None;
-    for number in 0..10 {
+    for number in 0..18 {
         let explained = explain(&host, Some("red")).expect("an explanation").outcome;
         last = host.run(key("r"), &format!("r{number}"), None).await;
         let is_rejected = matches!(explained, ExplainedOutcome::Rejected { .. });
