The limit of an upstream holds after a restart with its clock set back

Statements of a run with an earlier start were taken for late reports about the run before, so that hosts sent an upstream whose clock was set back before its restart more requests than it takes, for as long as that run lasted. Two more tests hold what else is read from upstreams' starts: slow start and the identity of runs.

--- a/src/entry/upstream_limits.rs
+++ b/src/entry/upstream_limits.rs
@@ -19,6 +19,11 @@
 /// Limits that are kept at once. The one that was stated first is dropped first.
 const MAX_LIMITS: usize = 4_096;
 
+/// Time by which a statement of a run with an earlier start must be later than the known one. Its upstream's clock was then set
+/// back before it started. A report about a run that is over is on its way for less, unless links hang; the next response
+/// of the upstream then corrects it.
+const MAX_NOTE_DELAY: Duration = Duration::from_secs(1);
+
 /// What a run of an upstream has stated, as hosts report it to each other.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub(crate) struct LimitNote {
@@ -114,7 +119,11 @@
         stated_at: Instant,
     ) -> bool {
         if let Some(known) = self.limits.get_mut(id) {
-            let is_outdated = run < known.run || (run == known.run && stated_at < known.stated_at);
+            let is_outdated = if run < known.run {
+                stated_at < known.stated_at + MAX_NOTE_DELAY
+            } else {
+                run == known.run && stated_at < known.stated_at
+            };
             if is_outdated {
                 return false;
             }
--- a/src/tests/upstream_limits.rs
+++ b/src/tests/upstream_limits.rs
@@ -169,6 +169,34 @@
     assert_eq!(pool.limits().lock().share(&restarted, "north"), rate(5.0));
 }
 
+/// Guards against the limit of an upstream that is not kept after a restart with its clock set back.
+#[tokio::test(start_paused = true)]
+async fn limit_of_a_later_run_holds_although_its_clock_was_set_back() {
+    for step_ms in [-30_000_i64, 30_000] {
+        let pool = pool();
+        let record = UpstreamRecord { started_at_ms: 100_000, ..upstream("u1", "service", 4) };
+        pool.upsert(record.clone());
+        pool.record_limit(&record, rate(1.0));
+        advance(Duration::from_secs(2)).await;
+        let started_at_ms = 100_000_u64.saturating_add_signed(step_ms);
+        let restarted = UpstreamRecord { started_at_ms, revision: 2, ..record.clone() };
+        pool.upsert(restarted.clone());
+        pool.record_limit(&restarted, rate(5.0));
+        assert_eq!(pool.limits().lock().share(&restarted, "north"), rate(5.0), "step {step_ms}");
+
+        let mut limits = UpstreamLimits::default();
+        let note = |run, per_second, age_ms| LimitNote {
+            upstream: "u1".into(),
+            run,
+            rate: rate(per_second),
+            age_ms,
+        };
+        assert!(limits.merge(&note(100_000, 1.0, 1_900), Instant::now()));
+        assert!(limits.merge(&note(started_at_ms, 5.0, 100), Instant::now()), "step {step_ms}");
+        assert_eq!(limits.share(&restarted, "north"), rate(5.0), "step {step_ms}");
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn merge_takes_the_latest_statement_in_any_order() {
     let record = upstream("u1", "service", 4);
--- a/src/tests/upstream_pace.rs
+++ b/src/tests/upstream_pace.rs
@@ -6,9 +6,9 @@
 
 use super::{entry_fakes::upstream, entry_placement::request};
 use crate::entry::{
-    PlacementPool, UpstreamRecord,
+    PlacementPool, PromptPart, UpstreamRecord,
     placement_request::PlacementRequest,
-    pooled_upstream::LeaseOutcome,
+    pooled_upstream::{LeaseOutcome, PooledUpstream},
     upstream_load::{
         answer_times::{AnswerSpeed, AnswerTimes},
         pace_window::{PaceCause, PaceWindow},
@@ -39,6 +39,35 @@
     assert!(!is_new(&[u64::MAX, u64::MAX], u64::MAX), "starts at the end of their range");
 }
 
+/// Guards against upstreams in slow start because the clock of another one was stepped when that started. The one itself may be
+/// taken for new, which slow start ends after some answers, or not, as without slow start.
+#[test]
+fn start_cohort_is_hardly_moved_by_a_step_of_an_upstreams_clock() {
+    let is_new = |starts: &[u64], start| StartCohort::new(starts.iter().copied()).is_new(start);
+    for step_ms in [-30_000_i64, 30_000] {
+        let stepped = 101_000_u64.saturating_add_signed(step_ms);
+        let starts = [100_000, 100_500, stepped, 102_000];
+        assert_eq!(is_new(&starts, stepped), step_ms > 0);
+        assert!(starts.iter().all(|it| *it == stepped || !is_new(&starts, *it)), "{starts:?}");
+        let replaced = 900_000_u64.saturating_add_signed(step_ms);
+        assert!(is_new(&[100_000, 100_500, 101_000, replaced], replaced), "{replaced}");
+    }
+}
+
+/// Guards against a run that is taken for the one before because it states an earlier start.
+#[tokio::test]
+async fn update_takes_any_other_start_for_a_new_run() {
+    let part = [PromptPart { id: 1, tokens: 500 }];
+    for start in [70_000, 130_000] {
+        let mut upstream = PooledUpstream::new(Arc::new(record("u1", 100_000)), 1_000);
+        upstream.cache.record(&part);
+        upstream.update(Arc::new(record("u1", 100_000)));
+        assert_eq!(upstream.cached_tokens(&part), 500);
+        upstream.update(Arc::new(record("u1", start)));
+        assert_eq!(upstream.cached_tokens(&part), 0, "start {start}");
+    }
+}
+
 /// Guards against an upstream whose cold cache, or whose slow service, is taken for a slow start.
 #[test]
 fn answer_times_expect_prefill_and_the_usual_spread() {
