--- a/src/tests/entry_metrics.rs
+++ b/src/tests/entry_metrics.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use crate::entry::entry_metrics::EntryMetrics;
+use crate::entry::{entry_metrics::EntryMetrics, object_affinity::object_gain::ObjectPlace};
 
 const DOCUMENTATION: &str = include_str!("../../docs/METRICS.md");
 const SECTION_HEADING: &str = "## Entry hosts";
@@ -35,6 +35,7 @@
     metrics.count_forwarded("answered");
     metrics.count_broken_stream("deadline");
     metrics.count_placement_refusal("the queue is too long");
+    metrics.count_object(ObjectPlace::Preferred);
     metrics.record_role(true);
     metrics.record_schedulers(6, 0);
     metrics.record_lost_services(0);
