--- a/src/entry/host_load/load_policy.rs
+++ b/src/entry/host_load/load_policy.rs
@@ -113,12 +113,17 @@
         let is_below =
             buffers < BUFFERS_RELAXED && (!counts_resident || resident < RESIDENT_RELAXED);
 
+        let are_exhausted = descriptors >= DESCRIPTORS_EXHAUSTED;
+        // Without an onset: requests have been refused, so the clients should come back to other hosts.
+        if are_exhausted {
+            self.descriptors = ResourceState { is_short: true, crossed_since: None };
+        }
         let are_short = self.descriptors.update(
             sample.taken_at,
             descriptors >= DESCRIPTORS_SHORT,
             descriptors < DESCRIPTORS_RELAXED,
         );
-        let supply = if descriptors >= DESCRIPTORS_EXHAUSTED {
+        let supply = if are_exhausted {
             DescriptorSupply::Exhausted
         } else if are_short {
             DescriptorSupply::Short
--- a/src/tests/host_load.rs
+++ b/src/tests/host_load.rs
@@ -89,8 +89,10 @@
     assert_eq!(lasting(used(899)), HostLoad::default());
     let short = lasting(used(900));
     assert_eq!(short.descriptors, DescriptorSupply::Short);
-    let burst = LoadPolicy::default().update(&used(970));
+    let mut policy = LoadPolicy::default();
+    let burst = policy.update(&used(970));
     assert_eq!(burst.descriptors, DescriptorSupply::Exhausted, "at once");
+    assert_eq!(policy.update(&used(0)).descriptors, DescriptorSupply::Short, "for a second");
     assert_eq!(lasting(used(960)).descriptors, DescriptorSupply::Short);
 }
 
