A stream whose client reads needs no room beside slow readers

While the room for streams that have just stalled was taken, a burst that filled the channel of a client that reads would have ended its stream at once. It now waits 200 ms uncounted.

--- a/src/entry/host_load/stream_sender.rs
+++ b/src/entry/host_load/stream_sender.rs
@@ -13,6 +13,10 @@
 /// ordinary use, and a connection that has lost packets for longer.
 pub(crate) const STALL_GRACE: Duration = Duration::from_secs(1);
 
+/// Time for which a stream waits without being counted. A client that reads takes what waits for it sooner, also after a pause of the
+/// host, so that its stream does not depend on the room that streams of others leave.
+const BURST_TIME: Duration = Duration::from_millis(200);
+
 /// Why an item can't be sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum SendEnd {
@@ -75,6 +79,11 @@
             return result.unwrap_or(Err(SendEnd::DeadlineExceeded));
         }
 
+        if let Some(result) = self.reserve_until((started_at + BURST_TIME).min(self.deadline)).await
+        {
+            return result;
+        }
+
         let waiting = size * self.sender.max_capacity();
         let pending = self.buffers.hold_pending(self.holder, waiting).ok_or(SendEnd::NoRoom)?;
         let grace_end = started_at + STALL_GRACE;
--- a/src/tests/host_load.rs
+++ b/src/tests/host_load.rs
@@ -216,6 +216,15 @@
     assert_eq!(buffers.used(), held);
     assert!(buffers.check_request(4_000_000).is_ok());
 
+    // One of the same team that reads is not ended, though its channel is full for a moment.
+    let (sender, mut reader) = sender_to(&buffers, holder, Duration::from_mins(1));
+    let client = tokio::spawn(async move { while reader.recv().await.is_some() {} });
+    for _ in 0..1_000 {
+        assert_eq!(sender.send(event()).await, Ok(Duration::ZERO));
+    }
+    drop(sender);
+    client.await.expect("no panic");
+
     let other = StreamHolder::of_name("blue");
     let (sender, _receiver) = sender_to(&buffers, other, Duration::from_mins(10));
     let (end, after) = send_until_end(&sender).await;
