--- a/src/entry/ahead_reservations.rs
+++ b/src/entry/ahead_reservations.rs
@@ -147,6 +147,10 @@
 
         if is_usable && kept.tokens >= tokens {
             kept.tokens -= tokens;
+            log::info!(
+                program:% = program, tokens, left = kept.tokens, age_ms = kept.used_at.elapsed().as_millis() as u64;
+                "a turn begins with tokens that were reserved ahead"
+            );
             kept.used_at = Instant::now();
             account.budget = account.budget.max(budget);
             return true;
