Totals of an earlier run stay written until no reading from before its end is reused

A host that had restarted removed them at once, while a host that did not hear it could still go by a reading that lacked what the run had spent last. Found in the review of the proof; guarded by a test.

--- a/src/entry/written_reservations.rs
+++ b/src/entry/written_reservations.rs
@@ -8,7 +8,7 @@
 
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
-use tokio::time::{Duration, Instant, sleep_until};
+use tokio::time::{Duration, Instant, sleep, sleep_until};
 
 use crate::entry::{
     BudgetLedger, ObjectStore, StoreError, WriteOutcome, budget_ledger::SpendNote,
@@ -281,8 +281,9 @@
         state.revision.filter(|_| !is_any_needed)
     }
 
-    /// Removes the objects of earlier runs of this host.
+    /// Removes the objects of earlier runs of this host, once no host goes by a reading of the records from before their end.
     pub(crate) async fn remove_of_earlier_runs(&self) -> Result<(), StoreError> {
+        sleep(WRITTEN_TIME).await;
         let mut pages = PageReader::new(&*self.store, RESERVATION_KIND, None);
 
         while let Some(page) = pages.next().await? {
--- a/src/tests/ahead_reservations.rs
+++ b/src/tests/ahead_reservations.rs
@@ -240,6 +240,22 @@
     assert!(is_within(&run), "its records have what it has spent");
 }
 
+/// Guards against a total that is gone with the restart of its host, while others still reuse a reading from before.
+#[tokio::test(start_paused = true)]
+async fn remove_of_earlier_runs_waits_until_older_readings_are_unused() {
+    let (store, transport) = (Arc::new(MemoryStore::default()), Arc::<HostTransport>::default());
+    let ended = HostRun::start(&store, &transport, "host.1", 1);
+    assert!(ended.reservations.exchange(&"program".into()).await);
+
+    let next = HostRun::start(&store, &transport, "host.2", 1);
+    let reservations = Arc::clone(&next.reservations);
+    let removal = tokio::spawn(async move { reservations.remove_of_earlier_runs().await });
+    sleep(Duration::from_secs(6)).await;
+    assert_eq!(store.object_count(RESERVATION_KIND), 1);
+    assert!(removal.await.expect("the task ends").is_ok());
+    assert_eq!(store.object_count(RESERVATION_KIND), 0);
+}
+
 /// A host of the walk and the turns that run on it, with what they have spent.
 struct WalkHost {
     run: HostRun,
