--- a/src/entry/explain/host_explanation.rs
+++ b/src/entry/explain/host_explanation.rs
@@ -6,8 +6,8 @@
 use tokio::time::{Duration, Instant};
 
 use crate::entry::{
-    AccessInputs, ClientKey, EntryHost, EntryRefusal, EntryRequest, EntryResponse, RouteTable,
-    ServiceConfig, ServiceRoute, Team,
+    AccessInputs, AccessRefusal, ClientKey, EntryHost, EntryRefusal, EntryRequest, EntryResponse,
+    RouteTable, ServiceConfig, ServiceRoute, Team,
     dispatching::dispatcher_choice::DispatcherChoice,
     entry_host::{CUT_OFF_REASON, CUT_OFF_RETRY_AFTER, response_deadline, split_key},
     explain::{
@@ -50,7 +50,7 @@
 
         let rejection = access
             .err()
-            .map(|response| ("access", response))
+            .and_then(|refusal| rejected("access", refusal.response()))
             .or_else(|| self.explained_reach(&routed))
             .or_else(|| self.explained_budget(&routed, &mut notes))
             .or_else(|| explained_token(quota.as_ref()));
@@ -58,11 +58,12 @@
         let is_dispatched = dispatcher.as_ref().is_some_and(|it| it.host.is_some() && !it.is_local);
 
         let outcome = match (rejection, pool.refusal, pool.upstream) {
-            (Some((rule, response)), ..) => rejected(rule, response),
+            (Some(rejection), ..) => rejection,
             _ if is_dispatched => ExplainedOutcome::Dispatched,
             (None, Some(refusal), _) => {
                 let rule = if pool.queue.class.is_some() { "admission" } else { "queue" };
-                rejected(rule, EntryResponse::not_run(refusal.retry_after, refusal.reason))
+                let retry_after = refusal.retry_after;
+                rejection_by(rule, EntryRefusal::NotRun { retry_after }, refusal.reason)
             }
             (None, None, Some(upstream)) => ExplainedOutcome::Placed { upstream },
             (None, None, None) => ExplainedOutcome::Queued,
@@ -133,12 +134,13 @@
     }
 
     /// Rejections of what this host can't serve, whatever the load.
-    fn explained_reach(&self, routed: &RoutedRequest) -> Option<(&'static str, EntryResponse)> {
+    fn explained_reach(&self, routed: &RoutedRequest) -> Option<ExplainedOutcome> {
         if self.context.pool.reach().is_lost(&routed.service.name) {
-            return Some(("reach", EntryResponse::out_of_reach(false)));
+            return rejected("reach", EntryResponse::out_of_reach(false));
         }
-        let is_cut_off = routed.route.history_retention.is_some() && self.is_cut_off();
-        is_cut_off.then(|| ("cut off", EntryResponse::not_run(CUT_OFF_RETRY_AFTER, CUT_OFF_REASON)))
+        let retry_after = CUT_OFF_RETRY_AFTER;
+        (routed.route.history_retention.is_some() && self.is_cut_off())
+            .then(|| rejection_by("cut off", EntryRefusal::NotRun { retry_after }, CUT_OFF_REASON))
     }
 
     /// What this host knows of the request's program.
@@ -162,7 +164,7 @@
         &self,
         routed: &RoutedRequest,
         notes: &mut Vec<Arc<str>>,
-    ) -> Option<(&'static str, EntryResponse)> {
+    ) -> Option<ExplainedOutcome> {
         let program = routed.request.program.as_ref()?;
         if routed.service.tokens_per_event == 0 {
             return None;
@@ -181,7 +183,7 @@
             "the program has spent or reserved {} of {budget} tokens and asks for {tokens}",
             ledger.total(&account)
         );
-        Some(("budget", EntryResponse::refused(EntryRefusal::BudgetSpent, reason)))
+        Some(rejection_by("budget", EntryRefusal::BudgetSpent, reason))
     }
 
     fn explained_quota(&self, team: Option<&Arc<Team>>) -> Option<QuotaExplanation> {
@@ -210,7 +212,7 @@
     table: &RouteTable,
     route: &ServiceRoute,
     team: Option<&str>,
-) -> Result<Option<Arc<Team>>, EntryResponse> {
+) -> Result<Option<Arc<Team>>, AccessRefusal> {
     let inputs = AccessInputs {
         has_teams: table.has_teams(),
         is_public: route.is_public,
@@ -218,24 +220,30 @@
         team: team.and_then(|it| table.team_named(it)),
         is_current: true,
     };
-    inputs.decide().map_err(|refusal| refusal.response())
+    inputs.decide()
 }
 
 /// Rejection by the team's quota, as far as this host decides without its owner.
-fn explained_token(quota: Option<&QuotaExplanation>) -> Option<(&'static str, EntryResponse)> {
+fn explained_token(quota: Option<&QuotaExplanation>) -> Option<ExplainedOutcome> {
     let retry_s = quota?.retry_after_s?;
     let retry_after = Duration::try_from_secs_f64(retry_s).unwrap_or(Duration::MAX);
     let refusal = EntryRefusal::QuotaExceeded { retry_after };
     let reason = "the quota of the team is used up";
-    Some(("quota", EntryResponse::refused(refusal, reason)))
+    Some(rejection_by("quota", refusal, reason))
 }
 
-fn rejected(rule: &str, response: EntryResponse) -> ExplainedOutcome {
+/// The rejection that a refusing response states; `None` for any other response.
+fn rejected(rule: &str, response: EntryResponse) -> Option<ExplainedOutcome> {
     match response {
-        EntryResponse::Refused { refusal, reason } => {
-            ExplainedOutcome::Rejected { refusal, reason, rule: rule.into() }
-        }
-        // The rules above never send a request to an upstream.
-        EntryResponse::Relayed(_) => ExplainedOutcome::Queued,
+        EntryResponse::Refused { refusal, reason } => Some(rejection_by(rule, refusal, reason)),
+        EntryResponse::Relayed(_) => None,
     }
 }
+
+fn rejection_by(
+    rule: &str,
+    refusal: EntryRefusal,
+    reason: impl Into<Arc<str>>,
+) -> ExplainedOutcome {
+    ExplainedOutcome::Rejected { refusal, reason: reason.into(), rule: rule.into() }
+}
