--- a/src/entry.rs
+++ b/src/entry.rs
@@ -22,6 +22,7 @@
 pub(crate) mod explain;
 mod feature_switches;
 mod follow_gap;
+pub(crate) mod found_route;
 pub(crate) mod host_load;
 pub(crate) mod host_reach;
 pub(crate) mod host_registry;
