--- a/src/entry/explain/pool_copy.rs
+++ b/src/entry/explain/pool_copy.rs
@@ -48,7 +48,7 @@
                 admission,
                 demand: service.demand.clone(),
                 object_demand: service.object_demand.clone(),
-                object_gain: service.object_gain.clone(),
+                object_gain: service.object_gain,
                 ..ServicePool::default()
             };
 
