Explain says whether a new program's start would be refused by its team's quota

After quotas admit whole programs, explain knew only the requests' account and answered that a start would be placed which is refused with 429. The size of a start is a read-only function of the registry, which the decision itself calls.

--- a/src/entry/explain/host_explanation.rs
+++ b/src/entry/explain/host_explanation.rs
@@ -14,6 +14,7 @@
         ExplainError, ExplainedDispatcher, ExplainedOutcome, Explanation, ProgramExplanation,
         QuotaExplanation,
     },
+    quotas::program_registry::ProgramRequest,
     routed_request::RoutedRequest,
 };
 
@@ -52,6 +53,7 @@
             .err()
             .and_then(|refusal| rejected("access", refusal.response()))
             .or_else(|| self.explained_reach(&routed))
+            .or_else(|| self.explained_start(&routed, &mut notes))
             .or_else(|| self.explained_budget(&routed, &mut notes))
             .or_else(|| explained_token(quota.as_ref()));
         let needs_token = rejection.is_none() && quota.as_ref().is_some_and(|it| it.held == 0);
@@ -159,6 +161,32 @@
         })
     }
 
+    /// Rejection of a new program that its team's quota does not hold whole, as far as this host decides without the owner. A
+    /// program without a token budget would be let in.
+    fn explained_start(
+        &self,
+        routed: &RoutedRequest,
+        notes: &mut Vec<Arc<str>>,
+    ) -> Option<ExplainedOutcome> {
+        let team = routed.team.as_ref().filter(|it| it.quota.is_some())?;
+        let program = routed.scope().id(&routed.request.program.as_ref()?.id);
+        let request = ProgramRequest {
+            has_begun: self.budgets.ledger.lock().total(&program) > 0,
+            is_turn: routed.service.tokens_per_event > 0 || routed.service.cache_tokens > 0,
+            route: Arc::clone(&routed.route.name),
+            program,
+        };
+        let start = self.quotas.start_standing(Instant::now(), &team.name, &request)?;
+        let size = start.size;
+        let note = format!(
+            "the request starts a program, for which the quota has to hold {size} requests"
+        );
+        notes.push(note.into());
+        let refusal = EntryRefusal::QuotaExceeded { retry_after: start.retry_after? };
+        let reason = "the quota of the team does not hold the whole program";
+        Some(rejection_by("program start", refusal, reason))
+    }
+
     /// Rejection by the program's budget, if a request to this host has stated one.
     fn explained_budget(
         &self,
--- a/src/entry/quotas/program_admission.rs
+++ b/src/entry/quotas/program_admission.rs
@@ -25,6 +25,15 @@
     MAX_PATIENCE.min(until.saturating_duration_since(now) / PATIENCE_DIVISOR)
 }
 
+/// What a host would decide on the start of a program without a message.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct StartStanding {
+    /// Tokens that the start takes.
+    pub(crate) size: u32,
+    /// Set if the start is refused because the owner has stated that there are none until later.
+    pub(crate) retry_after: Option<Duration>,
+}
+
 /// Forgets a program whose client goes away before its start is decided.
 struct StartGuard<'a> {
     gate: &'a QuotaGate,
@@ -91,6 +100,21 @@
         Ok(())
     }
 
+    /// What [`QuotaGate::admit`] would decide on a request without asking an owner; `None` if it starts no program. Nothing
+    /// changes.
+    pub(crate) fn start_standing(
+        &self,
+        now: Instant,
+        team: &Arc<str>,
+        request: &ProgramRequest,
+    ) -> Option<StartStanding> {
+        let state = self.state.lock();
+        let bucket_part = state.reporter.bucket_part(now, team);
+        let size = state.programs.start_size(team, request, bucket_part)?;
+        let retry_after = state.reporter.stated_retry(now, &start_account(team), size);
+        Some(StartStanding { size, retry_after })
+    }
+
     /// Records that a request of a program in progress was refused.
     pub(crate) fn record_program_refusal(&self, request: &ProgramRequest) {
         let mut state = self.state.lock();
--- a/src/entry/quotas/program_registry.rs
+++ b/src/entry/quotas/program_registry.rs
@@ -158,8 +158,9 @@
             return ProgramStep::Continues { excess: 0 };
         }
 
+        let start_size = self.start_size(team, request, bucket_part);
         let (size, turn_size) = self.sizes(team, &request.route);
-        let is_start = !is_known && !request.has_begun;
+        let is_start = start_size.is_some();
         let program =
             self.programs.entry(Arc::clone(&request.program)).or_insert_with(|| KnownProgram {
                 team: Arc::clone(team),
@@ -174,17 +175,32 @@
         program.last_turn_at = now;
         program.remainder -= turn_size;
 
-        if is_start {
-            let lacking = (LOW_BUCKET_PART - bucket_part).clamp(0.0, LOW_BUCKET_PART);
-            let surcharge = 1.0 + lacking * SURCHARGE_GAIN;
-            let size = (f64::from(size) * surcharge).ceil() as u32;
-            return ProgramStep::Starts { size: size.min(MAX_PROGRAM_SIZE) };
+        if let Some(size) = start_size {
+            return ProgramStep::Starts { size };
         }
         let excess = (-program.remainder).max(0.0).floor();
         program.remainder += excess;
         ProgramStep::Continues { excess: excess as u32 }
     }
 
+    /// Tokens that a request takes as the start of its program; `None` if it starts none. Nothing changes.
+    pub(crate) fn start_size(
+        &self,
+        team: &str,
+        request: &ProgramRequest,
+        bucket_part: f64,
+    ) -> Option<u32> {
+        let is_known = self.programs.contains_key(&request.program);
+        if !request.is_turn || request.has_begun || is_known || self.programs.len() >= MAX_PROGRAMS
+        {
+            return None;
+        }
+        let (size, _) = self.sizes(team, &request.route);
+        let lacking = (LOW_BUCKET_PART - bucket_part).clamp(0.0, LOW_BUCKET_PART);
+        let size = (f64::from(size) * (1.0 + lacking * SURCHARGE_GAIN)).ceil() as u32;
+        Some(size.min(MAX_PROGRAM_SIZE))
+    }
+
     /// Forgets a program whose start was refused, or whose client has gone before the decision.
     pub(crate) fn cancel_start(&mut self, program: &str) {
         self.programs.remove(program);
--- a/src/entry/quotas/quota_reporter.rs
+++ b/src/entry/quotas/quota_reporter.rs
@@ -208,20 +208,23 @@
     /// What this host holds of a team's quota for requests, its owner, and the owner's last answer.
     pub(super) fn standing(&self, now: Instant, team: &str) -> QuotaExplanation {
         let (figures, age) = self.figures(now, team);
-        let allowance = self.allowances.get(team);
-        let decision = allowance.map_or(TokenDecision::Waits, |it| it.decide(now, 1));
         QuotaExplanation {
-            held: allowance.map_or(0, |it| it.held(now)),
-            retry_after_s: match decision {
-                TokenDecision::Refused { retry_after } => Some(retry_after.as_secs_f64()),
-                TokenDecision::Granted | TokenDecision::Waits => None,
-            },
+            held: self.allowances.get(team).map_or(0, |it| it.held(now)),
+            retry_after_s: self.stated_retry(now, team, 1).map(|it| it.as_secs_f64()),
             owner: self.view.owner(team).cloned(),
             answer_age_ms: age.map(|it| it.as_millis() as u64),
             answer: age.map(|_| figures.to_string()).unwrap_or_default().into(),
         }
     }
 
+    /// Time after which an account has `size` tokens, if this host refuses a request for them without asking the owner.
+    pub(super) fn stated_retry(&self, now: Instant, account: &str, size: u32) -> Option<Duration> {
+        match self.allowances.get(account)?.decide(now, size) {
+            TokenDecision::Refused { retry_after } => Some(retry_after),
+            TokenDecision::Granted | TokenDecision::Waits => None,
+        }
+    }
+
     /// How full the bucket of a team's requests is, from 0 to 1, by the last answer about it; 1 if there is none that is recent.
     pub(crate) fn bucket_part(&self, now: Instant, team: &str) -> f64 {
         let (figures, age) = self.figures(now, team);
--- a/src/tests/explain_hosts.rs
+++ b/src/tests/explain_hosts.rs
@@ -47,7 +47,7 @@
         let explanation = explain(&host, Some("red")).expect("an explanation");
         assert_eq!(explain(&host, Some("red")), Ok(explanation.clone()));
         let quota = explanation.quota.expect("the team has a quota");
-        let refusal = host.run(key("r"), &format!("r{number}"), None).await;
+        let refusal = host.run_program(key("r"), "program", &format!("r{number}")).await;
 
         match (explanation.outcome, refusal) {
             (ExplainedOutcome::Rejected { refusal, .. }, Some(given)) => {
@@ -73,6 +73,35 @@
     assert!(refused > 10, "{refused} requests were refused as explained");
 }
 
+/// Guards against a new program that is said to be placed and whose start is refused, or the other way round.
+#[tokio::test(start_paused = true)]
+async fn explain_states_the_refusal_of_a_start() {
+    let host = TeamHost::start(vec![stream(); 60]).await;
+    host.host.apply_routes(quota_routes(1.0, 2));
+    sleep(Duration::from_secs(20)).await;
+    let mut refused = 0;
+
+    for number in 0..20 {
+        let program = format!("program {number}");
+        let explanation = host.host.explain(turn(&program), Some("red")).expect("an explanation");
+        let given = host.run_program(key("r"), &program, &format!("r{number}")).await;
+
+        if let ExplainedOutcome::Rejected { refusal, rule, .. } = explanation.outcome {
+            assert_eq!(&*rule, "program start");
+            let (
+                EntryRefusal::QuotaExceeded { retry_after: explained },
+                Some(EntryRefusal::QuotaExceeded { retry_after }),
+            ) = (refusal, given)
+            else {
+                panic!("{refusal:?}, {given:?}");
+            };
+            assert_eq!(explained, retry_after);
+            refused += 1;
+        }
+    }
+    assert!(refused > 10, "{refused} starts were refused as explained");
+}
+
 /// Guards against an explanation of a request that the client can't send, or that misses a rejection whatever the load.
 #[tokio::test(start_paused = true)]
 async fn explain_states_the_refusals_of_access_and_budget() {
