Reserve no tokens ahead by default

Suspected, not traced: tokens that a lost host has reserved ahead are missing to its programs until its records are read. Tests: feature_switches and ahead_reservations, 17 passed.

--- a/src/entry/ahead_reservations.rs
+++ b/src/entry/ahead_reservations.rs
@@ -89,6 +89,11 @@
         outcome
     }
 
+    /// Lets turns reserve no tokens of the next ones.
+    pub(crate) fn disable_ahead(&mut self) {
+        self.is_ahead_disabled = true;
+    }
+
     /// Reserves tokens ahead of the turns that follow one of `tokens`, which is reserved already. Returns a number for
     /// [`Self::keep_ahead`]; `None` if there is no room, or the program has such tokens already.
     pub(crate) fn reserve_ahead(
@@ -97,6 +102,9 @@
         budget: u64,
         tokens: u64,
     ) -> Option<u64> {
+        if self.is_ahead_disabled {
+            return None;
+        }
         let account = self.account(program);
         let room = budget.saturating_sub(account.total() + tokens).min(tokens * AHEAD_TURNS);
 
--- a/src/entry/budget_ledger.rs
+++ b/src/entry/budget_ledger.rs
@@ -239,6 +239,8 @@
     pub(super) unreported: HashSet<Arc<str>>,
     /// Programs whose spend is to be written with the next batch.
     unrecorded: HashSet<Arc<str>>,
+    /// Whether turns reserve no tokens of the next ones.
+    pub(super) is_ahead_disabled: bool,
     /// The writer of this run.
     local_writer: Option<Arc<str>>,
     /// For how long records last.
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -112,6 +112,9 @@
         let transport = Arc::clone(&network.transport) as Arc<dyn PeerTransport>;
         let mut ledger = BudgetLedger::default();
         ledger.set_local_writer(Arc::clone(&writer));
+        if !settings.switches.is_on(HostFeature::ReserveAhead) {
+            ledger.disable_ahead();
+        }
         let ledger = Arc::new(Mutex::new(ledger));
         let pool = Arc::new(
             PlacementPool::new(Arc::clone(&settings.data_centre), settings.regions.clone())
--- a/src/entry/feature_switches.rs
+++ b/src/entry/feature_switches.rs
@@ -17,20 +17,36 @@
     /// Fewer requests for upstreams that have just started or failed; see docs/design/pace.md.
     #[display("slow-start")]
     SlowStart,
+    /// Turns reserve tokens of the next ones while a scheduler is silent; see docs/design/platform.md, "Reservations ahead".
+    #[display("reserve-ahead")]
+    ReserveAhead,
 }
 
 impl HostFeature {
     /// All features, in the order of their help texts.
-    pub const ALL: [Self; 4] =
-        [Self::RegionDispatch, Self::Admission, Self::UpstreamLoad, Self::SlowStart];
+    pub const ALL: [Self; 5] = [
+        Self::RegionDispatch,
+        Self::Admission,
+        Self::UpstreamLoad,
+        Self::SlowStart,
+        Self::ReserveAhead,
+    ];
 }
 
-/// The features that are switched off. All are on by default.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+/// The features that are switched off. By default it is [`HostFeature::ReserveAhead`] alone, since days with lost hosts were
+/// served worse with it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct FeatureSwitches {
     is_off: [bool; HostFeature::ALL.len()],
 }
 
+impl Default for FeatureSwitches {
+    fn default() -> Self {
+        let all_on = Self { is_off: [false; HostFeature::ALL.len()] };
+        all_on.with(HostFeature::ReserveAhead, false)
+    }
+}
+
 impl FeatureSwitches {
     /// Whether a feature is in use.
     pub fn is_on(&self, feature: HostFeature) -> bool {
--- a/src/tests/feature_switches.rs
+++ b/src/tests/feature_switches.rs
@@ -21,12 +21,16 @@
 /// Guards against switches that change another feature than the one that is named.
 #[test]
 fn feature_switches_change_only_the_named_feature() {
+    let default = FeatureSwitches::default();
     for feature in HostFeature::ALL {
-        let switches = FeatureSwitches::default().with(feature, false);
-        let off: Vec<_> = HostFeature::ALL.into_iter().filter(|it| !switches.is_on(*it)).collect();
-        assert_eq!(off, [feature]);
-        assert_eq!(switches.with(feature, true), FeatureSwitches::default());
+        let was_on = default.is_on(feature);
+        let switches = default.with(feature, !was_on);
+        let has_changed = |it: &HostFeature| switches.is_on(*it) != default.is_on(*it);
+        let changed: Vec<_> = HostFeature::ALL.into_iter().filter(has_changed).collect();
+        assert_eq!(changed, [feature]);
+        assert_eq!(switches.with(feature, was_on), default);
     }
+    assert!(!default.is_on(HostFeature::ReserveAhead));
 }
 
 /// Guards against a new or failed upstream that is still paced when slow start is switched off.
