--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -110,12 +110,7 @@
         let run = hex_text(&rand::random::<[u8; 6]>());
         let writer: Arc<str> = format!("{}.{run}", settings.host).into();
         let transport = Arc::clone(&network.transport) as Arc<dyn PeerTransport>;
-        let mut ledger = BudgetLedger::default();
-        ledger.set_local_writer(Arc::clone(&writer));
-        if !settings.switches.is_on(HostFeature::ReserveAhead) {
-            ledger.disable_ahead();
-        }
-        let ledger = Arc::new(Mutex::new(ledger));
+        let ledger = Arc::new(Mutex::new(new_ledger(&settings, &writer)));
         let pool = Arc::new(
             PlacementPool::new(Arc::clone(&settings.data_centre), settings.regions.clone())
                 .with_expiry(settings.expiry)
@@ -811,6 +806,17 @@
     EntryResponse::refused(kind, refusal.to_string())
 }
 
+/// Ledger of a host's run.
+fn new_ledger(settings: &EntrySettings, writer: &Arc<str>) -> BudgetLedger {
+    let mut ledger = BudgetLedger::default();
+    ledger.set_local_writer(Arc::clone(writer));
+
+    if !settings.switches.is_on(HostFeature::ReserveAhead) {
+        ledger.disable_ahead();
+    }
+    ledger
+}
+
 /// Identity of a host's run, as its peers receive it.
 fn mesh_identity(settings: &EntrySettings, writer: &Arc<str>) -> MeshIdentity {
     MeshIdentity {
