Log the target of a request beside its fingerprint, and what becomes of held crashes

Three explanations of upstreams that go on ending under requests could not be told apart: the line of a crash had a hash of the content only, and a held crash that was dropped left no line. Both now have the target and its hash; crashes_total counts what became of each presumed crash.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -58,6 +58,7 @@
 pub(crate) mod record_readings;
 pub(crate) mod record_retention;
 pub(crate) mod request_runner;
+pub(crate) mod request_signature;
 mod retirement_keeper;
 mod route_table;
 pub(crate) mod routed_request;
--- a/src/entry/crash_guard.rs
+++ b/src/entry/crash_guard.rs
@@ -11,7 +11,9 @@
         UpstreamRecord, UpstreamResponse,
         host_reach::{ReachChange, ReachEvidence},
         placement_request::PlacementRefusal,
+        presumed_crashes::HeldCrash,
         request_runner::RunnerContext,
+        request_signature::RequestSignature,
         routed_request::RoutedRequest,
         upstream_lease::UpstreamLease,
     },
@@ -33,18 +35,30 @@
 impl RunnerContext {
     /// Fails if a request has crashed so many upstreams that it must not reach another one. It is asked again before each
     /// attempt, since other copies of the request may run meanwhile.
-    pub(crate) fn check_crashes(&self, fingerprint: u64) -> Result<(), PlacementRefusal> {
+    pub(crate) fn check_crashes(
+        &self,
+        signature: RequestSignature,
+    ) -> Result<(), PlacementRefusal> {
+        let fingerprint = signature.content;
         let count = self.crashes.lock().crash_count(fingerprint);
 
         if count < CRASH_LIMIT {
             return Ok(());
         }
 
-        log::info!(fingerprint, count; "a request is kept from further upstreams, as it has crashed several");
+        log::info!(
+            fingerprint, target_hash = signature.target, count;
+            "a request is kept from further upstreams, as it has crashed several"
+        );
         let reason = "upstreams have crashed under this request";
         Err(PlacementRefusal { reason, retry_after: CRASHED_RETRY_AFTER })
     }
 
+    /// Records that a request has completed, so that the crashes of upstreams on which it ran were not its own.
+    pub(super) fn clear_crashes(&self, signature: RequestSignature) {
+        self.crashes.lock().clear(signature.content);
+    }
+
     /// Records what an attempt tells about this host's way to a service. When the service is lost, the crashes that were
     /// presumed since anything of it was heard no longer count; they count again if an upstream is heard soon after.
     pub(super) fn record_reach(&self, record: &UpstreamRecord, evidence: ReachEvidence) {
@@ -55,6 +69,7 @@
             let mut crashes = self.crashes.lock();
             for (crashed, suspects) in &held {
                 log::info!(upstream:% = crashed.upstream, born_ms = crashed.run; "a presumed crash is taken back, as no upstream is heard");
+                self.metrics.count_crash("retracted");
                 crashes.retract_crash(crashed, suspects);
             }
         } else if evidence == ReachEvidence::Heard && !self.pool.reach().is_lost(&record.service) {
@@ -65,10 +80,26 @@
     /// Counts the crashes that were held back a moment ago, and drops older ones.
     fn settle_held_crashes(&self, service: &Arc<str>) {
         let now = Instant::now();
-        let held = self.presumed_crashes.lock().take_held(service, now, MOMENTARY_LOSS);
+        let held = self.presumed_crashes.lock().take_held(service);
+
+        for HeldCrash { crashed, at, suspects } in held {
+            let held_ms = now.duration_since(at).as_millis() as u64;
+            let is_momentary = now.duration_since(at) <= MOMENTARY_LOSS;
+
+            if !is_momentary {
+                self.metrics.count_crash("dropped");
+                log::info!(
+                    upstream:% = crashed.upstream, born_ms = crashed.run, held_ms, suspects:? = suspects;
+                    "a presumed crash is dropped, as the service was out of reach for long"
+                );
+                continue;
+            }
 
-        for (crashed, suspects) in held {
-            log::info!(upstream:% = crashed.upstream, born_ms = crashed.run; "a presumed crash counts, as other upstreams are heard");
+            self.metrics.count_crash("settled");
+            log::info!(
+                upstream:% = crashed.upstream, born_ms = crashed.run, held_ms;
+                "a presumed crash counts, as other upstreams are heard"
+            );
             let suspects = self.crashes.lock().record_crash(&crashed, suspects);
             self.presumed_crashes.lock().add(now, Arc::clone(service), crashed, suspects);
         }
@@ -88,6 +119,7 @@
             self.presumed_crashes.lock().take_disproved(&crashed, lease.granted.granted_at);
 
         if let Some(suspects) = disproved {
+            self.metrics.count_crash("disproved");
             log::info!(upstream:% = crashed.upstream, born_ms = crashed.run; "an upstream that was presumed to have crashed responds");
             self.crashes.lock().retract_crash(&crashed, &suspects);
         }
@@ -101,7 +133,8 @@
 pub(super) struct AttemptWatch {
     context: Arc<RunnerContext>,
     request: Arc<str>,
-    fingerprint: u64,
+    request_target: Arc<str>,
+    signature: RequestSignature,
     record: Arc<UpstreamRecord>,
     crashed: CrashedRun,
     /// Time without data after which the upstream counts as silent.
@@ -123,7 +156,8 @@
         Self {
             context: Arc::clone(context),
             request: Arc::clone(&routed.request.id),
-            fingerprint: routed.fingerprint,
+            request_target: Arc::clone(&routed.request.target),
+            signature: routed.signature,
             record: Arc::clone(&lease.record),
             crashed: lease.crashed_run(),
             silence_limit,
@@ -174,10 +208,12 @@
                 Instant::now(),
                 Arc::clone(&self.record.service),
                 self.crashed.clone(),
-                vec![self.fingerprint],
+                vec![self.signature.content],
             );
+            self.context.metrics.count_crash("held");
             log::info!(
-                request:% = self.request, upstream:% = self.crashed.upstream, fingerprint = self.fingerprint;
+                request:% = self.request, request_target:% = self.request_target, upstream:% = self.crashed.upstream,
+                fingerprint = self.signature.content, target_hash = self.signature.target;
                 "a connection broke while no upstream is heard, so it is no sign of a crash yet: {reason}"
             );
             return;
@@ -192,20 +228,21 @@
             self.context.presumed_crashes.lock().is_sent_after(&self.crashed, self.started_at);
         let (count, suspects) = {
             let mut crashes = self.context.crashes.lock();
-            let running = vec![self.fingerprint];
+            let running = vec![self.signature.content];
             let suspects = if is_another {
                 crashes.record_another_crash(&self.crashed, running)
             } else {
                 crashes.record_crash(&self.crashed, running)
             };
-            (crashes.crash_count(self.fingerprint), suspects)
+            (crashes.crash_count(self.signature.content), suspects)
         };
 
         log::warn!(
-            request:% = self.request, upstream:% = self.crashed.upstream, born_ms = self.crashed.run,
-            fingerprint = self.fingerprint, count;
+            request:% = self.request, request_target:% = self.request_target, upstream:% = self.crashed.upstream,
+            born_ms = self.crashed.run, fingerprint = self.signature.content, target_hash = self.signature.target, count;
             "the upstream may have crashed under the request: {reason}"
         );
+        self.context.metrics.count_crash("counted");
         let crashed = self.crashed.clone();
         let service = Arc::clone(&self.record.service);
         self.context.presumed_crashes.lock().add(Instant::now(), service, crashed, suspects);
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -9,7 +9,7 @@
     sync::{oneshot, watch},
     time::{Duration, Instant, sleep, timeout},
 };
-use xxhash_rust::xxh3::{Xxh3, xxh3_64};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     BackoffPolicy, PeerTransport,
@@ -17,7 +17,7 @@
         BudgetLedger, BufferBudget, BuffersFull, EntryBackends, EntryRefusal, EntryRequest,
         EntryResponse, EntrySettings, HostFeature, KeyChecker, KindFollower, ObjectListener,
         PlacementPool, RelayedBody, RouteTable, ServiceConfig, ServiceRoute, StoreError,
-        StoreMonitor, Team, TeamScope,
+        StoreMonitor, TeamScope,
         buffer_budget::BufferLease,
         chain_recorder::ChainRecorder,
         crash_guard::CRASH_LIMIT,
@@ -36,6 +36,7 @@
         reach_prober::ReachProber,
         record_retention::MIN_RETENTION,
         request_runner::{RequestRunner, RunnerContext},
+        request_signature::RequestSignature,
         routed_request::RoutedRequest,
         turn_budget::{BudgetContext, BudgetRefusal, TurnBudget},
         turn_history::{HistoryTurn, chain_body, chain_size},
@@ -522,15 +523,15 @@
             return EntryResponse::not_run(UNAVAILABLE_RETRY_AFTER, "the route has no service");
         };
 
-        let fingerprint = fingerprint(&request, team.as_ref());
+        let signature = RequestSignature::new(&request, team.as_ref());
 
-        if let Err(refusal) = self.context.check_crashes(fingerprint) {
+        if let Err(refusal) = self.context.check_crashes(signature) {
             return EntryResponse::not_run(refusal.retry_after, refusal.reason);
         }
 
         let deadline = response_deadline(&request, &route);
         let found = FoundRoute { config_version: table.version, route, team, service };
-        self.run(request, found, fingerprint, deadline).await
+        self.run(request, found, signature, deadline).await
     }
 
     /// Service that a request needs, if the configuration in force names one.
@@ -545,7 +546,7 @@
         &self,
         request: EntryRequest,
         found: FoundRoute,
-        fingerprint: u64,
+        signature: RequestSignature,
         deadline: Instant,
     ) -> EntryResponse {
         let limit = found.limit();
@@ -624,7 +625,7 @@
             team,
             route,
             service,
-            fingerprint,
+            signature,
             deadline,
         };
 
@@ -843,19 +844,3 @@
     let key = request.program.as_ref().map_or(&request.id, |it| &it.id);
     xxh3_64(key.as_bytes())
 }
-
-/// Hash by which requests that crash upstreams are recognised. A team does not share it with others, so that one team's crashes
-/// refuse nothing to another.
-pub(crate) fn fingerprint(request: &EntryRequest, team: Option<&Arc<Team>>) -> u64 {
-    let mut hasher = Xxh3::new();
-    hasher.update(TeamScope::new(team).id(&request.host).as_bytes());
-    hasher.update(request.target.as_bytes());
-    hasher.update(&request.body);
-    // Requests with an empty body would all share one fingerprint, so the program is included.
-    if request.body.is_empty()
-        && let Some(program) = &request.program
-    {
-        hasher.update(program.id.as_bytes());
-    }
-    hasher.digest()
-}
--- a/src/entry/entry_metrics.rs
+++ b/src/entry/entry_metrics.rs
@@ -45,6 +45,7 @@
     key_checks: Counter<u64>,
     teams: Gauge<u64>,
     quota_decisions: Counter<u64>,
+    crashes: Counter<u64>,
     placements: PlacementMetrics,
     load: LoadMetrics,
 }
@@ -145,6 +146,10 @@
                 "ragwortknot.entry.quota.decisions",
                 "Requests of teams with a quota, and failed reports to quota owners, by result.",
             ),
+            crashes: counter(
+                "ragwortknot.entry.crashes",
+                "Presumed crashes of upstreams under requests, by what became of them.",
+            ),
             placements: PlacementMetrics::new(&registry),
             load: LoadMetrics::new(&registry),
             registry,
@@ -180,6 +185,11 @@
         self.quota_decisions.add(1, &[KeyValue::new("result", result)]);
     }
 
+    /// Counts a presumed crash of an upstream, or what has become of one since.
+    pub(crate) fn count_crash(&self, outcome: &'static str) {
+        self.crashes.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     pub(crate) fn count_tokens(&self, tokens: u64) {
         self.tokens.add(tokens, &[]);
     }
--- a/src/entry/explain/host_explanation.rs
+++ b/src/entry/explain/host_explanation.rs
@@ -15,6 +15,7 @@
         QuotaExplanation,
     },
     quotas::program_registry::ProgramRequest,
+    request_signature::RequestSignature,
     routed_request::RoutedRequest,
 };
 
@@ -35,7 +36,7 @@
             _body_lease: None,
             chain: Vec::new(),
             software_version: None,
-            fingerprint: 0,
+            signature: RequestSignature::new(&request, team.as_ref()),
             deadline: response_deadline(&request, &route),
             request,
             team,
--- a/src/entry/presumed_crashes.rs
+++ b/src/entry/presumed_crashes.rs
@@ -24,6 +24,15 @@
     suspects: Vec<u64>,
 }
 
+/// A crash that was held back.
+#[derive(Debug)]
+pub(crate) struct HeldCrash {
+    pub(crate) crashed: CrashedRun,
+    pub(crate) at: Instant,
+    /// Fingerprints of the requests that it would count against.
+    pub(crate) suspects: Vec<u64>,
+}
+
 /// The presumed crashes of a host.
 #[derive(Debug, Default)]
 pub(crate) struct PresumedCrashes {
@@ -87,13 +96,8 @@
         held
     }
 
-    /// Takes the crashes of a service that were held back, and returns those of the last `memory` with their suspects.
-    pub(crate) fn take_held(
-        &mut self,
-        service: &Arc<str>,
-        now: Instant,
-        memory: Duration,
-    ) -> Vec<(CrashedRun, Vec<u64>)> {
+    /// Takes the crashes of a service that were held back.
+    pub(crate) fn take_held(&mut self, service: &Arc<str>) -> Vec<HeldCrash> {
         if self.held.is_empty() {
             return Vec::new();
         }
@@ -101,8 +105,9 @@
         let (taken, kept): (BTreeMap<_, _>, BTreeMap<_, _>) =
             std::mem::take(&mut self.held).into_iter().partition(|(_, it)| it.service == *service);
         self.held = kept;
-        let recent = taken.into_iter().filter(|(_, it)| now.duration_since(it.at) <= memory);
-        recent.map(|(run, it)| (run, it.suspects)).collect()
+        let held =
+            |(crashed, PresumedCrash { at, suspects, .. })| HeldCrash { crashed, at, suspects };
+        taken.into_iter().map(held).collect()
     }
 
     /// Returns the suspects of a run that has responded to a request which was sent at `sent_at`, if this proves that the run
--- a/src/entry/request_runner.rs
+++ b/src/entry/request_runner.rs
@@ -258,13 +258,13 @@
             token.record_queued();
         }
         self.context.check_key(&self.routed)?;
-        self.context.check_crashes(self.routed.fingerprint)?;
+        self.context.check_crashes(self.routed.signature)?;
         let lease =
             self.context.acquire(&self.routed, &self.excluded).await.inspect_err(|refusal| {
                 self.context.metrics.count_placement_refusal(refusal.reason);
             })?;
         self.context.check_key(&self.routed)?;
-        self.context.check_crashes(self.routed.fingerprint)?;
+        self.context.check_crashes(self.routed.signature)?;
         if let Some(token) = &self.quota_token {
             token.record_sent();
         }
@@ -459,7 +459,7 @@
         if status.is_server_error() {
             lease.finish(LeaseOutcome::Failed);
         } else {
-            self.context.crashes.lock().clear(self.routed.fingerprint);
+            self.context.clear_crashes(self.routed.signature);
             lease.finish(LeaseOutcome::Answered);
         }
 
--- a/src/entry/routed_request.rs
+++ b/src/entry/routed_request.rs
@@ -8,7 +8,8 @@
 use crate::entry::{
     EntryRequest, ServiceConfig, ServiceRoute, Team, TeamScope, UpstreamRequest,
     buffer_budget::BufferLease, host_load::StreamHolder, object_affinity::object_key::ObjectKey,
-    placement_request::PlacementRequest, turn_history::HistoryTurn,
+    placement_request::PlacementRequest, request_signature::RequestSignature,
+    turn_history::HistoryTurn,
 };
 
 /// A request with its route, its service and its deadline.
@@ -23,8 +24,8 @@
     pub(crate) body: Bytes,
     /// Counts the body, if it is not that of the request.
     pub(crate) _body_lease: Option<BufferLease>,
-    /// Hash of the request's content, which identifies requests that crash upstreams.
-    pub(crate) fingerprint: u64,
+    /// Identifies requests that crash upstreams.
+    pub(crate) signature: RequestSignature,
     /// Latest time of the final response.
     pub(crate) deadline: Instant,
     /// The turns that the request continues, the oldest first.
--- a/src/entry/stream_resume.rs
+++ b/src/entry/stream_resume.rs
@@ -32,7 +32,7 @@
 
     /// Takes a free slot on another upstream than the one whose stream is silent. Returns `None` if there is none now.
     pub(super) async fn try_successor(&self, silent_upstream: &Arc<str>) -> Option<UpstreamLease> {
-        self.context.check_crashes(self.routed.fingerprint).ok()?;
+        self.context.check_crashes(self.routed.signature).ok()?;
         self.context.check_key(&self.routed).ok()?;
         let mut excluded = self.excluded.clone();
         excluded.push(Arc::clone(silent_upstream));
@@ -74,14 +74,14 @@
     }
 
     async fn acquire(&self) -> Option<UpstreamLease> {
-        let fingerprint = self.routed.fingerprint;
+        let signature = self.routed.signature;
 
         let slot = async {
             self.context.check_key(&self.routed)?;
-            self.context.check_crashes(fingerprint)?;
+            self.context.check_crashes(signature)?;
             let lease = self.context.acquire(&self.routed, &self.excluded).await?;
             self.context.check_key(&self.routed)?;
-            self.context.check_crashes(fingerprint)?;
+            self.context.check_crashes(signature)?;
             Ok::<_, RunRefusal>(lease)
         };
 
--- a/src/tests/crash_counts.rs
+++ b/src/tests/crash_counts.rs
@@ -128,7 +128,7 @@
         let mut runner = runner_with_crashes(&self.pool, &self.channel, kind, &self.crashes);
         let context = self.context.get_or_insert_with(|| Arc::clone(&runner.context));
         runner.context = Arc::clone(context);
-        runner.routed.fingerprint = fingerprint;
+        runner.routed.signature.content = fingerprint;
         runner
     }
 
@@ -214,7 +214,7 @@
     let first = runner_with_crashes(&pool, &channel, RequestKind::AtMostOnce, crashes);
     let mut second = runner_with_crashes(&pool, &channel, RequestKind::AtMostOnce, crashes);
     second.context = Arc::clone(&first.context);
-    second.routed.fingerprint = FINGERPRINT + 1;
+    second.routed.signature.content = FINGERPRINT + 1;
     first.run().await;
     sleep(pause).await;
     second.run().await;
--- a/src/tests/entry_metrics.rs
+++ b/src/tests/entry_metrics.rs
@@ -41,6 +41,7 @@
     metrics.record_role(true);
     metrics.record_schedulers(6, 0);
     metrics.record_lost_services(0);
+    metrics.count_crash("counted");
     metrics.count_key_check("accepted");
     metrics.record_teams(2);
     metrics.count_dispatch("granted");
--- a/src/tests/teams.rs
+++ b/src/tests/teams.rs
@@ -15,7 +15,7 @@
     entry::{
         AccessInputs, AccessRefusal, ClientKey, ConfigCurrency, EntryHost, EntryRefusal,
         EntryRequest, KeyDigest, ObjectStore, RequestKind, RouteTable, StoreMonitor, Team,
-        TeamDirectory, TeamError, TeamQuota, TeamTerms, entry_host::fingerprint,
+        TeamDirectory, TeamError, TeamQuota, TeamTerms, request_signature::RequestSignature,
     },
     gateway::ForwardedRequest,
 };
@@ -295,12 +295,15 @@
 
 /// Guards against a team whose requests are refused because another team's have crashed upstreams.
 #[test]
-fn fingerprint_differs_between_teams() {
+fn signature_differs_between_teams() {
     let (red, blue) = (Arc::new(terms("red", &[]).team), Arc::new(terms("blue", &[]).team));
     let request = request(ClientKey::Missing, "1", None);
-    let fingerprints = [None, Some(&red), Some(&blue)].map(|team| fingerprint(&request, team));
-    assert_ne!(fingerprints[0], fingerprints[1]);
-    assert_ne!(fingerprints[1], fingerprints[2]);
+    let signatures =
+        [None, Some(&red), Some(&blue)].map(|team| RequestSignature::new(&request, team));
+    for (one, other) in [(0, 1), (1, 2), (0, 2)] {
+        assert_ne!(signatures[one].content, signatures[other].content);
+        assert_ne!(signatures[one].target, signatures[other].target);
+    }
 }
 
 #[tokio::test]
