--- a/standins/src/routed_server.rs
+++ b/standins/src/routed_server.rs
@@ -27,6 +27,9 @@
 /// Largest body of a request. A larger one is recorded as empty.
 const MAX_BODY_BYTES: usize = 16 << 20;
 
+/// Time for which a request runs before it crashes the server.
+const CRASH_DELAY: Duration = Duration::from_millis(30);
+
 /// Faults that the server injects. Omitted fields are off.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 #[serde(default)]
@@ -47,6 +50,8 @@
     pub event_ms: u64,
     /// Every response states that the server is leaving.
     pub leaving: bool,
+    /// A request whose target or body contains this text ends the process while it runs.
+    pub crash_on: Option<String>,
 }
 
 /// A request that the server has run.
@@ -172,6 +177,16 @@
     let target = parts.uri.path_and_query().map_or_else(String::new, ToString::to_string);
     let last_event_id = header_text(&parts.headers, "last-event-id").parse().unwrap_or(0);
     let headers = parts.headers;
+
+    if faults
+        .crash_on
+        .as_ref()
+        .is_some_and(|text| target.contains(text) || String::from_utf8_lossy(&body).contains(text))
+    {
+        sleep(CRASH_DELAY).await;
+        std::process::abort();
+    }
+
     server.runs.lock().push(RoutedRun { id: id.clone(), target, headers, body });
 
     let response_id = if faults.wrong_id { "another".to_owned() } else { id };
