Count crashes of upstreams by target as well as by content

Cause: a request was recognised by its exact content (a GET by its program as well), so each body that a crashing target was sent with was granted three upstreams of its own. Change: crashes are counted by target, too. Completions at a target clear it and raise its limit, so one bad body does not close a target that serves others. A refused content or target is tried again after one to two minutes, and later each time that it crashes an upstream.

--- a/src/entry/crash_guard.rs
+++ b/src/entry/crash_guard.rs
@@ -9,6 +9,7 @@
     CrashedRun,
     entry::{
         UpstreamRecord, UpstreamResponse,
+        crash_suspects::CrashSuspects,
         host_reach::{ReachChange, ReachEvidence},
         placement_request::PlacementRefusal,
         presumed_crashes::HeldCrash,
@@ -32,6 +33,16 @@
 /// Time after which a client is asked to retry a request that has crashed upstreams.
 const CRASHED_RETRY_AFTER: Duration = Duration::from_secs(5);
 
+/// Whether a request may be sent to an upstream, by one of its hashes.
+#[derive(Clone, Copy, Debug)]
+struct CrashVerdict {
+    hash: u64,
+    /// What the hash is of.
+    subject: &'static str,
+    count: u32,
+    limit: u32,
+}
+
 impl RunnerContext {
     /// Fails if a request has crashed so many upstreams that it must not reach another one. It is asked again before each
     /// attempt, since other copies of the request may run meanwhile.
@@ -39,24 +50,98 @@
         &self,
         signature: RequestSignature,
     ) -> Result<(), PlacementRefusal> {
-        let fingerprint = signature.content;
-        let count = self.crashes.lock().crash_count(fingerprint);
+        self.refused_verdicts(signature).map(drop)
+    }
 
-        if count < CRASH_LIMIT {
-            return Ok(());
+    /// As [`RunnerContext::check_crashes`], for a request that is sent now. One that would be refused but for a trial uses the
+    /// trial up.
+    pub(super) fn begin_attempt(
+        &self,
+        signature: RequestSignature,
+    ) -> Result<(), PlacementRefusal> {
+        for CrashVerdict { hash, subject, count, .. } in self.refused_verdicts(signature)? {
+            log::info!(hash, subject, count; "a request that has crashed several upstreams runs as a trial");
+            self.metrics.count_crash("trial");
+            self.trials.lock().record_trial(Instant::now(), hash);
         }
+        Ok(())
+    }
 
-        log::info!(
-            fingerprint, target_hash = signature.target, count;
-            "a request is kept from further upstreams, as it has crashed several"
-        );
-        let reason = "upstreams have crashed under this request";
-        Err(PlacementRefusal { reason, retry_after: CRASHED_RETRY_AFTER })
+    /// Returns by which of its hashes a request has crashed several upstreams and may only run as a trial. Fails if no trial is due.
+    fn refused_verdicts(
+        &self,
+        signature: RequestSignature,
+    ) -> Result<Vec<CrashVerdict>, PlacementRefusal> {
+        let now = Instant::now();
+        let verdicts: Vec<CrashVerdict> = {
+            let crashes = self.crashes.lock();
+            let verdict = |hash, subject| CrashVerdict {
+                hash,
+                subject,
+                count: crashes.crash_count(hash),
+                limit: CRASH_LIMIT,
+            };
+            let verdicts =
+                [verdict(signature.content, "content"), verdict(signature.target, "target")];
+            verdicts.into_iter().filter(|it| it.count >= it.limit).collect()
+        };
+        let mut refused = Vec::new();
+
+        for mut verdict in verdicts {
+            // Requests that complete tell that the target does not crash upstreams, only some of what is sent to it.
+            if verdict.hash == signature.target {
+                verdict.limit = CRASH_LIMIT.max(self.completions.lock().recent(now, verdict.hash));
+            }
+
+            if verdict.count < verdict.limit {
+                continue;
+            }
+
+            let time_left = self.trials.lock().time_left(now, verdict.hash, verdict.count);
+
+            if !time_left.is_zero() {
+                let CrashVerdict { hash, subject, count, limit } = verdict;
+                log::info!(
+                    hash, subject, count, limit, trial_in_ms = time_left.as_millis() as u64;
+                    "a request is kept from further upstreams, as it has crashed several"
+                );
+                let reason = "upstreams have crashed under this request";
+                return Err(PlacementRefusal {
+                    reason,
+                    retry_after: time_left.max(CRASHED_RETRY_AFTER),
+                });
+            }
+
+            refused.push(verdict);
+        }
+
+        Ok(refused)
     }
 
     /// Records that a request has completed, so that the crashes of upstreams on which it ran were not its own.
-    pub(super) fn clear_crashes(&self, signature: RequestSignature) {
-        self.crashes.lock().clear(signature.content);
+    pub(super) fn record_completion(&self, signature: RequestSignature) {
+        self.completions.lock().record(Instant::now(), signature.target);
+        let mut crashes = self.crashes.lock();
+        crashes.clear(signature.content);
+        crashes.clear(signature.target);
+    }
+
+    /// Counts the end of a run against requests that ran there. Returns those against which it counts.
+    fn count_crash(&self, run: &CrashedRun, running: CrashSuspects) -> CrashSuspects {
+        let mut crashes = self.crashes.lock();
+        CrashSuspects {
+            contents: crashes.record_crash(run, running.contents),
+            targets: crashes.record_crash(run, running.targets),
+        }
+    }
+
+    /// As [`RunnerContext::count_crash`], for a run that has ended before and was sent the request after that.
+    fn count_another_crash(&self, run: &CrashedRun, running: CrashSuspects) -> CrashSuspects {
+        let mut crashes = self.crashes.lock();
+        CrashSuspects {
+            contents: crashes.record_another_crash(run, running.contents),
+            targets: crashes.record_another_crash(run, running.targets),
+        }
     }
 
     /// Records what an attempt tells about this host's way to a service. When the service is lost, the crashes that were
@@ -70,7 +155,7 @@
             for (crashed, suspects) in &held {
                 log::info!(upstream:% = crashed.upstream, born_ms = crashed.run; "a presumed crash is taken back, as no upstream is heard");
                 self.metrics.count_crash("retracted");
-                crashes.retract_crash(crashed, suspects);
+                crashes.retract_crash(crashed, &suspects.hashes());
             }
         } else if evidence == ReachEvidence::Heard && !self.pool.reach().is_lost(&record.service) {
             self.settle_held_crashes(&record.service);
@@ -100,7 +185,7 @@
                 upstream:% = crashed.upstream, born_ms = crashed.run, held_ms;
                 "a presumed crash counts, as other upstreams are heard"
             );
-            let suspects = self.crashes.lock().record_crash(&crashed, suspects);
+            let suspects = self.count_crash(&crashed, suspects);
             self.presumed_crashes.lock().add(now, Arc::clone(service), crashed, suspects);
         }
     }
@@ -121,7 +206,7 @@
         if let Some(suspects) = disproved {
             self.metrics.count_crash("disproved");
             log::info!(upstream:% = crashed.upstream, born_ms = crashed.run; "an upstream that was presumed to have crashed responds");
-            self.crashes.lock().retract_crash(&crashed, &suspects);
+            self.crashes.lock().retract_crash(&crashed, &suspects.hashes());
         }
     }
 }
@@ -208,7 +293,7 @@
                 Instant::now(),
                 Arc::clone(&self.record.service),
                 self.crashed.clone(),
-                vec![self.signature.content],
+                self.signature.into(),
             );
             self.context.metrics.count_crash("held");
             log::info!(
@@ -226,20 +311,23 @@
         self.is_over = true;
         let is_another =
             self.context.presumed_crashes.lock().is_sent_after(&self.crashed, self.started_at);
-        let (count, suspects) = {
-            let mut crashes = self.context.crashes.lock();
-            let running = vec![self.signature.content];
-            let suspects = if is_another {
-                crashes.record_another_crash(&self.crashed, running)
-            } else {
-                crashes.record_crash(&self.crashed, running)
-            };
-            (crashes.crash_count(self.signature.content), suspects)
+        let running = self.signature.into();
+        let suspects = if is_another {
+            self.context.count_another_crash(&self.crashed, running)
+        } else {
+            self.context.count_crash(&self.crashed, running)
+        };
+        let (count, target_count) = {
+            let crashes = self.context.crashes.lock();
+            (
+                crashes.crash_count(self.signature.content),
+                crashes.crash_count(self.signature.target),
+            )
         };
 
         log::warn!(
             request:% = self.request, request_target:% = self.request_target, upstream:% = self.crashed.upstream,
-            born_ms = self.crashed.run, fingerprint = self.signature.content, target_hash = self.signature.target, count;
+            born_ms = self.crashed.run, fingerprint = self.signature.content, target_hash = self.signature.target, count, target_count;
             "the upstream may have crashed under the request: {reason}"
         );
         self.context.metrics.count_crash("counted");
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -180,6 +180,8 @@
             chains: ChainRecorder { journal: Arc::clone(&journal), history: state.history },
             crashes: state.crashes,
             presumed_crashes: Mutex::default(),
+            completions: Mutex::default(),
+            trials: Mutex::default(),
             streams: state.streams,
             metrics,
         });
--- a/src/entry/presumed_crashes.rs
+++ b/src/entry/presumed_crashes.rs
@@ -6,7 +6,7 @@
 
 use tokio::time::{Duration, Instant};
 
-use crate::CrashedRun;
+use crate::{CrashedRun, entry::crash_suspects::CrashSuspects};
 
 /// Shortest time in which an upstream that has ended starts again. The response to a request that was sent sooner comes from
 /// the run that was presumed to have ended.
@@ -20,8 +20,8 @@
 struct PresumedCrash {
     at: Instant,
     service: Arc<str>,
-    /// Fingerprints of the requests that it counts against.
-    suspects: Vec<u64>,
+    /// Requests that it counts against.
+    suspects: CrashSuspects,
 }
 
 /// A crash that was held back.
@@ -29,8 +29,8 @@
 pub(crate) struct HeldCrash {
     pub(crate) crashed: CrashedRun,
     pub(crate) at: Instant,
-    /// Fingerprints of the requests that it would count against.
-    pub(crate) suspects: Vec<u64>,
+    /// Requests that it would count against.
+    pub(crate) suspects: CrashSuspects,
 }
 
 /// The presumed crashes of a host.
@@ -52,13 +52,13 @@
         now: Instant,
         service: Arc<str>,
         crashed: CrashedRun,
-        suspects: Vec<u64>,
+        suspects: CrashSuspects,
     ) {
         self.crashes.retain(|_, it| now.duration_since(it.at) < RETENTION);
-        let new = PresumedCrash { at: now, service, suspects: Vec::new() };
+        let new = PresumedCrash { at: now, service, suspects: CrashSuspects::default() };
         let crash = self.crashes.entry(crashed).or_insert(new);
         crash.at = now;
-        crash.suspects.extend(suspects);
+        crash.suspects.merge(suspects);
     }
 
     /// Holds the crash of a run under a request back, as no upstream of its service is heard.
@@ -67,10 +67,10 @@
         now: Instant,
         service: Arc<str>,
         crashed: CrashedRun,
-        suspects: Vec<u64>,
+        suspects: CrashSuspects,
     ) {
-        let new = PresumedCrash { at: now, service, suspects: Vec::new() };
-        self.held.entry(crashed).or_insert(new).suspects.extend(suspects);
+        let new = PresumedCrash { at: now, service, suspects: CrashSuspects::default() };
+        self.held.entry(crashed).or_insert(new).suspects.merge(suspects);
     }
 
     /// Holds those crashes of a service back that were presumed after `last_heard`, the last time at which any of its upstreams
@@ -79,7 +79,7 @@
         &mut self,
         service: &Arc<str>,
         last_heard: Option<Instant>,
-    ) -> Vec<(CrashedRun, Vec<u64>)> {
+    ) -> Vec<(CrashedRun, CrashSuspects)> {
         let is_held = |it: &PresumedCrash| {
             it.service == *service && last_heard.is_none_or(|last_heard| it.at >= last_heard)
         };
@@ -116,7 +116,7 @@
         &mut self,
         crashed: &CrashedRun,
         sent_at: Instant,
-    ) -> Option<Vec<u64>> {
+    ) -> Option<CrashSuspects> {
         let at = self.crashes.get(crashed)?.at;
         let is_proof = sent_at > at && sent_at < at + MIN_RESTART_TIME;
         is_proof.then(|| self.crashes.remove(crashed).map(|it| it.suspects)).flatten()
--- a/src/entry/request_runner.rs
+++ b/src/entry/request_runner.rs
@@ -29,12 +29,14 @@
         pooled_upstream::LeaseOutcome,
         presumed_crashes::PresumedCrashes,
         quotas::quota_token::QuotaToken,
+        refusal_trials::RefusalTrials,
         route_table::STREAM_LIFETIME_FACTOR,
         routed_request::RoutedRequest,
         run_record::RunRecord,
         run_refusal::RunRefusal,
         stream_relay::{StreamRelay, StreamSource},
         stream_versions::{BegunStream, StreamVersions},
+        target_completions::TargetCompletions,
         turn_budget::TurnBudget,
         upstream_lease::UpstreamLease,
     },
@@ -65,6 +67,8 @@
     pub(crate) buffers: Arc<BufferBudget>,
     pub(crate) crashes: Arc<Mutex<CrashTracker>>,
     pub(crate) presumed_crashes: Mutex<PresumedCrashes>,
+    pub(crate) completions: Mutex<TargetCompletions>,
+    pub(crate) trials: Mutex<RefusalTrials>,
     pub(crate) streams: Arc<Mutex<StreamVersions>>,
     pub(crate) metrics: Arc<EntryMetrics>,
     pub(crate) keys: KeyChecker,
@@ -264,7 +268,7 @@
                 self.context.metrics.count_placement_refusal(refusal.reason);
             })?;
         self.context.check_key(&self.routed)?;
-        self.context.check_crashes(self.routed.signature)?;
+        self.context.begin_attempt(self.routed.signature)?;
         if let Some(token) = &self.quota_token {
             token.record_sent();
         }
@@ -459,7 +463,7 @@
         if status.is_server_error() {
             lease.finish(LeaseOutcome::Failed);
         } else {
-            self.context.clear_crashes(self.routed.signature);
+            self.context.record_completion(self.routed.signature);
             lease.finish(LeaseOutcome::Answered);
         }
 
--- a/src/entry/stream_relay.rs
+++ b/src/entry/stream_relay.rs
@@ -448,7 +448,7 @@
             chains.keep(turn, retention, queued_at);
         }
 
-        self.context.clear_crashes(self.routed.signature);
+        self.context.record_completion(self.routed.signature);
         self.context.metrics.record_request_time(request.received.elapsed());
         log::info!(
             request:% = request.id, events = progress.events, tokens = spent_tokens,
--- a/src/entry/stream_resume.rs
+++ b/src/entry/stream_resume.rs
@@ -81,7 +81,7 @@
             self.context.check_crashes(signature)?;
             let lease = self.context.acquire(&self.routed, &self.excluded).await?;
             self.context.check_key(&self.routed)?;
-            self.context.check_crashes(signature)?;
+            self.context.begin_attempt(signature)?;
             Ok::<_, RunRefusal>(lease)
         };
 
--- /dev/null
+++ b/src/tests/crash_targets.rs
@@ -0,0 +1,169 @@
+//! Tests of requests that crash upstreams by their target, whatever else they hold, and of those that share a target with them.
+
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use tokio::time::{Duration, advance};
+
+use super::{
+    entry_fakes::{ScriptedChannel, ScriptedResponse, upstream},
+    entry_runner::{pool, runner_with_crashes},
+};
+use crate::{
+    CrashTracker,
+    entry::{
+        EntryResponse, PlacementPool, RequestKind, crash_guard::CRASH_LIMIT,
+        request_runner::RunnerContext,
+    },
+};
+
+/// Target of the requests that crash upstreams.
+const TARGET: u64 = 1_001;
+
+/// Longest time until a refused request is tried again the first time.
+const MAX_TRIAL_TIME: Duration = Duration::from_mins(2);
+
+fn answer() -> ScriptedResponse {
+    ScriptedResponse::Whole { status: hyper::StatusCode::OK, has_not_run: false, is_signed: true }
+}
+
+/// A host with upstreams of one slot each, so that a request which is sent takes another one than those before it.
+struct TargetHost {
+    pool: Arc<PlacementPool>,
+    channel: Arc<ScriptedChannel>,
+    crashes: Arc<Mutex<CrashTracker>>,
+    context: Option<Arc<RunnerContext>>,
+    next_content: u64,
+    next_run: u64,
+}
+
+impl TargetHost {
+    fn new(responses: Vec<ScriptedResponse>) -> Self {
+        Self {
+            pool: pool(),
+            channel: Arc::new(ScriptedChannel::new(responses)),
+            crashes: Arc::default(),
+            context: None,
+            next_content: 1,
+            next_run: 1,
+        }
+    }
+
+    /// Runs a request with content of its own at a target, on an upstream that has just started. Returns whether it was sent.
+    async fn run(&mut self, target: u64) -> bool {
+        for number in 1..=2 {
+            let mut record = upstream(&format!("u{number}"), "service", 4);
+            record.started_at_ms = self.next_run;
+            record.revision = self.next_run;
+            self.pool.upsert(record);
+        }
+        self.next_run += 1;
+        let sent = self.channel.requests().len();
+        let mut runner =
+            runner_with_crashes(&self.pool, &self.channel, RequestKind::AtMostOnce, &self.crashes);
+        let context = self.context.get_or_insert_with(|| Arc::clone(&runner.context));
+        runner.context = Arc::clone(context);
+        runner.routed.signature.content = self.next_content;
+        runner.routed.signature.target = target;
+        self.next_content += 1;
+        let response = runner.run().await;
+        assert!(
+            !matches!(response, EntryResponse::Relayed(_)) || self.channel.requests().len() > sent
+        );
+        self.channel.requests().len() > sent
+    }
+
+    /// Runs as many requests as crash their upstreams until one is refused, beside one at another target that is answered.
+    async fn crash_until_refused(&mut self) {
+        while self.run(TARGET).await {}
+    }
+}
+
+/// Responses to requests that crash their upstreams.
+fn breaks(count: u32) -> Vec<ScriptedResponse> {
+    vec![ScriptedResponse::Broken; count as usize]
+}
+
+#[tokio::test(start_paused = true)]
+async fn target_is_refused_after_three_bodies_that_each_crash_an_upstream() {
+    let mut host = TargetHost::new(breaks(2 * CRASH_LIMIT));
+    let mut sent = 0;
+    for _ in 0..10 {
+        sent += u32::from(host.run(TARGET).await);
+        advance(Duration::from_secs(2)).await;
+    }
+    assert_eq!(sent, CRASH_LIMIT);
+}
+
+#[tokio::test(start_paused = true)]
+async fn target_at_which_others_complete_is_not_refused() {
+    let mut responses = Vec::new();
+    for _ in 0..10 {
+        responses.extend([ScriptedResponse::Broken, answer()]);
+    }
+    let mut host = TargetHost::new(responses);
+    for number in 0..20 {
+        assert!(host.run(TARGET).await, "request {number}");
+        advance(Duration::from_millis(100)).await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn target_with_recent_completions_bears_as_many_crashes() {
+    let responses = [vec![answer(); 8], breaks(20)].concat();
+    let mut host = TargetHost::new(responses);
+    for _ in 0..8 {
+        host.run(TARGET).await;
+    }
+    let mut crashes = 0;
+    while host.run(TARGET).await {
+        crashes += 1;
+    }
+    assert_eq!(crashes, 8);
+}
+
+#[tokio::test(start_paused = true)]
+async fn target_with_completions_long_ago_is_refused_after_three_crashes() {
+    let mut host = TargetHost::new([vec![answer(); 8], breaks(20)].concat());
+    for _ in 0..8 {
+        host.run(TARGET).await;
+    }
+    advance(Duration::from_secs(11)).await;
+    let mut crashes = 0;
+    while host.run(TARGET).await {
+        crashes += 1;
+    }
+    assert_eq!(crashes, CRASH_LIMIT);
+}
+
+#[tokio::test(start_paused = true)]
+async fn target_that_is_refused_leaves_other_targets_served() {
+    let mut host = TargetHost::new([breaks(CRASH_LIMIT), vec![answer()]].concat());
+    host.crash_until_refused().await;
+    assert!(host.run(TARGET + 1).await);
+}
+
+#[tokio::test(start_paused = true)]
+async fn refused_target_is_served_again_once_a_trial_completes() {
+    let mut host = TargetHost::new([breaks(CRASH_LIMIT), vec![answer(); 3]].concat());
+    host.crash_until_refused().await;
+    advance(Duration::from_secs(59)).await;
+    assert!(!host.run(TARGET).await, "tried too early");
+    advance(MAX_TRIAL_TIME).await;
+    for _ in 0..3 {
+        assert!(host.run(TARGET).await);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn refused_target_waits_twice_as_long_after_a_trial_that_crashes() {
+    let mut host = TargetHost::new(breaks(20));
+    host.crash_until_refused().await;
+    let mut trials = 0;
+    // The first trial follows within two minutes, the second two to three later, and the third four to five after that.
+    for _ in 0..8 * 60 {
+        advance(Duration::from_secs(1)).await;
+        trials += u32::from(host.run(TARGET).await);
+    }
+    assert!((2..=3).contains(&trials), "{trials} trials");
+}
--- a/src/tests/entry_runner.rs
+++ b/src/tests/entry_runner.rs
@@ -140,6 +140,8 @@
         streams: Arc::default(),
         crashes: Arc::clone(crashes),
         presumed_crashes: Mutex::default(),
+        completions: Mutex::default(),
+        trials: Mutex::default(),
         keys: KeyChecker::new(&monitor, &metrics),
         dispatch: None,
         placements: PlacementServer::new(pool, &metrics, false),
--- a/src/tests/mod.rs
+++ b/src/tests/mod.rs
@@ -13,6 +13,7 @@
 mod cluster_view;
 mod config_model;
 mod crash_counts;
+mod crash_targets;
 mod cut_off_hosts;
 mod dispatching;
 mod entry_budget;
