Count crashes of a service's last upstreams once the list shows that they have ended

Cause: while no other upstream is heard, a break is held back, as the host's own links may be the cause, and it was dropped if the service took longer than 0.5 s to come back, which upstreams that restart always do. The more upstreams a request had ended, the less its crashes counted. Change: a held crash stays until the list of upstreams tells: an entry that is gone or of a later run confirms it, one that is still there after the expiry time refutes it. As the ends of a whole service now count, older requests at one target that break together count once there, so that a rack that fails does not close a route whose requests share a target.

--- a/src/entry/crash_guard.rs
+++ b/src/entry/crash_guard.rs
@@ -1,6 +1,6 @@
 //! What the attempts of requests tell about crashes of upstreams, and whether a request may be sent to further ones.
 
-use std::sync::Arc;
+use std::{collections::BTreeMap, sync::Arc};
 
 use hyper::StatusCode;
 use tokio::time::{Duration, Instant};
@@ -9,10 +9,10 @@
     CrashedRun,
     entry::{
         UpstreamRecord, UpstreamResponse,
-        crash_suspects::CrashSuspects,
+        crash_suspects::{CrashSuspects, TargetAttempt},
         host_reach::{ReachChange, ReachEvidence},
         placement_request::PlacementRefusal,
-        presumed_crashes::HeldCrash,
+        presumed_crashes::PresumedCrash,
         request_runner::RunnerContext,
         request_signature::RequestSignature,
         routed_request::RoutedRequest,
@@ -126,24 +126,6 @@
         crashes.clear(signature.target);
     }
 
-    /// Counts the end of a run against requests that ran there. Returns those against which it counts.
-    fn count_crash(&self, run: &CrashedRun, running: CrashSuspects) -> CrashSuspects {
-        let mut crashes = self.crashes.lock();
-        CrashSuspects {
-            contents: crashes.record_crash(run, running.contents),
-            targets: crashes.record_crash(run, running.targets),
-        }
-    }
-
-    /// As [`RunnerContext::count_crash`], for a run that has ended before and was sent the request after that.
-    fn count_another_crash(&self, run: &CrashedRun, running: CrashSuspects) -> CrashSuspects {
-        let mut crashes = self.crashes.lock();
-        CrashSuspects {
-            contents: crashes.record_another_crash(run, running.contents),
-            targets: crashes.record_another_crash(run, running.targets),
-        }
-    }
-
     /// Records what an attempt tells about this host's way to a service. When the service is lost, the crashes that were
     /// presumed since anything of it was heard no longer count; they count again if an upstream is heard soon after.
     pub(super) fn record_reach(&self, record: &UpstreamRecord, evidence: ReachEvidence) {
@@ -155,38 +137,57 @@
             for (crashed, suspects) in &held {
                 log::info!(upstream:% = crashed.upstream, born_ms = crashed.run; "a presumed crash is taken back, as no upstream is heard");
                 self.metrics.count_crash("retracted");
-                crashes.retract_crash(crashed, &suspects.hashes());
+                suspects.retract(&mut crashes, crashed);
             }
         } else if evidence == ReachEvidence::Heard && !self.pool.reach().is_lost(&record.service) {
             self.settle_held_crashes(&record.service);
         }
     }
 
-    /// Counts the crashes that were held back a moment ago, and drops older ones.
+    /// Counts the crashes of a service that were held back a moment ago. The list of upstreams has to confirm older ones.
     fn settle_held_crashes(&self, service: &Arc<str>) {
         let now = Instant::now();
-        let held = self.presumed_crashes.lock().take_held(service);
+        let is_due = |it: &PresumedCrash| {
+            it.record.service == *service && now.saturating_duration_since(it.at) <= MOMENTARY_LOSS
+        };
+        let held = self.presumed_crashes.lock().take_held(is_due);
+        self.count_held_crashes(held, "other upstreams are heard");
+    }
 
-        for HeldCrash { crashed, at, suspects } in held {
-            let held_ms = now.duration_since(at).as_millis() as u64;
-            let is_momentary = now.duration_since(at) <= MOMENTARY_LOSS;
+    /// Counts the held crashes whose runs have ended by the list of upstreams, and drops those that it has not confirmed in time:
+    /// the connections broke, but the upstreams live.
+    pub(crate) fn settle_ended_runs(&self) {
+        let ended = self.presumed_crashes.lock().take_held(|it| self.pool.has_ended(&it.record));
+        self.count_held_crashes(ended, "the run has ended by the list of upstreams");
 
-            if !is_momentary {
-                self.metrics.count_crash("dropped");
-                log::info!(
-                    upstream:% = crashed.upstream, born_ms = crashed.run, held_ms, suspects:? = suspects;
-                    "a presumed crash is dropped, as the service was out of reach for long"
-                );
-                continue;
-            }
+        let now = Instant::now();
+        let settle_time = self.pool.settle_time();
+        let is_overdue = |it: &PresumedCrash| now.saturating_duration_since(it.at) > settle_time;
+        let overdue = self.presumed_crashes.lock().take_held(is_overdue);
+
+        for (run, PresumedCrash { at, suspects, .. }) in overdue {
+            self.metrics.count_crash("dropped");
+            let held_ms = now.saturating_duration_since(at).as_millis() as u64;
+            log::info!(
+                upstream:% = run.upstream, born_ms = run.run, held_ms, suspects:?;
+                "a presumed crash is dropped, as the upstream is still listed"
+            );
+        }
+    }
+
+    fn count_held_crashes(&self, held: BTreeMap<CrashedRun, PresumedCrash>, reason: &str) {
+        let now = Instant::now();
 
+        for (run, crash) in held {
             self.metrics.count_crash("settled");
+            let held_ms = now.saturating_duration_since(crash.at).as_millis() as u64;
             log::info!(
-                upstream:% = crashed.upstream, born_ms = crashed.run, held_ms;
-                "a presumed crash counts, as other upstreams are heard"
+                upstream:% = run.upstream, born_ms = run.run, held_ms;
+                "a presumed crash counts: {reason}"
             );
-            let suspects = self.count_crash(&crashed, suspects);
-            self.presumed_crashes.lock().add(now, Arc::clone(service), crashed, suspects);
+            let suspects = crash.suspects.record(&mut self.crashes.lock(), &run, false);
+            let counted = PresumedCrash { at: now, suspects, ..crash };
+            self.presumed_crashes.lock().add(run, counted);
         }
     }
 
@@ -206,7 +207,7 @@
         if let Some(suspects) = disproved {
             self.metrics.count_crash("disproved");
             log::info!(upstream:% = crashed.upstream, born_ms = crashed.run; "an upstream that was presumed to have crashed responds");
-            self.crashes.lock().retract_crash(&crashed, &suspects.hashes());
+            suspects.retract(&mut self.crashes.lock(), &crashed);
         }
     }
 }
@@ -220,6 +221,7 @@
     request: Arc<str>,
     request_target: Arc<str>,
     signature: RequestSignature,
+    target_attempt: TargetAttempt,
     record: Arc<UpstreamRecord>,
     crashed: CrashedRun,
     /// Time without data after which the upstream counts as silent.
@@ -238,11 +240,13 @@
         lease: &UpstreamLease,
         silence_limit: Duration,
     ) -> Self {
+        let target_attempt = TargetAttempt::begin(&context.crashes.lock(), routed.signature.target);
         Self {
             context: Arc::clone(context),
             request: Arc::clone(&routed.request.id),
             request_target: Arc::clone(&routed.request.target),
             signature: routed.signature,
+            target_attempt,
             record: Arc::clone(&lease.record),
             crashed: lease.crashed_run(),
             silence_limit,
@@ -253,6 +257,17 @@
         }
     }
 
+    /// Watches on for an earlier watch of the same attempt.
+    pub(super) fn continuing(mut self, target_attempt: TargetAttempt) -> Self {
+        self.target_attempt = target_attempt;
+        self
+    }
+
+    /// The attempt, for a later watch of it.
+    pub(super) fn target_attempt(&self) -> TargetAttempt {
+        self.target_attempt
+    }
+
     /// Records that the upstream has sent data.
     pub(super) fn record_data(&mut self) {
         self.heard_at = Instant::now();
@@ -288,41 +303,42 @@
         self.context.record_reach(&self.record, ReachEvidence::Broken);
 
         if self.context.pool.reach().is_doubtful(&self.record.service) {
-            self.is_over = true;
-            self.context.presumed_crashes.lock().hold(
-                Instant::now(),
-                Arc::clone(&self.record.service),
-                self.crashed.clone(),
-                self.signature.into(),
-            );
-            self.context.metrics.count_crash("held");
-            log::info!(
-                request:% = self.request, request_target:% = self.request_target, upstream:% = self.crashed.upstream,
-                fingerprint = self.signature.content, target_hash = self.signature.target;
-                "a connection broke while no upstream is heard, so it is no sign of a crash yet: {reason}"
-            );
+            self.hold_crash(Instant::now(), reason);
             return;
         }
 
-        self.record_crash(reason);
+        self.record_crash(Instant::now(), reason);
     }
 
-    fn record_crash(&mut self, reason: &str) {
+    fn suspects(&self, ended_at: Instant) -> CrashSuspects {
+        CrashSuspects::new(self.signature, self.target_attempt, &self.crashed, ended_at)
+    }
+
+    /// Holds the crash back, as this host's own links may be the cause.
+    fn hold_crash(&mut self, at: Instant, reason: &str) {
+        self.is_over = true;
+        let record = Arc::clone(&self.record);
+        let suspects = self.suspects(at);
+        let held = PresumedCrash { at, record, suspects };
+        self.context.presumed_crashes.lock().hold(self.crashed.clone(), held);
+        self.context.metrics.count_crash("held");
+        log::info!(
+            request:% = self.request, request_target:% = self.request_target, upstream:% = self.crashed.upstream,
+            fingerprint = self.signature.content, target_hash = self.signature.target;
+            "an attempt has failed while no upstream is heard, so it is no sign of a crash yet: {reason}"
+        );
+    }
+
+    fn record_crash(&mut self, at: Instant, reason: &str) {
         self.is_over = true;
         let is_another =
             self.context.presumed_crashes.lock().is_sent_after(&self.crashed, self.started_at);
-        let running = self.signature.into();
-        let suspects = if is_another {
-            self.context.count_another_crash(&self.crashed, running)
-        } else {
-            self.context.count_crash(&self.crashed, running)
-        };
-        let (count, target_count) = {
-            let crashes = self.context.crashes.lock();
-            (
-                crashes.crash_count(self.signature.content),
-                crashes.crash_count(self.signature.target),
-            )
+        let running = self.suspects(at);
+        let (suspects, count, target_count) = {
+            let mut crashes = self.context.crashes.lock();
+            let suspects = running.record(&mut crashes, &self.crashed, is_another);
+            let RequestSignature { content, target } = self.signature;
+            (suspects, crashes.crash_count(content), crashes.crash_count(target))
         };
 
         log::warn!(
@@ -331,9 +347,9 @@
             "the upstream may have crashed under the request: {reason}"
         );
         self.context.metrics.count_crash("counted");
-        let crashed = self.crashed.clone();
-        let service = Arc::clone(&self.record.service);
-        self.context.presumed_crashes.lock().add(Instant::now(), service, crashed, suspects);
+        let record = Arc::clone(&self.record);
+        let counted = PresumedCrash { at: Instant::now(), record, suspects };
+        self.context.presumed_crashes.lock().add(self.crashed.clone(), counted);
     }
 }
 
@@ -348,10 +364,14 @@
         let since = self.heard_at;
         self.context.record_reach(&self.record, ReachEvidence::Silent { since });
 
-        if silence >= SOUND_SILENCE
-            && self.context.pool.reach().has_heard_other(&self.record, since)
-        {
-            self.record_crash("it is silent");
+        if silence < SOUND_SILENCE {
+            return;
+        }
+
+        if self.context.pool.reach().has_heard_other(&self.record, since) {
+            self.record_crash(since, "it is silent");
+        } else {
+            self.hold_crash(since, "it is silent");
         }
     }
 }
--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -292,6 +292,7 @@
             sleep(MAINTENANCE_INTERVAL).await;
             self.context.pool.maintain();
             self.context.channel.close_expired();
+            self.context.settle_ended_runs();
             let lost_services = self.context.pool.reach().lost_services().len();
             self.context.metrics.record_lost_services(lost_services);
             self.context.metrics.record_full_memories(self.context.pool.full_memory_count());
--- a/src/entry/pool_listing.rs
+++ b/src/entry/pool_listing.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashSet, sync::Arc};
 
-use tokio::time::Instant;
+use tokio::time::{Duration, Instant};
 
 use crate::entry::{
     FollowGap, HostFeature, PlacementPool, UpstreamPhase, UpstreamRecord,
@@ -111,6 +111,22 @@
         }
     }
 
+    /// Whether the list shows that the run of an entry has ended, and it had not stated that it leaves.
+    pub(crate) fn has_ended(&self, record: &UpstreamRecord) -> bool {
+        if record.phase == UpstreamPhase::Draining || self.departures.lock().is_leaving(record) {
+            return false;
+        }
+
+        let state = self.state.lock();
+        let listed = state.by_id.get(&record.id).map(|key| &state.upstreams[*key].record);
+        listed.is_none_or(|it| it.started_at_ms != record.started_at_ms)
+    }
+
+    /// Time until the list shows which runs have ended.
+    pub(crate) fn settle_time(&self) -> Duration {
+        self.expiry.settle_time()
+    }
+
     /// Removes an upstream whose entry is gone from the store at a revision. If the entry may only have expired in a store
     /// outage, the upstream is kept until the end of the grace period that began with the listing after it.
     pub fn remove(&self, id: &str, revision: u64) {
--- a/src/entry/presumed_crashes.rs
+++ b/src/entry/presumed_crashes.rs
@@ -2,11 +2,17 @@
 //!
 //! See docs/design/platform.md, "Requests that crash upstreams".
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, btree_map::Entry},
+    sync::Arc,
+};
 
 use tokio::time::{Duration, Instant};
 
-use crate::{CrashedRun, entry::crash_suspects::CrashSuspects};
+use crate::{
+    CrashedRun,
+    entry::{UpstreamRecord, crash_suspects::CrashSuspects},
+};
 
 /// Shortest time in which an upstream that has ended starts again. The response to a request that was sent sooner comes from
 /// the run that was presumed to have ended.
@@ -16,20 +22,12 @@
 const RETENTION: Duration = Duration::from_mins(5);
 
 /// A presumed crash of one run.
-#[derive(Debug)]
-struct PresumedCrash {
-    at: Instant,
-    service: Arc<str>,
-    /// Requests that it counts against.
-    suspects: CrashSuspects,
-}
-
-/// A crash that was held back.
-#[derive(Debug)]
-pub(crate) struct HeldCrash {
-    pub(crate) crashed: CrashedRun,
+#[derive(Clone, Debug)]
+pub(crate) struct PresumedCrash {
     pub(crate) at: Instant,
-    /// Requests that it would count against.
+    /// Entry of the run.
+    pub(crate) record: Arc<UpstreamRecord>,
+    /// Requests that it counts against.
     pub(crate) suspects: CrashSuspects,
 }
 
@@ -47,30 +45,15 @@
         self.crashes.get(crashed).is_some_and(|it| sent_at > it.at)
     }
 
-    pub(crate) fn add(
-        &mut self,
-        now: Instant,
-        service: Arc<str>,
-        crashed: CrashedRun,
-        suspects: CrashSuspects,
-    ) {
-        self.crashes.retain(|_, it| now.duration_since(it.at) < RETENTION);
-        let new = PresumedCrash { at: now, service, suspects: CrashSuspects::default() };
-        let crash = self.crashes.entry(crashed).or_insert(new);
-        crash.at = now;
-        crash.suspects.merge(suspects);
+    pub(crate) fn add(&mut self, crashed: CrashedRun, new: PresumedCrash) {
+        self.crashes.retain(|_, it| new.at.duration_since(it.at) < RETENTION);
+        let at = new.at;
+        add_suspects(&mut self.crashes, crashed, new).at = at;
     }
 
     /// Holds the crash of a run under a request back, as no upstream of its service is heard.
-    pub(crate) fn hold(
-        &mut self,
-        now: Instant,
-        service: Arc<str>,
-        crashed: CrashedRun,
-        suspects: CrashSuspects,
-    ) {
-        let new = PresumedCrash { at: now, service, suspects: CrashSuspects::default() };
-        self.held.entry(crashed).or_insert(new).suspects.merge(suspects);
+    pub(crate) fn hold(&mut self, crashed: CrashedRun, new: PresumedCrash) {
+        add_suspects(&mut self.held, crashed, new);
     }
 
     /// Holds those crashes of a service back that were presumed after `last_heard`, the last time at which any of its upstreams
@@ -81,33 +64,29 @@
         last_heard: Option<Instant>,
     ) -> Vec<(CrashedRun, CrashSuspects)> {
         let is_held = |it: &PresumedCrash| {
-            it.service == *service && last_heard.is_none_or(|last_heard| it.at >= last_heard)
+            it.record.service == *service && last_heard.is_none_or(|last_heard| it.at >= last_heard)
         };
-        let crashed: Vec<CrashedRun> =
-            self.crashes.iter().filter(|(_, it)| is_held(it)).map(|(run, _)| run.clone()).collect();
-        let mut held = Vec::new();
-
-        for run in crashed {
-            if let Some(crash) = self.crashes.remove(&run) {
-                self.hold(crash.at, crash.service, run.clone(), crash.suspects.clone());
-                held.push((run, crash.suspects));
-            }
-        }
-        held
+        let (held, kept): (BTreeMap<_, _>, BTreeMap<_, _>) =
+            std::mem::take(&mut self.crashes).into_iter().partition(|(_, it)| is_held(it));
+        self.crashes = kept;
+        let suspects = held.iter().map(|(run, it)| (run.clone(), it.suspects.clone())).collect();
+        held.into_iter().for_each(|(run, it)| self.hold(run, it));
+        suspects
     }
 
-    /// Takes the crashes of a service that were held back.
-    pub(crate) fn take_held(&mut self, service: &Arc<str>) -> Vec<HeldCrash> {
+    /// Takes the held crashes for which `is_due` holds.
+    pub(crate) fn take_held(
+        &mut self,
+        is_due: impl Fn(&PresumedCrash) -> bool,
+    ) -> BTreeMap<CrashedRun, PresumedCrash> {
         if self.held.is_empty() {
-            return Vec::new();
+            return BTreeMap::new();
         }
 
-        let (taken, kept): (BTreeMap<_, _>, BTreeMap<_, _>) =
-            std::mem::take(&mut self.held).into_iter().partition(|(_, it)| it.service == *service);
+        let (taken, kept) =
+            std::mem::take(&mut self.held).into_iter().partition(|(_, it)| is_due(it));
         self.held = kept;
-        let held =
-            |(crashed, PresumedCrash { at, suspects, .. })| HeldCrash { crashed, at, suspects };
-        taken.into_iter().map(held).collect()
+        taken
     }
 
     /// Returns the suspects of a run that has responded to a request which was sent at `sent_at`, if this proves that the run
@@ -122,3 +101,19 @@
         is_proof.then(|| self.crashes.remove(crashed).map(|it| it.suspects)).flatten()
     }
 }
+
+/// Adds the suspects of a crash to those that are known of it.
+fn add_suspects(
+    crashes: &mut BTreeMap<CrashedRun, PresumedCrash>,
+    run: CrashedRun,
+    new: PresumedCrash,
+) -> &mut PresumedCrash {
+    match crashes.entry(run) {
+        Entry::Occupied(known) => {
+            let known = known.into_mut();
+            known.suspects.merge(new.suspects);
+            known
+        }
+        Entry::Vacant(place) => place.insert(new),
+    }
+}
--- a/src/entry/request_runner.rs
+++ b/src/entry/request_runner.rs
@@ -502,6 +502,7 @@
 
         loop {
             if let Some(event) = framer.next_event() {
+                let target_attempt = watch.target_attempt();
                 watch.finish();
                 lease.record_first_event();
                 let departure = lease.departure(&response);
@@ -514,6 +515,7 @@
                     body: response.body,
                     framer,
                     first_event: event,
+                    target_attempt,
                 }));
             }
 
--- a/src/entry/stream_relay.rs
+++ b/src/entry/stream_relay.rs
@@ -13,6 +13,7 @@
     BufferBudget, LeasedBuffer, UpstreamBody,
     buffer_budget::uncounted,
     crash_guard::AttemptWatch,
+    crash_suspects::TargetAttempt,
     entry_response::StreamItem,
     event_framer::{EventFramer, StreamEvent},
     host_load::{SendEnd, StreamSender, stream_sender::STALL_GRACE},
@@ -58,6 +59,7 @@
     pub(crate) body: Box<dyn UpstreamBody>,
     pub(crate) framer: EventFramer,
     pub(crate) first_event: StreamEvent,
+    pub(super) target_attempt: TargetAttempt,
 }
 
 /// How relaying from one upstream has ended.
@@ -256,9 +258,10 @@
         source: StreamSource,
         progress: &mut StreamProgress,
     ) -> SourceEnd {
-        let StreamSource { lease, mut body, mut framer, first_event, .. } = source;
+        let StreamSource { lease, mut body, mut framer, first_event, target_attempt, .. } = source;
         let mut watch =
-            AttemptWatch::start(&self.context, &self.routed, &lease, self.gap_timeout());
+            AttemptWatch::start(&self.context, &self.routed, &lease, self.gap_timeout())
+                .continuing(target_attempt);
         let mut first_event = Some(first_event);
         // Only whole events with data count, so that an upstream which sends a byte now and then is stalled as well.
         let mut silent_at = Instant::now() + self.gap_timeout();
--- a/src/entry/stream_resume.rs
+++ b/src/entry/stream_resume.rs
@@ -176,6 +176,7 @@
     loop {
         while let Some(event) = framer.next_event() {
             if is_new_event(progress.last_event_id.as_deref(), event.id.as_deref()) {
+                let target_attempt = watch.target_attempt();
                 watch.finish();
 
                 if progress.has_gap_before(event.id.as_deref()) {
@@ -197,6 +198,7 @@
                     body,
                     framer,
                     first_event: event,
+                    target_attempt,
                 });
             }
         }
--- a/src/tests/crash_counts.rs
+++ b/src/tests/crash_counts.rs
@@ -14,7 +14,7 @@
 use crate::{
     CrashTracker, CrashedRun,
     entry::{
-        EntryResponse, PlacementPool, RequestKind,
+        EntryResponse, PlacementPool, RequestKind, UpstreamPhase,
         crash_guard::CRASH_LIMIT,
         crash_records::CrashRecords,
         host_reach::ReachEvidence,
@@ -173,16 +173,21 @@
     }
 }
 
-/// Breaks the connections of two requests at the same time, and answers another request after `pause`.
-async fn break_two_and_answer(pause: Duration) -> Vec<u32> {
-    let responses = vec![ScriptedResponse::Broken, ScriptedResponse::Broken, answer()];
-    let mut host = CrashHost::new(3, responses);
+/// Breaks the connections of two requests on different upstreams at the same time.
+async fn break_two(host: &mut CrashHost, second_fingerprint: u64) {
     host.runner(RequestKind::AtMostOnce, FINGERPRINT).run().await;
     let first = host.channel.requests()[0].0.to_string();
     let others: Vec<&str> = ["u1", "u2", "u3"].into_iter().filter(|it| *it != first).collect();
     let place_at_first = host.pool.try_acquire(&placement(&others));
-    host.runner(RequestKind::AtMostOnce, FINGERPRINT + 1).run().await;
+    host.runner(RequestKind::AtMostOnce, second_fingerprint).run().await;
     drop(place_at_first);
+}
+
+/// Breaks the connections of two requests at the same time, and answers another request after `pause`.
+async fn break_two_and_answer(pause: Duration) -> Vec<u32> {
+    let responses = vec![ScriptedResponse::Broken, ScriptedResponse::Broken, answer()];
+    let mut host = CrashHost::new(3, responses);
+    break_two(&mut host, FINGERPRINT + 1).await;
     let mut counts = vec![host.crash_count()];
     sleep(pause).await;
 
@@ -201,6 +206,53 @@
     assert_eq!(break_two_and_answer(Duration::from_secs(2)).await, [0, 0]);
 }
 
+/// Breaks the connections of two requests at the same time, and lists the upstreams anew after `pause`.
+async fn break_two_and_list_anew(pause: Duration, is_leaving: bool) -> u32 {
+    let mut host = CrashHost::new(2, vec![ScriptedResponse::Broken; 2]);
+    break_two(&mut host, FINGERPRINT).await;
+    let context = host.context.clone().expect("a request has run");
+    context.settle_ended_runs();
+    assert_eq!(host.crash_count(), 0, "before the list shows the ends");
+    sleep(pause).await;
+
+    for number in 1..=2 {
+        let mut record = upstream(&format!("u{number}"), "service", 1);
+        if is_leaving {
+            record.phase = UpstreamPhase::Draining;
+            host.pool.upsert(record.clone());
+        }
+        record.phase = UpstreamPhase::Serving;
+        record.started_at_ms += 1_000;
+        record.revision += 1;
+        host.pool.upsert(record);
+    }
+    context.settle_ended_runs();
+    host.crash_count()
+}
+
+/// Guards against crashes of the last upstreams of a service, which no other upstream's data confirms.
+#[tokio::test(start_paused = true)]
+async fn crash_count_includes_upstreams_that_are_listed_anew_after_a_loss() {
+    assert_eq!(break_two_and_list_anew(Duration::from_secs(2), false).await, 2);
+}
+
+#[tokio::test(start_paused = true)]
+async fn crash_count_ignores_upstreams_that_have_left() {
+    assert_eq!(break_two_and_list_anew(Duration::from_secs(2), true).await, 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn crash_count_ignores_upstreams_that_are_listed_anew_long_after_a_loss() {
+    let mut host = CrashHost::new(2, vec![ScriptedResponse::Broken; 2]);
+    break_two(&mut host, FINGERPRINT).await;
+    let context = host.context.clone().expect("a request has run");
+    sleep(Duration::from_secs(30)).await;
+    context.settle_ended_runs();
+    host.pool.remove("u1", 1_000);
+    context.settle_ended_runs();
+    assert_eq!(host.crash_count(), 0);
+}
+
 #[tokio::test(start_paused = true)]
 async fn crash_count_includes_upstreams_that_break_while_others_can_be_reached() {
     assert_eq!(break_two_and_answer(Duration::from_millis(100)).await, [0, 1]);
--- a/src/tests/crash_targets.rs
+++ b/src/tests/crash_targets.rs
@@ -7,7 +7,7 @@
 
 use super::{
     entry_fakes::{ScriptedChannel, ScriptedResponse, upstream},
-    entry_runner::{pool, runner_with_crashes},
+    entry_runner::{pool, read_events, runner_with_crashes},
 };
 use crate::{
     CrashTracker,
@@ -51,6 +51,14 @@
 
     /// Runs a request with content of its own at a target, on an upstream that has just started. Returns whether it was sent.
     async fn run(&mut self, target: u64) -> bool {
+        let sent = self.channel.requests().len();
+        let response = self.begin(target, RequestKind::AtMostOnce).await;
+        let is_sent = self.channel.requests().len() > sent;
+        assert!(is_sent || !matches!(response, EntryResponse::Relayed(_)));
+        is_sent
+    }
+
+    fn list_new_runs(&mut self) {
         for number in 1..=2 {
             let mut record = upstream(&format!("u{number}"), "service", 4);
             record.started_at_ms = self.next_run;
@@ -58,19 +66,24 @@
             self.pool.upsert(record);
         }
         self.next_run += 1;
-        let sent = self.channel.requests().len();
-        let mut runner =
-            runner_with_crashes(&self.pool, &self.channel, RequestKind::AtMostOnce, &self.crashes);
+    }
+
+    /// Counts the crashes that the list of upstreams confirms.
+    fn settle(&mut self) {
+        self.list_new_runs();
+        self.context.iter().for_each(|it| it.settle_ended_runs());
+    }
+
+    async fn begin(&mut self, target: u64, kind: RequestKind) -> EntryResponse {
+        self.list_new_runs();
+        let mut runner = runner_with_crashes(&self.pool, &self.channel, kind, &self.crashes);
         let context = self.context.get_or_insert_with(|| Arc::clone(&runner.context));
         runner.context = Arc::clone(context);
         runner.routed.signature.content = self.next_content;
         runner.routed.signature.target = target;
+        runner.routed.deadline += Duration::from_mins(1);
         self.next_content += 1;
-        let response = runner.run().await;
-        assert!(
-            !matches!(response, EntryResponse::Relayed(_)) || self.channel.requests().len() > sent
-        );
-        self.channel.requests().len() > sent
+        runner.run().await
     }
 
     /// Runs as many requests as crash their upstreams until one is refused, beside one at another target that is answered.
@@ -79,6 +92,15 @@
     }
 }
 
+/// A stream whose upstream ends a few seconds after the first event.
+fn late_break() -> ScriptedResponse {
+    ScriptedResponse::PausingStream {
+        events: "id: 1\ndata: a\n\n",
+        pause: Duration::from_secs(3),
+        rest: "id: 2\nda",
+    }
+}
+
 /// Responses to requests that crash their upstreams.
 fn breaks(count: u32) -> Vec<ScriptedResponse> {
     vec![ScriptedResponse::Broken; count as usize]
@@ -95,6 +117,23 @@
     assert_eq!(sent, CRASH_LIMIT);
 }
 
+/// Guards against a target that is refused since many upstreams have ended at once, each with a request for it.
+#[tokio::test(start_paused = true)]
+async fn target_whose_requests_all_break_at_once_counts_one_crash() {
+    let mut host = TargetHost::new(vec![late_break(); 8]);
+    let mut streams = Vec::new();
+    for _ in 0..8 {
+        streams.push(host.begin(TARGET, RequestKind::Stream { can_resume: false }).await);
+    }
+    for stream in &mut streams {
+        read_events(stream).await;
+    }
+    host.settle();
+    assert_eq!(host.crashes.lock().crash_count(TARGET), 1);
+    let counts = (1..=8).map(|content| host.crashes.lock().crash_count(content));
+    assert_eq!(counts.collect::<Vec<u32>>(), [1; 8]);
+}
+
 #[tokio::test(start_paused = true)]
 async fn target_at_which_others_complete_is_not_refused() {
     let mut responses = Vec::new();
--- a/src/upstreams/crash_tracker.rs
+++ b/src/upstreams/crash_tracker.rs
@@ -109,6 +109,12 @@
         self.entries.get(&fingerprint).map_or(0, CrashEntry::count)
     }
 
+    /// Whether the end of a run counts against a request.
+    pub(crate) fn is_counted(&self, fingerprint: u64, crashed: &CrashedRun) -> bool {
+        let run = self.entries.get(&fingerprint).and_then(|it| it.runs.get(crashed));
+        run.is_some_and(|(presumed, cleared)| presumed > cleared)
+    }
+
     /// Takes back a crash that proved to be none, given the requests that [`CrashTracker::record_crash`] returned.
     pub(crate) fn retract_crash(&mut self, crashed: &CrashedRun, suspects: &[u64]) {
         for fingerprint in suspects {
