Decide about a request that has crashed upstreams by both of its hashes at once

A request that was refused by its content and by its target began the wait for a trial by the second only once the first was due, so a harmless one waited twice as long. And a client whose target is refused was told to come back after a minute, though any other request that completes there clears it: it is told 5 s.

--- a/src/entry/crash_guard.rs
+++ b/src/entry/crash_guard.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
+use derive_more::Display;
 use hyper::StatusCode;
 use tokio::time::{Duration, Instant};
 
@@ -33,16 +34,40 @@
 /// Time after which a client is asked to retry a request that has crashed upstreams.
 const CRASHED_RETRY_AFTER: Duration = Duration::from_secs(5);
 
-/// Whether a request may be sent to an upstream, by one of its hashes.
+/// What a hash of a request is of.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+enum CrashSubject {
+    #[display("content")]
+    Content,
+    #[display("target")]
+    Target,
+}
+
+/// A hash of a request under which too many upstreams have ended.
 #[derive(Clone, Copy, Debug)]
 struct CrashVerdict {
     hash: u64,
-    /// What the hash is of.
-    subject: &'static str,
+    subject: CrashSubject,
     count: u32,
     limit: u32,
 }
 
+impl CrashVerdict {
+    /// The refusal until a trial is due. A target may be cleared at any time by another request that completes there.
+    fn refusal(&self, time_left: Duration) -> PlacementRefusal {
+        let Self { hash, subject, count, limit } = *self;
+        log::info!(
+            hash, subject:%, count, limit, trial_in_ms = time_left.as_millis() as u64;
+            "a request is kept from further upstreams, as it has crashed several"
+        );
+        let retry_after = match subject {
+            CrashSubject::Content => time_left.max(CRASHED_RETRY_AFTER),
+            CrashSubject::Target => CRASHED_RETRY_AFTER,
+        };
+        PlacementRefusal { reason: "upstreams have crashed under this request", retry_after }
+    }
+}
+
 impl RunnerContext {
     /// Fails if a request has crashed so many upstreams that it must not reach another one. It is asked again before each
     /// attempt, since other copies of the request may run meanwhile.
@@ -50,7 +75,7 @@
         &self,
         signature: RequestSignature,
     ) -> Result<(), PlacementRefusal> {
-        self.refused_verdicts(signature).map(drop)
+        self.due_trials(signature).map(drop)
     }
 
     /// As [`RunnerContext::check_crashes`], for a request that is sent now. One that would be refused but for a trial uses the
@@ -59,63 +84,62 @@
         &self,
         signature: RequestSignature,
     ) -> Result<(), PlacementRefusal> {
-        for CrashVerdict { hash, subject, count, .. } in self.refused_verdicts(signature)? {
-            log::info!(hash, subject, count; "a request that has crashed several upstreams runs as a trial");
+        for CrashVerdict { hash, subject, count, .. } in self.due_trials(signature)? {
+            log::info!(hash, subject:%, count; "a request that has crashed several upstreams runs as a trial");
             self.metrics.count_crash("trial");
             self.trials.lock().record_trial(Instant::now(), hash);
         }
         Ok(())
     }
 
-    /// Returns by which of its hashes a request has crashed several upstreams and may only run as a trial. Fails if no trial is due.
-    fn refused_verdicts(
+    /// Returns the verdicts against a request that may run as a trial, and none for one that may run in any case. Fails if a trial
+    /// is not due.
+    fn due_trials(
         &self,
         signature: RequestSignature,
     ) -> Result<Vec<CrashVerdict>, PlacementRefusal> {
         let now = Instant::now();
-        let verdicts: Vec<CrashVerdict> = {
-            let crashes = self.crashes.lock();
-            let verdict = |hash, subject| CrashVerdict {
-                hash,
-                subject,
-                count: crashes.crash_count(hash),
-                limit: CRASH_LIMIT,
-            };
-            let verdicts =
-                [verdict(signature.content, "content"), verdict(signature.target, "target")];
-            verdicts.into_iter().filter(|it| it.count >= it.limit).collect()
+        let verdicts = self.crash_verdicts(signature, now);
+        let wait = {
+            let mut trials = self.trials.lock();
+            let waits = verdicts.iter().map(|it| (it, trials.time_left(now, it.hash, it.count)));
+            waits.max_by_key(|(_, time_left)| *time_left)
         };
-        let mut refused = Vec::new();
-
-        for mut verdict in verdicts {
-            // Requests that complete tell that the target does not crash upstreams, only some of what is sent to it.
-            if verdict.hash == signature.target {
-                verdict.limit = CRASH_LIMIT.max(self.completions.lock().recent(now, verdict.hash));
-            }
-
-            if verdict.count < verdict.limit {
-                continue;
-            }
 
-            let time_left = self.trials.lock().time_left(now, verdict.hash, verdict.count);
-
-            if !time_left.is_zero() {
-                let CrashVerdict { hash, subject, count, limit } = verdict;
-                log::info!(
-                    hash, subject, count, limit, trial_in_ms = time_left.as_millis() as u64;
-                    "a request is kept from further upstreams, as it has crashed several"
-                );
-                let reason = "upstreams have crashed under this request";
-                return Err(PlacementRefusal {
-                    reason,
-                    retry_after: time_left.max(CRASHED_RETRY_AFTER),
-                });
-            }
-
-            refused.push(verdict);
+        match wait {
+            Some((verdict, time_left)) if !time_left.is_zero() => Err(verdict.refusal(time_left)),
+            _ => Ok(verdicts),
         }
+    }
 
-        Ok(refused)
+    /// By which of its hashes a request has crashed several upstreams.
+    fn crash_verdicts(&self, signature: RequestSignature, now: Instant) -> Vec<CrashVerdict> {
+        let RequestSignature { content, target } = signature;
+        let (content_count, target_count) = {
+            let crashes = self.crashes.lock();
+            (crashes.crash_count(content), crashes.crash_count(target))
+        };
+        // Requests that complete tell that the target does not crash upstreams, only some of what is sent to it.
+        let completions = match target_count {
+            0 => 0,
+            _ => self.completions.lock().recent(now, target),
+        };
+
+        let verdicts = [
+            CrashVerdict {
+                hash: content,
+                subject: CrashSubject::Content,
+                count: content_count,
+                limit: CRASH_LIMIT,
+            },
+            CrashVerdict {
+                hash: target,
+                subject: CrashSubject::Target,
+                count: target_count,
+                limit: CRASH_LIMIT.max(completions),
+            },
+        ];
+        verdicts.into_iter().filter(|it| it.count >= it.limit).collect()
     }
 
     /// Records that a request has completed, so that the crashes of upstreams on which it ran were not its own.
