--- a/src/tests/crash_counts.rs
+++ b/src/tests/crash_counts.rs
@@ -236,6 +236,20 @@
     assert_eq!(break_two_and_list_anew(Duration::from_secs(2), false).await, 2);
 }
 
+#[tokio::test(start_paused = true)]
+async fn crash_count_includes_silent_upstream_that_is_listed_anew_after_a_loss() {
+    let mut host = CrashHost::new(2, vec![ScriptedResponse::Silent]);
+    host.runner(RequestKind::AtMostOnce, FINGERPRINT).run().await;
+    let context = host.context.clone().expect("a request has run");
+    context.settle_ended_runs();
+    assert_eq!(host.crash_count(), 0, "before the list shows the end");
+
+    host.pool.remove("u1", 1_000);
+    host.pool.remove("u2", 1_000);
+    context.settle_ended_runs();
+    assert_eq!(host.crash_count(), 1);
+}
+
 #[tokio::test(start_paused = true)]
 async fn crash_count_ignores_upstreams_that_have_left() {
     assert_eq!(break_two_and_list_anew(Duration::from_secs(2), true).await, 0);
--- a/src/tests/crash_targets.rs
+++ b/src/tests/crash_targets.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use parking_lot::Mutex;
-use tokio::time::{Duration, advance};
+use tokio::time::{Duration, Instant, advance};
 
 use super::{
     entry_fakes::{ScriptedChannel, ScriptedResponse, upstream},
@@ -13,7 +13,7 @@
     CrashTracker,
     entry::{
         EntryResponse, PlacementPool, RequestKind, crash_guard::CRASH_LIMIT,
-        request_runner::RunnerContext,
+        request_runner::RunnerContext, target_completions::TargetCompletions,
     },
 };
 
@@ -206,3 +206,16 @@
     }
     assert!((2..=3).contains(&trials), "{trials} trials");
 }
+
+#[tokio::test(start_paused = true)]
+async fn completions_of_a_busy_target_outlast_many_targets_of_one_request() {
+    let mut completions = TargetCompletions::default();
+    for number in 0..100_000 {
+        completions.record(Instant::now(), 1_000 + number);
+        if number % 1_000 == 0 {
+            completions.record(Instant::now(), TARGET - 1_000);
+            advance(Duration::from_millis(10)).await;
+        }
+    }
+    assert!(completions.recent(Instant::now(), TARGET - 1_000) > CRASH_LIMIT);
+}
