Refuse a target only if no single content explains its crashes

Cause: the crashes at a target were the sum over its contents, though a single content that was there each time tells nothing about the others. Change: a target is refused for three crashes only if there is no content against which all of them count. A second body that crashes an upstream on its own shows that the target is the cause, so at most one further upstream ends for it.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -77,6 +77,7 @@
 mod stream_resume;
 pub(crate) mod stream_versions;
 pub(crate) mod target_completions;
+pub(crate) mod target_crashes;
 pub(crate) mod teams;
 pub(crate) mod turn_budget;
 pub(crate) mod turn_history;
--- a/src/entry/crash_guard.rs
+++ b/src/entry/crash_guard.rs
@@ -17,6 +17,7 @@
         request_runner::RunnerContext,
         request_signature::RequestSignature,
         routed_request::RoutedRequest,
+        target_crashes::TargetCrashes,
         upstream_lease::UpstreamLease,
     },
 };
@@ -117,7 +118,12 @@
         let RequestSignature { content, target } = signature;
         let (content_count, target_count) = {
             let crashes = self.crashes.lock();
-            (crashes.crash_count(content), crashes.crash_count(target))
+            let at_target = TargetCrashes::new(&crashes, target);
+            // Then the content is to be refused, and not what else is sent there.
+            let is_explained =
+                at_target.count() >= CRASH_LIMIT && at_target.is_explained(&crashes, target);
+            let target_count = if is_explained { 0 } else { at_target.count() };
+            (crashes.crash_count(content), target_count)
         };
         // Requests that complete tell that the target does not crash upstreams, only some of what is sent to it.
         let completions = match target_count {
@@ -362,7 +368,8 @@
             let mut crashes = self.context.crashes.lock();
             let suspects = running.record(&mut crashes, &self.crashed, is_another);
             let RequestSignature { content, target } = self.signature;
-            (suspects, crashes.crash_count(content), crashes.crash_count(target))
+            let target_count = TargetCrashes::new(&crashes, target).count();
+            (suspects, crashes.crash_count(content), target_count)
         };
 
         log::warn!(
--- a/src/entry/crash_suspects.rs
+++ b/src/entry/crash_suspects.rs
@@ -4,7 +4,13 @@
 
 use tokio::time::{Duration, Instant};
 
-use crate::{CrashTracker, CrashedRun, entry::request_signature::RequestSignature};
+use crate::{
+    CrashTracker, CrashedRun,
+    entry::{
+        request_signature::RequestSignature,
+        target_crashes::{TargetCrashes, generation_run},
+    },
+};
 
 /// Time after it was sent in which a request that crashes upstreams mostly does so. When many upstreams end at once for another
 /// reason, most requests on them are older, or others at their target have just completed.
@@ -14,38 +20,27 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct TargetAttempt {
     sent_at: Instant,
-    /// The first number whose crash did not count at the target when the request was sent.
+    /// Number of the crash that it proves if it is older than [`YOUNG_AGE`] then.
     generation: u64,
 }
 
 impl TargetAttempt {
     /// An attempt that begins now.
     pub(crate) fn begin(crashes: &CrashTracker, target: u64) -> Self {
-        let mut generation = 1;
-
-        while crashes.is_counted(target, &generation_run(generation)) {
-            generation += 1;
-        }
-
+        let generation = TargetCrashes::new(crashes, target).next_generation();
         Self { sent_at: Instant::now(), generation }
     }
 
     /// The run whose crash is noted at the target if the upstream's run `crashed` has ended at `ended_at`.
-    fn noted_run(&self, crashed: &CrashedRun, ended_at: Instant) -> CrashedRun {
+    fn noted_run(&self, content: u64, crashed: &CrashedRun, ended_at: Instant) -> CrashedRun {
         if ended_at.saturating_duration_since(self.sent_at) < YOUNG_AGE {
             crashed.clone()
         } else {
-            generation_run(self.generation)
+            generation_run(content, self.generation)
         }
     }
 }
 
-/// Stands for all upstreams that end under older requests which were sent before the previous crash at their target was known.
-/// Together they count once, on whichever hosts they are seen. No upstream has an empty name.
-fn generation_run(generation: u64) -> CrashedRun {
-    CrashedRun { upstream: "".into(), run: generation }
-}
-
 /// A target at which a crash counts.
 #[derive(Clone, Debug, Eq, PartialEq)]
 struct TargetSuspect {
@@ -67,7 +62,7 @@
         crashed: &CrashedRun,
         ended_at: Instant,
     ) -> Self {
-        let run = attempt.noted_run(crashed, ended_at);
+        let run = attempt.noted_run(signature.content, crashed, ended_at);
         let target = TargetSuspect { target: signature.target, run };
         Self { contents: vec![signature.content], targets: vec![target] }
     }
--- a/src/upstreams/crash_tracker.rs
+++ b/src/upstreams/crash_tracker.rs
@@ -109,6 +109,20 @@
         self.entries.get(&fingerprint).map_or(0, CrashEntry::count)
     }
 
+    /// The runs whose ends count against a request.
+    pub(crate) fn counted_runs(&self, fingerprint: u64) -> Vec<CrashedRun> {
+        let runs = self.entries.get(&fingerprint).into_iter().flat_map(|it| &it.runs);
+        let counted = runs.filter(|(_, (presumed, cleared))| presumed > cleared);
+        counted.map(|(run, _)| run.clone()).collect()
+    }
+
+    /// The requests against which the end of a run counts.
+    pub(crate) fn suspects_of(&self, crashed: &CrashedRun) -> impl Iterator<Item = u64> + '_ {
+        let fingerprints = self.entries.keys().copied();
+        let crashed = crashed.clone();
+        fingerprints.filter(move |it| self.is_counted(*it, &crashed))
+    }
+
     /// Whether the end of a run counts against a request.
     pub(crate) fn is_counted(&self, fingerprint: u64, crashed: &CrashedRun) -> bool {
         let run = self.entries.get(&fingerprint).and_then(|it| it.runs.get(crashed));
