A request without a body is refused by its target, whichever program sends it

Requests without a body differ from others at their target in nothing that an upstream gets, so there is nothing to tell apart. Failed before: target_without_bodies_is_refused_after_one_program_has_crashed_three_upstreams.

--- a/src/entry/crash_guard.rs
+++ b/src/entry/crash_guard.rs
@@ -115,13 +115,14 @@
 
     /// By which of its hashes a request has crashed several upstreams.
     fn crash_verdicts(&self, signature: RequestSignature, now: Instant) -> Vec<CrashVerdict> {
-        let RequestSignature { content, target } = signature;
+        let RequestSignature { content, target, has_body } = signature;
         let (content_count, target_count) = {
             let crashes = self.crashes.lock();
             let at_target = TargetCrashes::new(&crashes, target);
             // Then the content is to be refused, and not what else is sent there.
-            let is_explained =
-                at_target.count() >= CRASH_LIMIT && at_target.is_explained(&crashes, target);
+            let is_explained = has_body
+                && at_target.count() >= CRASH_LIMIT
+                && at_target.is_explained(&crashes, target);
             let target_count = if is_explained { 0 } else { at_target.count() };
             (crashes.crash_count(content), target_count)
         };
@@ -367,7 +368,7 @@
         let (suspects, count, target_count) = {
             let mut crashes = self.context.crashes.lock();
             let suspects = running.record(&mut crashes, &self.crashed, is_another);
-            let RequestSignature { content, target } = self.signature;
+            let RequestSignature { content, target, .. } = self.signature;
             let target_count = TargetCrashes::new(&crashes, target).count();
             (suspects, crashes.crash_count(content), target_count)
         };
--- a/src/entry/request_signature.rs
+++ b/src/entry/request_signature.rs
@@ -16,6 +16,8 @@
     pub(crate) content: u64,
     /// Hash of the host, the method and the target.
     pub(crate) target: u64,
+    /// Whether the request has a body, so that others at its target may differ from it.
+    pub(crate) has_body: bool,
 }
 
 impl RequestSignature {
@@ -40,6 +42,6 @@
             hasher.update(part);
             hasher.update(b"\n");
         }
-        Self { content, target: hasher.digest() }
+        Self { content, target: hasher.digest(), has_body: !request.body.is_empty() }
     }
 }
--- a/src/tests/crash_targets.rs
+++ b/src/tests/crash_targets.rs
@@ -36,6 +36,7 @@
     context: Option<Arc<RunnerContext>>,
     next_content: u64,
     next_run: u64,
+    has_body: bool,
 }
 
 impl TargetHost {
@@ -47,6 +48,7 @@
             context: None,
             next_content: 1,
             next_run: 1,
+            has_body: true,
         }
     }
 
@@ -82,6 +84,7 @@
         runner.context = Arc::clone(context);
         runner.routed.signature.content = self.next_content;
         runner.routed.signature.target = target;
+        runner.routed.signature.has_body = self.has_body;
         runner.routed.deadline += Duration::from_mins(1);
         self.next_content += 1;
         runner.run().await
@@ -208,6 +211,18 @@
     assert!(!host.run(TARGET).await, "a third body is sent");
 }
 
+/// Guards against a request without a body that is granted three upstreams for each program.
+#[tokio::test(start_paused = true)]
+async fn target_without_bodies_is_refused_after_one_program_has_crashed_three_upstreams() {
+    let mut host = TargetHost::new(breaks(10));
+    host.has_body = false;
+    for _ in 0..CRASH_LIMIT {
+        host.next_content = 1;
+        assert!(host.run(TARGET).await);
+    }
+    assert!(!host.run(TARGET).await, "another program's request is sent");
+}
+
 #[tokio::test(start_paused = true)]
 async fn target_that_is_refused_leaves_other_targets_served() {
     let mut host = TargetHost::new([breaks(CRASH_LIMIT), vec![answer()]].concat());
--- a/src/tests/entry_runner.rs
+++ b/src/tests/entry_runner.rs
@@ -196,7 +196,7 @@
         request,
         route: Arc::new(route),
         service: Arc::new(service),
-        signature: RequestSignature { content: 1, target: 1_001 },
+        signature: RequestSignature { content: 1, target: 1_001, has_body: true },
         deadline: now + Duration::from_secs(2),
         chain: Vec::new(),
         _body_lease: None,
