Keep a crash that connections have confirmed when the service is lost again

Cause: an upstream that is down refuses connections, which counts as a sign that this host's links are lost. The crash that was just counted is then taken back. Connections that were made 100 ms later did not settle it, only data did, and a crash that was settled had the time of its settling, so the next loss took it back again: by the log the count at three hosts went 2, 1, 2, 1, and the fourth upstream was sent the request. Change: connections settle a held crash as data does, and it keeps its own time. Failed before: crash_count_keeps_crash_that_connections_have_confirmed_before_the_next_loss (0 where 1 counts).

--- a/src/entry/crash_guard.rs
+++ b/src/entry/crash_guard.rs
@@ -159,7 +159,7 @@
 
     /// Records what an attempt tells about this host's way to a service. When the service is lost, the crashes that were
     /// presumed since anything of it was heard no longer count; they count again if an upstream is heard soon after.
-    pub(super) fn record_reach(&self, record: &UpstreamRecord, evidence: ReachEvidence) {
+    pub(crate) fn record_reach(&self, record: &UpstreamRecord, evidence: ReachEvidence) {
         let change = self.pool.record_reach(record, evidence);
 
         if let ReachChange::Lost { last_heard } = change {
@@ -170,7 +170,9 @@
                 self.metrics.count_crash("retracted");
                 suspects.retract(&mut crashes, crashed);
             }
-        } else if evidence == ReachEvidence::Heard && !self.pool.reach().is_lost(&record.service) {
+        } else if matches!(evidence, ReachEvidence::Heard | ReachEvidence::Connected)
+            && !self.pool.reach().is_lost(&record.service)
+        {
             self.settle_held_crashes(&record.service);
         }
     }
@@ -217,7 +219,7 @@
                 "a presumed crash counts: {reason}"
             );
             let suspects = crash.suspects.record(&mut self.crashes.lock(), &run, false);
-            let counted = PresumedCrash { at: now, suspects, ..crash };
+            let counted = PresumedCrash { suspects, ..crash };
             self.presumed_crashes.lock().add(run, counted);
         }
     }
--- a/src/entry/presumed_crashes.rs
+++ b/src/entry/presumed_crashes.rs
@@ -48,7 +48,8 @@
     pub(crate) fn add(&mut self, crashed: CrashedRun, new: PresumedCrash) {
         self.crashes.retain(|_, it| new.at.duration_since(it.at) < RETENTION);
         let at = new.at;
-        add_suspects(&mut self.crashes, crashed, new).at = at;
+        let crash = add_suspects(&mut self.crashes, crashed, new);
+        crash.at = crash.at.max(at);
     }
 
     /// Holds the crash of a run under a request back, as no upstream of its service is heard.
--- a/src/tests/crash_counts.rs
+++ b/src/tests/crash_counts.rs
@@ -272,6 +272,30 @@
     assert_eq!(break_two_and_answer(Duration::from_millis(100)).await, [0, 1]);
 }
 
+/// Guards against a crash that is taken back again when the next upstream of a small service ends.
+#[tokio::test(start_paused = true)]
+async fn crash_count_keeps_crash_that_connections_have_confirmed_before_the_next_loss() {
+    let responses = vec![ScriptedResponse::Broken; 4];
+    let mut host = CrashHost::new(3, responses);
+    break_two(&mut host, FINGERPRINT + 1).await;
+    assert_eq!(host.crash_count(), 0);
+    sleep(Duration::from_millis(100)).await;
+    let context = host.context.clone().expect("a request has run");
+    for number in 1..=2 {
+        let record = upstream(&format!("u{number}"), "service", 1);
+        context.record_reach(&record, ReachEvidence::Connected);
+    }
+    assert_eq!(host.crash_count(), 1, "connections are made again");
+
+    sleep(Duration::from_millis(30)).await;
+    for number in 2..=3 {
+        let record = upstream(&format!("u{number}"), "service", 1);
+        context.record_reach(&record, ReachEvidence::Broken);
+    }
+    assert!(host.pool.reach().is_lost("service"));
+    assert_eq!(host.crash_count(), 1, "after the next loss");
+}
+
 /// Runs a request whose connection to `u1` breaks, and another one there that is sent after `pause` and answered.
 async fn break_and_answer(crashes: &Arc<Mutex<CrashTracker>>, pause: Duration) -> u32 {
     let channel = Arc::new(ScriptedChannel::new(vec![ScriptedResponse::Broken, answer()]));
