Load the recorded crashes at each start, before requests are sent

The crashes were recorded since 2.7 s, but the store's records of them were read only if no peer had the other records, and requests without a program waited for neither. Change: each host reads them at its start, and requests wait for that, until a second after the start if the store does not answer.

--- a/src/entry/entry_host.rs
+++ b/src/entry/entry_host.rs
@@ -7,7 +7,7 @@
 use parking_lot::Mutex;
 use tokio::{
     sync::{oneshot, watch},
-    time::{Duration, Instant, sleep, timeout},
+    time::{Duration, Instant, sleep, timeout, timeout_at},
 };
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -76,6 +76,9 @@
 /// Longest time for which a turn waits for what other hosts have spent of its budget.
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Time after the start of a host until which requests wait for the recorded crashes.
+const CRASH_RECORDS_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Longest time that a request may spend on the search for the turns that it continues.
 const SEARCH_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -95,6 +98,9 @@
     forwarded_requests: ForwardedRequests,
     /// Whether the turns and budgets of earlier runs have been loaded.
     is_restored: watch::Sender<bool>,
+    /// Whether the recorded crashes of requests have been loaded.
+    has_crash_records: watch::Sender<bool>,
+    started_at: Instant,
 }
 
 impl EntryHost {
@@ -204,6 +210,8 @@
             context: runner_context,
             forwarded_requests: ForwardedRequests::default(),
             is_restored: watch::Sender::new(false),
+            has_crash_records: watch::Sender::new(false),
+            started_at: Instant::now(),
             settings,
         });
 
@@ -219,6 +227,7 @@
     /// Registers this host with the others and loads what earlier runs of all hosts have recorded. Programs are not
     /// served before that, since other hosts might spend a program's budget without asking this host.
     async fn restore(self: Arc<Self>) {
+        tokio::spawn(Arc::clone(&self).load_crash_records());
         self.register().await;
         let mut attempt = 0;
 
@@ -276,13 +285,35 @@
 
     /// Reads what earlier runs have recorded from the store.
     async fn read_stored_records(&self) -> Result<(), StoreError> {
-        let listing = self.budgets.locator.list_batches(Instant::now());
-        let (listing, notes) = tokio::join!(listing, self.crash_records.read());
-        listing?;
-        let notes = notes?;
-        let mut crashes = self.context.crashes.lock();
-        notes.iter().for_each(|note| crashes.merge(note));
-        Ok(())
+        self.budgets.locator.list_batches(Instant::now()).await.map(drop)
+    }
+
+    /// Loads which requests have crashed upstreams. Peers tell it as well, but later, or stop before they do.
+    async fn load_crash_records(self: Arc<Self>) {
+        let mut attempt = 0;
+
+        let notes = loop {
+            match self.crash_records.read().await {
+                Ok(notes) => break notes,
+                Err(error) => log::warn!("the recorded crashes can't be read yet: {error}"),
+            }
+            RESTORE_BACKOFF.sleep(attempt).await;
+            attempt += 1;
+        };
+
+        {
+            let mut crashes = self.context.crashes.lock();
+            notes.iter().for_each(|note| crashes.merge(note));
+        }
+        log::info!(notes = notes.len(); "the recorded crashes are loaded");
+        self.has_crash_records.send_replace(true);
+    }
+
+    /// Waits until the recorded crashes are loaded, unless the store takes long to answer after the start of this host.
+    async fn wait_for_crash_records(&self) {
+        let mut loaded = self.has_crash_records.subscribe();
+        let waiting = loaded.wait_for(|is_loaded| *is_loaded);
+        let _ = timeout_at(self.started_at + CRASH_RECORDS_TIMEOUT, waiting).await;
     }
 
     /// Handles at a fixed interval what changes with time alone: expired upstreams, connections and programs, and the
@@ -526,6 +557,7 @@
             return EntryResponse::not_run(UNAVAILABLE_RETRY_AFTER, "the route has no service");
         };
 
+        self.wait_for_crash_records().await;
         let signature = RequestSignature::new(&request, team.as_ref());
 
         if let Err(refusal) = self.context.check_crashes(signature) {
