--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,6 +4,6 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 python3 -c 'import sys; sys.exit(0 if sys.version_info >= (3, 11) else "Python 3.11 or later is needed")'
-for file in standins-2/standins.py 6/case.py 7/case.py 8/case.py 9/case.py 10/case.py; do
+for file in standins-2/standins.py {6,7,8,9,10}/case.py; do
   python3 -c 'import sys; compile(open(sys.argv[1]).read(), sys.argv[1], "exec")' "$file"
 done
